--- a/accord/agents.go
+++ b/accord/agents.go
@@ -441,7 +441,6 @@
 			avail -= h.spec.Room
 		}
 	}
-	wall := n.poll.medianWall(n)
 	for _, h := range queue {
 		q := n.setup.cur.Queues[h.spec.Queue]
 		_, lack := lacks(ag.labels, h.spec.Needs)
@@ -450,7 +449,7 @@
 			n.syncAgent(ag)
 			continue
 		}
-		if n.now-h.confirmedMs > contactMs || h.spec.DueMs != 0 && (wall == 0 || wall < h.spec.DueMs+dueMarginMs) {
+		if n.now-h.confirmedMs > contactMs {
 			continue
 		}
 		if avail >= h.spec.Room {
--- a/accord/asks.go
+++ b/accord/asks.go
@@ -247,9 +247,14 @@
 		}
 	}
 	offsets, slow := map[string]int64{}, map[string]int64{}
-	if med := n.poll.medianWall(n); med != 0 {
-		for _, m := range sorted(n.poll.offsets) {
-			offsets[m], slow[m] = n.poll.offsets[m]+n.now-med, n.poll.slowMs[m]
+	for m, ms := range n.poll.slowMs {
+		slow[m] = ms
+	}
+	if n.inCore() {
+		if med := n.poll.medianWall(n); med != 0 {
+			for name, c := range n.store.clocks {
+				offsets[name] = c.offset + n.now - med
+			}
 		}
 	}
 	noHolder := []string{}
--- a/accord/core.go
+++ b/accord/core.go
@@ -14,9 +14,13 @@
 	set     coreSet // last chosen core set this disk knows
 	guardMs int64   // no lease is granted before this time
 	grants  map[string]*grant
-	entries int64 // since the last snapshot
+	clocks  map[string]clockSeen // of all daemons that poll here; never stored
+	entries int64                // since the last snapshot
 }
 
+// clockSeen is a daemon's wall clock minus this member's steady one.
+type clockSeen struct{ offset, atMs int64 }
+
 type register struct {
 	promised, accepted ballot
 	value              []byte
@@ -74,7 +78,7 @@
 )
 
 func newStore() *store {
-	return &store{regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}}
+	return &store{regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}}
 }
 
 func (s *store) reg(name string) *register {
@@ -307,7 +311,9 @@
 		return
 	}
 	st, inc := n.store, m.Inc
-	a := &pollAck{Seq: m.Seq, CoreVer: n.core.Version, WallMs: n.wall, DiskSlow: n.syncMs}
+	// What a message took on its way makes a clock seem late, never early.
+	st.clocks[from] = clockSeen{m.WallMs - n.now, n.now}
+	a := &pollAck{Seq: m.Seq, CoreVer: n.core.Version, FleetMs: n.fleetWall(), DiskSlow: n.syncMs}
 	for _, r := range m.Releases {
 		if g := st.grants[r.Name]; g != nil && g.holder == from && g.inc == inc {
 			*g = grant{holder: "", untilMs: n.now + leaseMs, epoch: g.epoch, successor: r.Successor}
@@ -336,6 +342,28 @@
 	n.keep(nil, n.sendEffect(from, a))
 }
 
+// fleetWall is the median of the wall clocks that this core member hears, its
+// own among them: a minority of wrong ones, core or not, has no say. Right after
+// a start it waits as long as leases do, so that it hears the others first.
+func (n *node) fleetWall() int64 {
+	if n.now < n.store.guardMs {
+		return 0
+	}
+	var all []int64
+	for name, c := range n.store.clocks {
+		if n.now-c.atMs > clockOldMs {
+			delete(n.store.clocks, name)
+			continue
+		}
+		all = append(all, c.offset)
+	}
+	if 2*len(all) <= len(n.liveNames()) {
+		return 0
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2] + n.now
+}
+
 func (n *node) tickStore() {
 	if !n.inCore() || n.poll.medianWall(n) == 0 {
 		return
--- a/accord/doctor.go
+++ b/accord/doctor.go
@@ -22,7 +22,7 @@
 
 // Bounds of doctor's checks, in ms.
 const (
-	spreadMs   = 1000 // core clocks this far apart make due times uncertain
+	spreadMs   = 1000 // a clock this far off is wrong, whatever the network
 	slowSyncMs = 200  // a sync this slow sets the pace of every change
 )
 
@@ -62,7 +62,7 @@
 		}
 		return nil
 	}},
-	{"clock spread", "set the clock of the named core machine; due times follow the core's median", func(s gjson.Result) (out []string) {
+	{"clock spread", "set the clock of the named machine; due times follow the median of all, so a minority of wrong ones does no harm", func(s gjson.Result) (out []string) {
 		s.Get("clock_spread_ms").ForEach(func(k, v gjson.Result) bool {
 			if v.Int() > spreadMs || v.Int() < -spreadMs {
 				out = append(out, fmt.Sprintf("%s is %d ms off the median", k.Str, v.Int()))
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -15,7 +15,7 @@
 	sent    map[uint64]*pollRound
 	okMs    int64 // send time of the newest round a majority answered
 	setup   ballot
-	offsets map[string]int64 // core member -> its wall clock minus our steady clock
+	offsets map[string]int64 // core member -> the fleet's time as it tells it, minus our steady clock
 	slowMs  map[string]int64
 	readMs  map[string]int64
 	free    map[string]int64 // duty -> since when no majority lists a holder
@@ -78,7 +78,7 @@
 	}
 	n.poll.nextMs = n.now + pollMs
 	n.poll.seq++
-	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, SentMs: n.now}
+	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
 		if d.phase == dutyWanted {
@@ -112,7 +112,7 @@
 		return
 	}
 	r.acks[from] = m
-	n.poll.readClock(n, from, r.sentMs, m.WallMs)
+	n.poll.readClock(n, from, m.FleetMs)
 	n.poll.slowMs[from] = m.DiskSlow
 	need := n.core.majority()
 	for i, h := range r.holds {
@@ -344,9 +344,8 @@
 	}
 }
 
-// medianWall is the core's median wall clock, carried by the steady clock.
-// Where only two of the core's clocks are known they may differ by a jump;
-// this machine's own clock is then the third voice.
+// medianWall is the fleet's time: the median of what the core members make of
+// all clocks they hear, carried by the steady clock. 0 while it is unknown.
 func (p *pollState) medianWall(n *node) int64 {
 	var all []int64
 	for _, m := range n.core.Members {
@@ -357,22 +356,19 @@
 	if len(all) == 0 {
 		return 0
 	}
-	if len(all) == 2 {
-		all = append(all, n.wall-n.now)
-	}
 	slices.Sort(all)
-	return all[len(all)/2] + n.now
+	return all[(len(all)-1)/2] + n.now
 }
 
-// readClock takes a core member's clock from an answer. The quicker the
-// answer the surer the reading; a slow one is used only for want of better.
-func (p *pollState) readClock(n *node, from string, sentMs, wallMs int64) {
+// readClock takes the fleet's time from a core member's answer. What the answer
+// took on its way makes the reading late, never early; so the latest of the
+// last seconds is the truest.
+func (p *pollState) readClock(n *node, from string, fleetMs int64) {
 	if p.offsets == nil {
 		p.offsets, p.slowMs, p.readMs = map[string]int64{}, map[string]int64{}, map[string]int64{}
 	}
-	_, known := p.offsets[from]
-	if known && n.now-sentMs > dueMarginMs && n.now-p.readMs[from] < clockOldMs {
-		return
+	off := fleetMs - n.now
+	if old, known := p.offsets[from]; fleetMs != 0 && (!known || off >= old || n.now-p.readMs[from] >= clockOldMs) {
+		p.offsets[from], p.readMs[from] = off, n.now
 	}
-	p.offsets[from], p.readMs[from] = wallMs-(sentMs+n.now)/2, n.now
 }
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -39,8 +39,8 @@
 	backoffMs     = 500            // base wait of a failing task's next try, doubled each time
 	backoffMax    = 30_000         // ms; the longest such wait
 	finishedMs    = 600_000        // finished jobs answered from the owner's memory this long
-	dueMarginMs   = 50             // starts wait this much past the due time, for clock reading error
-	clockOldMs    = 10_000         // a core clock read this long ago is read again even by a slow answer
+	dueMarginMs   = 50             // starts wait this much past the due time, for what sound clocks differ by
+	clockOldMs    = 10_000         // a clock reading older than this is replaced by a later one, or has no say
 	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
 
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -83,7 +83,7 @@
 	Inc      uint64
 	Seq      uint64
 	CoreVer  int64
-	SentMs   int64
+	WallMs   int64 // the sender's wall clock
 	Holds    []dutyAsk
 	Releases []release
 }
@@ -101,7 +101,7 @@
 	Granted  []bool
 	Duties   []dutyView
 	Setup    ballot
-	WallMs   int64
+	FleetMs  int64 // the fleet's time; 0 while too few clocks are heard
 	DiskSlow int64 // ms of the last sync
 }
 
@@ -221,7 +221,6 @@
 	Room     int64
 	Needs    []label
 	SubmitMs int64
-	DueMs    int64
 	EstMs    int64
 	LimitMs  int64
 	Payload  []byte
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -946,7 +946,7 @@
 	js.run[i].sentMs, js.run[i].echoMs = n.now, w.echoMs
 	n.send(w.agent, &placeMsg{Worker: t.Worker, AgentEpoch: t.AgentEpoch, SliceEpoch: sl.epoch, EchoMs: w.echoMs, Spec: orderSpec{
 		Key: attemptKey{js.ID, int32(i), t.Attempt}, Slice: sl.name, Queue: js.Queue, Name: t.Name, Class: t.Class, Room: t.Room,
-		Needs: t.Needs, SubmitMs: js.SubmitMs, DueMs: js.DueMs, EstMs: n.estimateMs(js, t), LimitMs: t.LimitMs, Payload: t.Payload}})
+		Needs: t.Needs, SubmitMs: js.SubmitMs, EstMs: n.estimateMs(js, t), LimitMs: t.LimitMs, Payload: t.Payload}})
 }
 
 func (n *node) sendWant(sl *slice, js *jobState, i int) {
--- a/guards.sh
+++ b/guards.sh
@@ -18,7 +18,7 @@
 placement is durable first|slices.go|if t.SetVer <= js.committed && rt.sentMs == 0|if rt.sentMs == 0
 end is durable before it is acknowledged|slices.go|if t.SetVer > js.committed {\n\t\t\treturn 0\n\t\t}\n\t\treturn verdictAcked|return verdictAcked
 steps in order|slices.go|if !ready[t.Step] \|\| |if 
-due time|agents.go|h.spec.DueMs != 0 && (wall == 0 \|\| wall < h.spec.DueMs+dueMarginMs)|wall == -1
+a median of all clocks|core.go|return all[(len(all)-1)/2] + n.now|return n.wall
 due time|slices.go|(js.DueMs == 0 \|\| wall >= js.DueMs+dueMarginMs)|true
 group at the agent|agents.go|if q == nil \|\| lack \|\| !q.matches(ag.labels, ag.site) {|if q == nil \|\| false && lack {
 allowed failures|slices.go|case t.Failures >= t.allowedRuns():|case t.Failures > t.allowedRuns():
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -26,6 +26,11 @@
 	SetupAcked   = "setup_acked"
 	SetupBounced = "setup_bounced" // finally refused
 	SetupShown   = "setup_shown"   // version shown to an operator as current; AskedMs is when it was asked for
+	NoState      = "no_state"      // a job's state was asked for in vain
+	NoEntry      = "no_entry"      // a job was handed in in vain
+	HardLoss     = "hard_loss"     // machines go down at once
+	MachinesBack = "machines_back" // and all of them stand again
+	TrafficEnds  = "traffic_ends"  // callers send nothing new from here on
 )
 
 // Event is one line of a history.
@@ -97,12 +102,12 @@
 
 // Bounds are the times of the rules, in ms.
 type Bounds struct {
-	CancelStart, CancelRun, Leave, Empty, Setup, Known, Due int64
+	CancelStart, CancelRun, Leave, Empty, Setup, Known, Back int64
 }
 
 // Usual are the bounds that the users named. A run may go on after a cancel
 // for CancelRun.
-var Usual = Bounds{CancelStart: 3000, CancelRun: 10_000, Leave: 2000, Empty: 5000, Setup: 2000, Known: 3000}
+var Usual = Bounds{CancelStart: 3000, CancelRun: 10_000, Leave: 2000, Empty: 5000, Setup: 2000, Known: 3000, Back: 12_000}
 
 // TaskAt gives the step and task of a flat task number.
 //
@@ -203,6 +208,11 @@
 		}
 	}
 	j.longAfterCancel(last)
+	for _, r := range Recoveries(ordered, bounds) {
+		if r.Share < leastShare {
+			j.breach("slow_after_loss", r.AtMs, "%d tasks ended well in %d ms, %.0f were usual; machines back at %d ms", r.Ended, int64(recoverySpanMs), r.Usual, r.BackMs)
+		}
+	}
 	return j.out
 }
 
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -91,6 +92,19 @@
 			return append(h, Event{AtMs: 4000, Kind: Start, Job: "never-sent", Worker: "w1", Run: "never-sent#0#1"})
 		},
 	}
+	plants["slow_after_loss"] = func(h []Event) []Event { // five tasks a second, and after the loss one
+		for i := range int64(300) {
+			at := 10_000 + i*200
+			if at > 20_000 && i%5 != 0 {
+				continue
+			}
+			job := fmt.Sprint("k", i)
+			h = append(h, Event{AtMs: at - 50, Kind: JobSent, Job: job, Spec: &Job{Queue: "q", Steps: []Step{{Name: "a", Tasks: []Task{{Name: "x", Room: 1}}}}}},
+				Event{AtMs: at - 20, Kind: Start, Job: job, Worker: "w1", Run: job + "#0#1"},
+				Event{AtMs: at, Kind: End, Job: job, Worker: "w1", Run: job + "#0#1", Text: "ok"})
+		}
+		return append(h, Event{AtMs: 20_000, Kind: HardLoss}, Event{AtMs: 22_000, Kind: MachinesBack}, Event{AtMs: 60_000, Kind: TrafficEnds})
+	}
 	for rule, plant := range plants {
 		t.Run(rule, func(t *testing.T) {
 			var rules []string
