--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -141,9 +141,13 @@
 	}
 	n.log("core_set", "version", c.Version, "members", memberNames(c))
 	if n.store != nil && n.store.cluster == c.Cluster {
+		// A joined member waits one lease before it grants. At the very first
+		// set there is nothing to wait for: had this disk granted anything
+		// under it, the set would have been synced before.
+		first := c.Version == 1 && n.store.set.Version == 0
 		n.store.learnSet(n, c)
-		if !was && n.inCore() {
-			n.store.guardMs = n.now + leaseMs // a joined member waits one lease before it grants
+		if !was && n.inCore() && !first {
+			n.store.guardMs = n.now + leaseMs
 		}
 	}
 }
