--- a/accord/agents.go
+++ b/accord/agents.go
@@ -440,22 +440,6 @@
 			avail -= h.spec.Room
 		}
 	}
-	// Room that firm work is expected to take soon is not given to what would
-	// be stopped for it.
-	var firmUsed, otherUsed int64
-	for _, h := range ag.held {
-		if h.state == heldOrdered || h.state == heldRunning {
-			if h.spec.Class == classGuaranteed {
-				firmUsed += h.spec.Room
-			} else {
-				otherUsed += h.spec.Room
-			}
-		}
-	}
-	open := ag.capacity
-	if n.FirmWindow && n.now-n.ranks.heardMs < rankStaleMs {
-		open -= max(firmUsed, ag.capacity*n.ranks.firmPct/100)
-	}
 	for _, h := range queue {
 		q := n.setup.cur.Queues[h.spec.Queue]
 		_, lack := lacks(ag.labels, h.spec.Needs)
@@ -467,13 +451,7 @@
 		if n.now-h.confirmedMs > contactMs {
 			continue
 		}
-		if h.spec.Class == classQueueable && otherUsed > 0 && otherUsed+h.spec.Room > open {
-			continue
-		}
 		if avail >= h.spec.Room {
-			if h.spec.Class == classQueueable {
-				otherUsed += h.spec.Room
-			}
 			avail -= h.spec.Room
 			n.order(ag, d, h)
 			continue
--- a/accord/central.go
+++ b/accord/central.go
@@ -16,7 +16,6 @@
 	wants   map[wantKey]*wantState
 	roundAt int64
 	round   int64
-	firmPct []int64 // of all room, by round
 }
 
 type wantKey struct {
@@ -49,7 +48,6 @@
 	round    int64
 	heardMs  int64
 	targetMs int64
-	firmPct  int64
 	ranks    map[string]int64
 	unsound  map[string]int8
 	added    map[string]int64 // estimates of what was placed from here since the round
@@ -266,13 +264,11 @@
 	n.judgeSoundness(c)
 	m := &ranksMsg{Epoch: c.epoch, Round: c.round}
 	var sum, sum2, count float64
-	var firm, capacity int64
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
 		if n.now-w.heardMs > rankMs {
 			continue
 		}
-		firm, capacity = firm+w.firm, capacity+w.Capacity
 		v := rankView{Worker: name, RankMs: w.RankMs}
 		if w.badMs > n.now {
 			v.Unsound = 1
@@ -284,13 +280,6 @@
 		mean := sum / count
 		m.TargetMs = int64(mean + n.TargetSigma*math.Sqrt(max(0, sum2/count-mean*mean)))
 	}
-	if capacity > 0 {
-		c.firmPct = append(c.firmPct, 100*firm/capacity)
-		c.firmPct = c.firmPct[max(0, len(c.firmPct)-firmRounds):]
-	}
-	for _, pct := range c.firmPct {
-		m.FirmPct += pct / int64(len(c.firmPct))
-	}
 	for _, name := range n.liveNames() {
 		n.send(name, m)
 	}
@@ -335,7 +324,7 @@
 	if m.Epoch < r.epoch || m.Epoch == r.epoch && m.Round <= r.round {
 		return
 	}
-	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, firmPct: m.FirmPct, ranks: map[string]int64{}, unsound: map[string]int8{}}
+	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, ranks: map[string]int64{}, unsound: map[string]int8{}}
 	for _, v := range m.Ranks {
 		r.ranks[v.Worker] = v.RankMs
 		if v.Unsound != 0 {
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -93,7 +93,6 @@
 	lineFrames = 512  // frames waiting for one sibling; beyond, the newest are dropped
 	connsMax   = 2000 // connections taken from siblings
 	loopJobs   = 8192 // events waiting for the control thread before posters wait
-	firmRounds = 10   // rounds whose use by firm work is expected to go on
 	ordersMax  = 256  // orders on their way at once from one daemon
 
 	msPerHour = 3600_000
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -317,7 +317,6 @@
 	Epoch    uint64
 	Round    int64
 	TargetMs int64
-	FirmPct  int64 // of all room that firm work took in the last rounds
 	Ranks    []rankView
 }
 
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -24,7 +24,6 @@
 	ThresholdMs   int64
 	KLowest       int
 	TargetSigma   float64
-	FirmWindow    bool
 }
 
 // event is all that a daemon ever learns: what happened, when by its own
