--- a/fleet.sh
+++ b/fleet.sh
@@ -29,7 +29,7 @@
 {"name": "$name", "addr": "127.0.0.1:$((base + i))", "http": "$(http "$i")", "site": "${sites[$((i % 3))]}",
  "seeds": ["127.0.0.1:$base", "127.0.0.1:$((base + 1))", "127.0.0.1:$((base + 2))"], "data": "$data"}
 J
-  ./bin/accord run -settings "$dir/$name.json" ${ACCORD_FLAGS:-} 2>> "$dir/$name.log" &
+  ./bin/accord run -settings "$dir/$name.json" ${ACCORD_FLAGS:-} >> "$dir/$name.log" 2>&1 &
   echo $! > "$dir/$name.pid"
 }
 
@@ -40,7 +40,7 @@
   [ $((i % 3)) = 0 ] && disk=ssd
   ./bin/guise worker -name "$name" -site "${sites[$((i % 3))]}" -labels "tier=$tier,disk=$disk" -room "$2" \
     -listen "127.0.0.1:$((base + 200 + i))" -daemons "$(http $((i % 17))),$(http $(((i + 5) % 17))),$(http $(((i + 10) % 17)))" \
-    -record "$dir/records/$name.jsonl" -journal "$dir/$name.journal" 2>> "$dir/$name.log" &
+    -record "$dir/records/$name.jsonl" -journal "$dir/$name.journal" >> "$dir/$name.log" 2>&1 &
   echo $! > "$dir/$name.pid"
 }
 
