--- a/accord/agents.go
+++ b/accord/agents.go
@@ -27,15 +27,20 @@
 	resultBounced
 	resultLost
 	resultCancelled
+	resultMoved    // stopped since its worker leaves
+	resultStanding // stopped since it stood still
+	resultBroken   // another member of its gang ended, or did not come
 )
 
 var resultNames = map[int8]string{resultOK: "ok", resultFailed: "failed", resultOverrun: "overrun", resultPreempted: "preempted",
-	resultShed: "shed", resultBounced: "bounced", resultLost: "lost", resultCancelled: "cancelled"}
+	resultShed: "shed", resultBounced: "bounced", resultLost: "lost", resultCancelled: "cancelled",
+	resultMoved: "moved", resultStanding: "standing", resultBroken: "broken"}
 
 const (
 	verdictKeep int8 = iota + 1
 	verdictDrop
-	verdictAcked
+	verdictAcked   // nothing more is wanted of it
+	verdictCounted // the same, and it is the run that stands for its task
 )
 
 // agent is the only giver of one worker's orders and the guard of its room.
@@ -50,8 +55,8 @@
 	site     string
 	labels   []label
 	leaving  bool
-	free     int64
-	capacity int64
+	free     amount
+	capacity amount
 	repSeq   int64
 	tokenMs  int64 // our clock when the token was issued that the last report carried
 	heardMs  int64
@@ -66,6 +71,22 @@
 	fails   int64
 	lagPct  int64
 	decayAt int64
+
+	pinned    bool
+	rack      string
+	holdUntil int64 // all that runs there has surely ended by then, if no beat comes
+	seen      int64 // ends up to this number were taken note of
+	ends      map[int64]attemptKey
+	ownerMs   map[string]int64 // slice -> our clock at the last sync that its owner answered
+	outbox    []*held          // what the answer to this beat starts
+	beating   bool             // a beat is being answered
+	goneAt    int64            // it said that it goes; 0 if not
+	leavesAt  int64            // what runs there then dies; 0 if it does not leave
+	replaced  bool             // another worker beats from its place
+	lapseTill int64            // the hold must lapse before this: late ends wait for that
+	suspectMs int64            // until then it is suspect
+	suspects  int64            // how often it was, lately
+	adoptedMs int64
 }
 
 type held struct {
@@ -84,6 +105,13 @@
 	stopWhy     int8
 	ordered     bool // an order may have left; the worker may know it
 	acked       bool
+
+	unknown   bool  // found running: its room is not known yet
+	orderSeq  int64 // the beat whose answer carried the order
+	percent   int64
+	movedMs   int64 // when its work last moved
+	late      bool  // ended well, and its owner may have given it up meanwhile
+	adoptedMs int64
 }
 
 // orderTag travels with an order and comes back in the worker's lists, so that
@@ -93,7 +121,7 @@
 	Queue    string `json:"queue"`
 	Name     string `json:"name"`
 	Class    int8   `json:"class"`
-	Room     int64  `json:"room"`
+	Room     amount `json:"room"`
 	LimitMs  int64  `json:"limit_ms"`
 	EstMs    int64  `json:"est_ms"`
 	SubmitMs int64  `json:"submit_ms"`
@@ -127,9 +155,9 @@
 	if len(parts) != 3 {
 		return attemptKey{}, false
 	}
-	t, err1 := strconv.ParseInt(parts[1], 10, 32)
+	t, err1 := strconv.ParseInt(parts[1], 10, 64)
 	a, err2 := strconv.ParseInt(parts[2], 10, 32)
-	return attemptKey{parts[0], int32(t), int32(a)}, err1 == nil && err2 == nil && t >= 0
+	return attemptKey{parts[0], t, int32(a)}, err1 == nil && err2 == nil && t >= 0
 }
 
 func compareKeys(a, b attemptKey) int {
@@ -197,7 +225,7 @@
 	}
 	ag.inc, ag.repSeq, ag.heardMs = inc, seq, n.now
 	ag.addr, ag.site, ag.leaving = r.Get("address").Str, r.Get("site").Str, r.Get("leaving").Bool()
-	ag.labels, ag.free = labelsOf(r.Get("labels")), r.Get("free").Int()
+	ag.labels, ag.free = labelsOf(r.Get("labels")), amountOf(r.Get("free"))
 	ag.tokenMs = -1 << 40
 	if epoch, ms, ok := strings.Cut(r.Get("token").Str, "."); ok && epoch == strconv.FormatUint(ag.epoch, 10) {
 		if v, err := strconv.ParseInt(ms, 10, 64); err == nil && v <= n.now {
@@ -209,7 +237,7 @@
 	for _, e := range r.Get("running").Array() {
 		key, ok := parseKey(e.Get("id").Str)
 		if !ok {
-			ag.capacity += e.Get("room").Int()
+			ag.capacity = ag.capacity.plus(amountOf(e.Get("room")))
 			continue // not one of ours, but it takes room
 		}
 		running[key] = true
@@ -224,7 +252,7 @@
 			h.state, h.ordered = heldRunning, true
 			h.startedMs = n.now - e.Get("ran_ms").Int()
 		}
-		ag.capacity += h.spec.Room
+		ag.capacity = ag.capacity.plus(h.spec.Room)
 	}
 	changed := false
 	for _, e := range r.Get("ended").Array() {
@@ -277,7 +305,10 @@
 	var t orderTag
 	_ = json.Unmarshal([]byte(e.Get("tag").Str), &t)
 	h := &held{state: heldOrdered, ordered: true, orderedMs: now, startedMs: now - e.Get("ran_ms").Int(), spec: orderSpec{Key: key, Slice: t.Slice,
-		Queue: t.Queue, Name: t.Name, Class: t.Class, Room: orElse(t.Room, e.Get("room").Int()), LimitMs: t.LimitMs, EstMs: t.EstMs, SubmitMs: t.SubmitMs}}
+		Queue: t.Queue, Name: t.Name, Class: t.Class, Room: t.Room, LimitMs: t.LimitMs, EstMs: t.EstMs, SubmitMs: t.SubmitMs}}
+	if h.spec.Room == (amount{}) {
+		h.spec.Room = amountOf(e.Get("room"))
+	}
 	ag.held[key] = h
 	return h
 }
@@ -322,6 +353,14 @@
 	case "overrun":
 		h.result = resultOverrun
 		ag.fails++
+	case "lapsed":
+		h.result = resultLost
+	case "broken", "alone":
+		h.result = resultBroken
+		n.count("gang_" + outcome)
+	case "turned_away":
+		h.result = resultBounced
+		n.count("starts_turned_away")
 	default:
 		h.result = h.stopWhy
 		if h.result == 0 {
@@ -338,7 +377,7 @@
 
 func (n *node) onPlace(_ string, m *placeMsg) {
 	ag := n.agents[m.Worker]
-	if ag == nil || ag.epoch != m.AgentEpoch || !n.holds("agent/"+m.Worker) || m.SliceEpoch < ag.owners[m.Spec.Slice] || n.now-m.EchoMs > contactMs {
+	if ag == nil || ag.epoch != m.AgentEpoch || !n.tends(ag) || m.SliceEpoch < ag.owners[m.Spec.Slice] || n.now-m.EchoMs > contactMs {
 		n.count("places_stale")
 		return
 	}
@@ -352,16 +391,16 @@
 	}
 	h := &held{spec: m.Spec, confirmedMs: m.EchoMs, queuedMs: n.now}
 	ag.held[m.Spec.Key] = h
-	firm, queued := int64(0), 0
+	firm, queued := amount{}, 0
 	for _, o := range ag.held {
 		if o.state != heldEnded && o.spec.Class == classGuaranteed {
-			firm += o.spec.Room
+			firm = firm.plus(o.spec.Room)
 		}
 		if o.state == heldQueued {
 			queued++
 		}
 	}
-	if !ag.rebuilt || m.Spec.Room > ag.capacity || m.Spec.Class == classGuaranteed && firm > ag.capacity || queued > agentQueue {
+	if !ag.rebuilt || !m.Spec.Room.fits(ag.capacity) || m.Spec.Class == classGuaranteed && !firm.fits(ag.capacity) || queued > agentQueue {
 		h.state, h.result = heldEnded, resultBounced
 		n.count("places_bounced")
 		n.syncAgent(ag)
@@ -376,6 +415,12 @@
 		return
 	}
 	ag.owners[m.Slice] = m.SliceEpoch
+	ag.heardOwner(m.Slice, m.SentMs)
+	for _, s := range m.Specs {
+		if h := ag.held[s.Key]; h != nil && h.unknown {
+			h.spec, h.unknown = s, false
+		}
+	}
 	for _, v := range m.Verdicts {
 		h := ag.held[v.Key]
 		if h == nil {
@@ -390,8 +435,12 @@
 			} else if h.state != heldEnded {
 				n.stopRun(ag, h, resultCancelled)
 			}
-		case verdictAcked:
+		case verdictAcked, verdictCounted:
 			if h.state == heldEnded && !h.acked {
+				if h.late && v.Verdict != verdictCounted {
+					ag.lapse(n.now)
+					continue
+				}
 				h.acked = true
 				if !h.ordered || h.result == resultLost || h.result == resultBounced {
 					ag.bury(v.Key, n.now)
@@ -406,8 +455,8 @@
 	if h.stopMs == 0 {
 		h.stopMs, h.stopWhy = n.now, why
 	}
-	if n.now-h.stopSentMs < 1000 && h.stopSentMs != 0 || ag.addr == "" {
-		return
+	if n.now-h.stopSentMs < 1000 && h.stopSentMs != 0 || ag.addr == "" || ag.pinned {
+		return // a pinned agent says it in the answer to each beat
 	}
 	h.stopSentMs = n.now
 	n.count("stops_sent")
@@ -415,12 +464,20 @@
 		Body: jsonOf(map[string]any{"id": h.spec.Key.String()})})
 }
 
+// tends tells whether this daemon is surely a worker's agent now.
+func (n *node) tends(ag *agent) bool {
+	if ag.pinned {
+		return !ag.replaced
+	}
+	return n.holds("agent/" + ag.worker)
+}
+
 // pump starts what may start now. Firm tasks come first: for them queueable
 // runs are stopped, and they start once those ends are listed. Then queued
-// ones by their queue's urgency and the age of their job.
+// ones by their queue's urgency and the age of their job. A pinned agent's
+// orders leave in the answer to a beat only.
 func (n *node) pump(ag *agent) {
-	d := n.duties["agent/"+ag.worker]
-	if d == nil || !n.holds("agent/"+ag.worker) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() {
+	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || n.now < ag.lapseTill) {
 		return
 	}
 	queue := ag.waiting(n)
@@ -436,14 +493,20 @@
 	}
 	avail := ag.free
 	for _, h := range ag.held {
-		if (h.state == heldOrdered || h.state == heldRunning) && !h.listed {
-			avail -= h.spec.Room
+		if h.state != heldOrdered && h.state != heldRunning {
+			continue
+		}
+		if h.unknown {
+			return // it takes room, nobody has told yet how much
+		}
+		if ag.pinned || !h.listed {
+			avail = avail.minus(h.spec.Room)
 		}
 	}
 	for _, h := range queue {
 		q := n.setup.cur.Queues[h.spec.Queue]
 		_, lack := lacks(ag.labels, h.spec.Needs)
-		if q == nil || lack || !q.matches(ag.labels, ag.site) {
+		if q == nil || lack || !q.matches(ag.labels, ag.site) || h.spec.PerWorker > 0 && ag.ofStep(h) >= int(h.spec.PerWorker) {
 			h.state, h.result = heldEnded, resultBounced
 			n.syncAgent(ag)
 			continue
@@ -451,20 +514,37 @@
 		if n.now-h.confirmedMs > contactMs {
 			continue
 		}
-		if avail >= h.spec.Room {
-			avail -= h.spec.Room
-			n.order(ag, d, h)
+		if h.spec.Room.fits(avail) {
+			avail = avail.minus(h.spec.Room)
+			n.order(ag, h)
 			continue
 		}
 		if h.spec.Class == classGuaranteed {
-			n.preempt(ag, h.spec.Room-avail)
-			avail -= h.spec.Room // what is free and what gets free is kept for it
-		} else if n.now-h.queuedMs > bypassMs {
+			n.preempt(ag, h, h.spec.Room.minus(avail))
+			avail = avail.minus(h.spec.Room) // what is free and what gets free is kept for it
+			continue
+		}
+		if n.now-h.queuedMs > urgentWaitMs {
+			n.preempt(ag, h, h.spec.Room.minus(avail)) // of lesser queues only
+		}
+		if n.now-h.queuedMs > bypassMs {
 			return
 		}
 	}
 }
 
+// ofStep counts the started tasks here that share a task's job, round and step.
+func (ag *agent) ofStep(h *held) (count int) {
+	round, step, _, ok := placeOf(h.spec.Key.Task)
+	for k, o := range ag.held {
+		r, s, _, _ := placeOf(k.Task)
+		if ok && k.Job == h.spec.Key.Job && r == round && s == step && (o.state == heldOrdered || o.state == heldRunning) {
+			count++
+		}
+	}
+	return count
+}
+
 // waiting gives the unstarted tasks in the order they may start.
 func (ag *agent) waiting(n *node) []*held {
 	var out []*held
@@ -481,8 +561,10 @@
 }
 
 // preempt stops queueable runs until so much room is on its way: the least
-// urgent first, and of those the ones that ran least.
-func (n *node) preempt(ag *agent, room int64) {
+// urgent first, and of those the ones that lose the least work. For a queueable
+// task only runs of less urgent queues are stopped.
+func (n *node) preempt(ag *agent, wants *held, room amount) {
+	urgency := func(h *held) int64 { return n.setup.cur.urgencyOf(h.spec.Queue) }
 	var runs []*held
 	for _, key := range ag.keys() {
 		h := ag.held[key]
@@ -490,34 +572,54 @@
 			continue
 		}
 		if h.stopMs != 0 {
-			room -= h.spec.Room
+			room = room.minus(h.spec.Room)
 			continue
 		}
-		runs = append(runs, h)
+		if wants.spec.Class == classGuaranteed || urgency(h) < urgency(wants) {
+			runs = append(runs, h)
+		}
 	}
-	urgency := func(h *held) int64 { return n.setup.cur.urgencyOf(h.spec.Queue) }
+	lost := func(h *held) int64 { return (n.now - h.startedMs) * max(h.spec.Room.CPU, 1) }
 	slices.SortStableFunc(runs, func(a, b *held) int {
-		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(b.startedMs, a.startedMs))
+		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(lost(a), lost(b)))
 	})
+	if wants.spec.Class == classQueueable {
+		all := amount{}
+		for _, h := range runs {
+			all = all.plus(h.spec.Room)
+		}
+		if !room.fits(all) {
+			return // it would not be enough
+		}
+	}
 	for _, h := range runs {
-		if room <= 0 {
+		if room.fits(amount{}) {
 			return
 		}
-		room -= h.spec.Room
+		if room.CPU <= 0 && h.spec.Room.Memory == 0 && h.spec.Room.GPU == 0 {
+			continue
+		}
+		room = room.minus(h.spec.Room)
 		n.count("preemptions")
 		n.stopRun(ag, h, resultPreempted)
 	}
 }
 
-func (n *node) order(ag *agent, d *duty, h *held) {
+func (n *node) order(ag *agent, h *held) {
 	h.state, h.ordered, h.orderedMs, h.listed = heldOrdered, true, n.now, false
 	s := &h.spec
+	n.count("orders_" + classNames[s.Class])
+	if ag.pinned {
+		h.orderSeq = ag.repSeq
+		ag.outbox = append(ag.outbox, h)
+		return
+	}
 	payload := rawJSON(s.Payload)
 	if len(s.Payload) == 0 {
 		payload = "null"
 	}
 	tag := jsonOf(orderTag{s.Slice, s.Queue, s.Name, s.Class, s.Room, s.LimitMs, s.EstMs, s.SubmitMs})
-	n.count("orders_" + classNames[s.Class])
+	d := n.duties["agent/"+ag.worker]
 	n.emit(effOrder{Worker: ag.worker, Addr: ag.addr, Key: s.Key,
 		NotAfterMs: min(d.untilMs-leaseSlack, h.confirmedMs+contactMs, n.setup.confirmedMs+setupMs, ag.tokenMs+reportMs),
 		Body: jsonOf(map[string]any{"id": s.Key.String(), "job": s.Key.Job, "name": s.Name, "queue": s.Queue, "class": classNames[s.Class], "room": s.Room, "limit_ms": s.LimitMs,
@@ -573,12 +675,13 @@
 // syncAgent tells each slice's owner and the central scheduler all it holds.
 func (n *node) syncAgent(ag *agent) {
 	ag.syncAt = n.now + syncMs
-	if !n.holds("agent/" + ag.worker) {
+	if !n.tends(ag) && !ag.replaced {
 		return
 	}
 	rank, tq, queued := ag.rankOf(n.now)
 	base := syncMsg{Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
-		SilentMs: n.now - ag.heardMs, Site: ag.site, Labels: ag.labels, Leaving: ag.leaving, Free: ag.free, Capacity: ag.capacity,
+		SilentMs: n.now - ag.heardMs, Site: ag.site, Labels: ag.labels, Leaving: ag.leaving, Rack: ag.rack, Free: ag.free, Capacity: ag.capacity,
+		Suspect: n.now < ag.suspectMs, Pinned: ag.pinned,
 		RankMs: rank, QueuedMs: tq, Queued: queued, Oks: ag.oks, Fails: ag.fails, LagPct: ag.lagPct}
 	keys := ag.keys()
 	for _, target := range append([]string{""}, n.core.Slices...) {
@@ -594,6 +697,12 @@
 		m.Slice = target
 		for _, key := range keys {
 			h := ag.held[key]
+			if h.spec.Slice == "" {
+				h.spec.Slice = n.sliceOf(key.Job)
+			}
+			if h.state != heldEnded && h.spec.Slice != target {
+				m.Others = m.Others.plus(h.spec.Room)
+			}
 			if target == "" && h.state == heldEnded || target != "" && (h.spec.Slice != target || h.state == heldEnded && h.acked) {
 				continue
 			}
@@ -602,7 +711,7 @@
 				ran = n.now - h.startedMs
 			}
 			m.Held = append(m.Held, heldView{Key: key, Class: h.spec.Class, State: h.state, Result: h.result, Room: h.spec.Room, RanMs: ran,
-				EstMs: h.spec.EstMs, Queue: h.spec.Queue, Name: h.spec.Name})
+				EstMs: h.spec.EstMs, Queue: h.spec.Queue, Name: h.spec.Name, Saved: h.spec.Saved, Unknown: h.unknown, Late: h.late})
 		}
 		n.send(to, &m)
 	}
@@ -611,6 +720,10 @@
 func (n *node) tickAgents() {
 	for _, name := range sorted(n.agents) {
 		ag := n.agents[name]
+		if ag.pinned {
+			n.tickPinned(ag)
+			continue
+		}
 		for _, key := range ag.keys() {
 			h := ag.held[key]
 			switch {
@@ -670,7 +783,7 @@
 // onPromote makes a running queueable task firm, if its room is sure.
 func (n *node) onPromote(_ string, m *promoteMsg) {
 	ag := n.agents[m.Worker]
-	if ag == nil || ag.epoch != m.Epoch || !n.holds("agent/"+m.Worker) {
+	if ag == nil || ag.epoch != m.Epoch || !n.tends(ag) {
 		return
 	}
 	h := ag.held[m.Key]
@@ -680,11 +793,19 @@
 	firm := h.spec.Room
 	for _, o := range ag.held {
 		if o.state != heldEnded && o.spec.Class == classGuaranteed {
-			firm += o.spec.Room
+			firm = firm.plus(o.spec.Room)
 		}
 	}
-	if firm <= ag.capacity {
+	if firm.fits(ag.capacity) {
 		h.spec.Class = classGuaranteed
 		n.count("promotions")
 	}
 }
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+//
+// Example: json.Unmarshal([]byte("61"), &room)
+func (a *amount) UnmarshalJSON(b []byte) error {
+	*a = amountOf(gjson.ParseBytes(b))
+	return nil
+}
--- a/accord/asks.go
+++ b/accord/asks.go
@@ -14,6 +14,7 @@
 	hop    int32
 	op     string
 	key    string
+	queue  string // the one that the caller's address stands for; "" where the body names it
 	body   []byte
 	atMs   int64
 	setup  *compiled // of the body, where it is known to be sound
@@ -30,7 +31,8 @@
 func init() {
 	mappings = map[string]func(*node, *ask){
 		"job.put": (*node).mapJob, "job.get": (*node).mapJob, "job.cancel": (*node).mapJob,
-		"worker.report": (*node).mapReport, "worker.lost": (*node).mapLost,
+		"job.state":     (*node).mapJob,
+		"worker.report": (*node).mapReport, "worker.beat": (*node).takeBeat, "worker.gone": (*node).workerGone, "worker.lost": (*node).mapLost,
 		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
 		"members": (*node).getMembers, "workers": (*node).getWorkers, "soundness": (*node).getSoundness,
 	}
--- a/accord/bench_test.go
+++ b/accord/bench_test.go
@@ -53,11 +53,11 @@
 	c, _ := compileSetup(1, manyQueues(5000))
 	n.setup.cur = c
 	for i := range 11 {
-		n.workers[fmt.Sprintf("w%02d", i)] = &workerView{rebuilt: true, fresh: true, capacity: 16, site: verdict.Sites[i%3], labels: []label{{"disk", "ssd"}, {"tier", "fast"}}}
+		n.workers[fmt.Sprintf("w%02d", i)] = &workerView{rebuilt: true, fresh: true, capacity: amount{CPU: 16}, site: verdict.Sites[i%3], labels: []label{{"disk", "ssd"}, {"tier", "fast"}}}
 	}
-	js := &jobState{job: job{Queue: "guild-4000"}}
-	t := &task{Room: 1}
+	js := &jobState{job: job{Queue: "guild-4000", Steps: []step{{Size: 1}}, Tasks: []task{{Room: amount{CPU: 1}}}}}
+	sl := &slice{name: "east"}
 	for b.Loop() {
-		n.selectWorker(js, t)
+		n.selectWorker(sl, js, 0)
 	}
 }
--- a/accord/campaign_test.go
+++ b/accord/campaign_test.go
@@ -613,7 +613,7 @@
 							t.Log("central", name, f.Capacity, f.firm, f.busy, f.badMs-n.sh.n.now, f.Fresh, f.Rebuilt, f.Leaving, n.sh.n.now-f.heardMs, len(f.Held))
 						}
 						for k, ws := range n.sh.n.central.wants {
-							t.Log("want", k, ws.worker, ws.Room, ws.Attempt, n.sh.n.now-ws.lastMs, n.sh.n.now-ws.firstMs)
+							t.Log("want", k, ws.granted, ws.Room, ws.Tasks, n.sh.n.now-ws.lastMs, n.sh.n.now-ws.firstMs)
 						}
 					}
 					for _, e := range w.history {
--- a/accord/central.go
+++ b/accord/central.go
@@ -18,9 +18,21 @@
 	round   int64
 }
 
+// wantKey names a want by its first task's step: (job, round and step), or the
+// task itself where tasks of a step aren't alike.
 type wantKey struct {
 	Job  string
-	Task int32
+	Step int64
+}
+
+func (m *wantMsg) key() wantKey {
+	if len(m.Tasks) == 0 {
+		return wantKey{m.Job, -1}
+	}
+	if round, step, _, ok := placeOf(m.Tasks[0].Task); ok {
+		return wantKey{m.Job, placeID(round, step, 0)}
+	}
+	return wantKey{m.Job, m.Tasks[0].Task}
 }
 
 type wantState struct {
@@ -28,17 +40,33 @@
 	from    string
 	firstMs int64
 	lastMs  int64
-	worker  string // granted
-	grantMs int64
+	granted map[int64]grantState // by task
+}
+
+type grantState struct {
+	attempt int32
+	worker  string
+	atMs    int64
+}
+
+// open gives the tasks without a grant.
+func (ws *wantState) open() []wantTask {
+	out := make([]wantTask, 0, len(ws.Tasks))
+	for _, t := range ws.Tasks {
+		if g, ok := ws.granted[t.Task]; !ok || g.attempt != t.Attempt {
+			out = append(out, t)
+		}
+	}
+	return out
 }
 
 type firmView struct {
 	syncMsg
 	heardMs  int64
 	firmKeys map[attemptKey]bool
-	firm     int64 // room of the firm tasks it holds
-	busy     int64 // room of all it holds that is not ended
-	badMs    int64 // unsound until
+	firm     amount // room of the firm tasks it holds
+	busy     amount // room of all it holds that is not ended
+	badMs    int64  // unsound until
 	badTimes int64
 }
 
@@ -86,14 +114,25 @@
 	if m.Epoch < w.Epoch {
 		return
 	}
-	w.syncMsg, w.heardMs, w.firm, w.busy, w.firmKeys = *m, n.now, 0, 0, map[attemptKey]bool{}
+	w.syncMsg, w.heardMs, w.firm, w.busy, w.firmKeys = *m, n.now, amount{}, amount{}, map[attemptKey]bool{}
 	for _, h := range m.Held {
-		w.busy += h.Room
-		if h.Class == classGuaranteed {
-			w.firm += h.Room
-			w.firmKeys[h.Key] = true
-			if ws := c.wants[wantKey{h.Key.Job, h.Key.Task}]; ws != nil && ws.Attempt <= h.Key.Attempt {
-				delete(c.wants, wantKey{h.Key.Job, h.Key.Task})
+		w.busy = w.busy.plus(h.Room)
+		if h.Class != classGuaranteed {
+			continue
+		}
+		w.firm = w.firm.plus(h.Room)
+		w.firmKeys[h.Key] = true
+		key := wantKey{h.Key.Job, h.Key.Task}
+		if round, step, _, ok := placeOf(h.Key.Task); ok {
+			key.Step = placeID(round, step, 0)
+		}
+		if ws := c.wants[key]; ws != nil {
+			if g, ok := ws.granted[h.Key.Task]; ok && g.attempt <= h.Key.Attempt {
+				delete(ws.granted, h.Key.Task)
+				ws.Tasks = slices.DeleteFunc(ws.Tasks, func(t wantTask) bool { return t.Task == h.Key.Task && t.Attempt <= h.Key.Attempt })
+				if len(ws.Tasks) == 0 {
+					delete(c.wants, key)
+				}
 			}
 		}
 	}
@@ -105,32 +144,45 @@
 
 func (n *node) onWant(from string, m *wantMsg) {
 	c := n.central
-	if c == nil || !n.holds("central") {
+	if c == nil || !n.holds("central") || len(m.Tasks) == 0 {
 		return
 	}
-	key := wantKey{m.Job, m.Task}
+	key := m.key()
 	ws := c.wants[key]
-	if ws == nil || ws.Attempt != m.Attempt {
-		ws = &wantState{firstMs: n.now}
+	if ws == nil {
+		ws = &wantState{firstMs: n.now, granted: map[int64]grantState{}}
 		c.wants[key] = ws
 	}
 	ws.wantMsg, ws.from, ws.lastMs = *m, from, n.now
+	for _, t := range m.Tasks { // still wanted some time after it was granted: the grant was lost or could not be taken
+		if g, ok := ws.granted[t.Task]; ok && (g.attempt != t.Attempt || n.now-g.atMs > regrantMs) {
+			delete(ws.granted, t.Task)
+		}
+	}
 	if len(c.wants) <= grantNow {
 		n.grantAll(c)
 	}
 }
 
 // promised is the firm room of a worker that its agent does not show yet.
-func (c *central) promised(worker string) int64 {
-	room := int64(0)
+func (c *central) promised(worker string) (room amount) {
 	for _, ws := range c.wants {
-		if ws.worker == worker {
-			room += ws.Room
+		for _, g := range ws.granted {
+			if g.worker == worker {
+				room = room.plus(ws.Room)
+			}
 		}
 	}
 	return room
 }
 
+// firmRoom is a worker as the central scheduler sees it while it grants.
+type firmRoom struct {
+	name       string
+	sure, free amount
+	w          *firmView
+}
+
 // grantAll gives firm places in order of urgency and age, only where the room
 // is sure: what queueable tasks hold counts as room, since it can be freed.
 func (n *node) grantAll(c *central) {
@@ -139,7 +191,7 @@
 	}
 	var keys []wantKey
 	for k, ws := range c.wants {
-		if ws.worker == "" {
+		if len(ws.open()) > 0 {
 			keys = append(keys, k)
 		}
 	}
@@ -149,19 +201,14 @@
 	urgency := func(k wantKey) int64 { return n.setup.cur.urgencyOf(c.wants[k].Queue) }
 	slices.SortFunc(keys, func(a, b wantKey) int {
 		return cmp.Or(cmp.Compare(urgency(b), urgency(a)), cmp.Compare(c.wants[a].SubmitMs, c.wants[b].SubmitMs),
-			cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+			cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step))
 	})
-	type room struct {
-		name       string
-		sure, free int64
-		w          *firmView
-	}
-	var rooms []*room
+	var rooms []*firmRoom
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
 		if n.now-w.heardMs < contactMs && w.Rebuilt && w.Fresh && !w.Leaving && !n.setup.cur.Empty[w.Site] {
 			p := c.promised(name)
-			rooms = append(rooms, &room{name: name, sure: w.Capacity - w.firm - p, free: w.Capacity - w.busy - p, w: w})
+			rooms = append(rooms, &firmRoom{name: name, sure: w.Capacity.minus(w.firm).minus(p), free: w.Capacity.minus(w.busy).minus(p), w: w})
 		}
 	}
 	reserved := map[string]bool{}
@@ -171,22 +218,11 @@
 		if q == nil {
 			continue
 		}
-		var best, hold *room
-		score := func(r *room) int64 { // free of a stop first, then sound and not avoided, then emptiest
-			s := min(r.free, 1<<20)
-			if r.free >= ws.Room {
-				s += 1 << 40
-			}
-			if r.name == ws.Avoid {
-				s -= 1 << 50
-			}
-			return s
-		}
-		var fit, sound []*room
+		var fit, sound []*firmRoom
 		for _, r := range rooms {
-			if _, lack := lacks(r.w.Labels, ws.Needs); !lack && q.matches(r.w.Labels, r.w.Site) && r.w.Capacity >= ws.Room {
+			if _, lack := lacks(r.w.Labels, ws.Needs); !lack && q.matches(r.w.Labels, r.w.Site) && ws.Room.fits(r.w.Capacity) {
 				fit = append(fit, r)
-				if r.w.badMs <= n.now {
+				if r.w.badMs <= n.now && !r.w.Suspect {
 					sound = append(sound, r)
 				}
 			}
@@ -194,30 +230,183 @@
 		if len(sound) > 0 { // unsound workers only where nothing else may ever do
 			fit = sound
 		}
+		f := &fitting{n: n, ws: ws, used: map[string]int32{}, reserved: reserved, urgent: q.Urgency >= n.setup.cur.Highest}
+		for _, u := range ws.Used {
+			f.used[u.Worker] += u.Count
+		}
+		for _, g := range ws.granted {
+			f.used[g.worker]++
+		}
+		places := f.find(fit)
+		if len(places) == 0 {
+			n.reserve(ws, fit, reserved, len(rooms))
+			continue
+		}
+		m := &grantMsg{Slice: ws.Slice, Job: ws.Job, Epoch: c.epoch}
+		for _, p := range places {
+			m.Places = append(m.Places, grantView{p.task.Task, p.task.Attempt, p.at.name})
+			ws.granted[p.task.Task] = grantState{p.task.Attempt, p.at.name, n.now}
+			n.count("grants")
+		}
+		n.send(ws.from, m)
+	}
+}
+
+// reserve lets a want that waited long keep the likeliest workers from those
+// behind it: one worker for a task, as many as hold it whole for a gang.
+func (n *node) reserve(ws *wantState, fit []*firmRoom, reserved map[string]bool, all int) {
+	if n.now-ws.firstMs <= reserveMs {
+		return
+	}
+	most := slices.Clone(fit)
+	slices.SortStableFunc(most, func(a, b *firmRoom) int { return cmp.Compare(b.sure.CPU, a.sure.CPU) })
+	need := int64(1)
+	if ws.Gang {
+		need = int64(len(ws.Tasks))
+	}
+	for _, r := range most {
+		if need <= 0 || 2*len(reserved) >= all && !ws.Gang {
+			return
+		}
+		reserved[r.name] = true
+		need -= timesIn(ws.Room, r.w.Capacity)
+	}
+}
+
+// timesIn is how often some room fits into another.
+func timesIn(room, in amount) int64 {
+	times := int64(1 << 20)
+	for _, d := range [][2]int64{{room.CPU, in.CPU}, {room.Memory, in.Memory}, {room.GPU, in.GPU}} {
+		if d[0] > 0 {
+			times = min(times, d[1]/d[0])
+		}
+	}
+	return times
+}
+
+// fitting finds places for one want among the rooms that may hold it.
+type fitting struct {
+	n        *node
+	ws       *wantState
+	used     map[string]int32 // tasks of the step on a worker
+	reserved map[string]bool
+	urgent   bool // of the most urgent queues: nothing is kept back from it
+}
+
+type firmPlace struct {
+	task wantTask
+	at   *firmRoom
+}
+
+// find gives places for as many open tasks as have sure room; for a gang all of
+// them or none, in one rack where it asks for that and one can hold it.
+func (f *fitting) find(fit []*firmRoom) []firmPlace {
+	open := f.ws.open()
+	if !f.ws.Gang {
+		return f.fill(open, fit)
+	}
+	if len(open) < len(f.ws.Tasks) {
+		return nil
+	}
+	if f.ws.SameRack {
+		racks, able := map[string][]*firmRoom{}, false
 		for _, r := range fit {
-			if hold == nil || r.sure > hold.sure {
-				hold = r
+			racks[r.w.Rack] = append(racks[r.w.Rack], r)
+		}
+		names := sorted(racks)
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(f.nearness(b), f.nearness(a)) })
+		for _, name := range names {
+			if p := f.fill(open, racks[name]); len(p) == len(open) {
+				return p
+			} else {
+				f.undo(p)
 			}
-			if r.sure < ws.Room || reserved[r.name] {
-				continue
+			room := int64(0)
+			for _, r := range racks[name] {
+				times := timesIn(f.ws.Room, r.w.Capacity)
+				if f.ws.PerWorker > 0 {
+					times = min(times, int64(f.ws.PerWorker))
+				}
+				room += times
 			}
-			if best == nil || score(r) > score(best) {
+			able = able || room >= int64(len(open))
+		}
+		if able && f.n.now-f.ws.firstMs < spreadAfterMs {
+			return nil
+		}
+	}
+	p := f.fill(open, fit)
+	if len(p) < len(open) {
+		f.undo(p)
+		return nil
+	}
+	return p
+}
+
+func (f *fitting) nearness(rack string) int {
+	if f.ws.Near != "" && f.ws.Near == rack {
+		return 1
+	}
+	return 0
+}
+
+// fill takes the best room for each task in turn, and stops at the first that has none.
+func (f *fitting) fill(tasks []wantTask, fit []*firmRoom) (out []firmPlace) {
+	for _, t := range tasks {
+		var best *firmRoom
+		for _, r := range fit {
+			if f.may(r) && (best == nil || f.score(r) > f.score(best)) {
 				best = r
 			}
 		}
 		if best == nil {
-			// One that waited long keeps the likeliest worker from smaller ones.
-			if hold != nil && n.now-ws.firstMs > reserveMs && len(reserved) < len(rooms)/2 {
-				reserved[hold.name] = true
-			}
-			continue
+			return out
 		}
-		best.sure -= ws.Room
-		best.free -= ws.Room
-		ws.worker, ws.grantMs = best.name, n.now
-		n.count("grants")
-		n.send(ws.from, &grantMsg{Slice: ws.Slice, Job: ws.Job, Task: ws.Task, Attempt: ws.Attempt, Worker: best.name, Epoch: c.epoch})
+		best.sure, best.free = best.sure.minus(f.ws.Room), best.free.minus(f.ws.Room)
+		f.used[best.name]++
+		out = append(out, firmPlace{t, best})
+	}
+	return out
+}
+
+func (f *fitting) undo(places []firmPlace) {
+	for _, p := range places {
+		p.at.sure, p.at.free = p.at.sure.plus(f.ws.Room), p.at.free.plus(f.ws.Room)
+		f.used[p.at.name]--
+	}
+}
+
+// may tells whether a worker's sure room holds one more. Queues below the most
+// urgent ones leave a part of each worker to those, where they can do without it.
+func (f *fitting) may(r *firmRoom) bool {
+	if f.reserved[r.name] || f.ws.PerWorker > 0 && f.used[r.name] >= f.ws.PerWorker {
+		return false
 	}
+	sure, kept := r.sure, r.w.Capacity.share(urgentRoom)
+	if !f.urgent && f.ws.Room.fits(r.w.Capacity.minus(kept)) {
+		sure = sure.minus(kept)
+	}
+	return f.ws.Room.fits(sure)
+}
+
+// score prefers a worker that is free without a stop, then one near the data,
+// then the emptiest; one that just failed the task comes last.
+func (f *fitting) score(r *firmRoom) int64 {
+	s := r.free.CPU * 1000 / max(r.w.Capacity.CPU, 1)
+	if r.w.Capacity.Memory > 0 {
+		s = min(s, r.free.Memory*1000/r.w.Capacity.Memory)
+	}
+	s += 1000 * 1000
+	if f.ws.Room.fits(r.free) {
+		s += 1 << 40
+	}
+	if f.nearness(r.w.Rack) > 0 {
+		s += 1 << 30
+	}
+	if r.name == f.ws.Avoid {
+		s -= 1 << 50
+	}
+	return s
 }
 
 // promote makes long-running queueable tasks firm where the room is sure, so
@@ -226,10 +415,10 @@
 	if !n.holds("central") || n.now-c.startMs < rebuildMs {
 		return
 	}
-	sure := w.Capacity - w.firm - c.promised(w.Worker)
+	sure := w.Capacity.minus(w.firm).minus(c.promised(w.Worker))
 	for _, h := range w.Held {
-		if h.Class == classQueueable && h.State == heldRunning && h.RanMs > max(2*h.EstMs, n.ThresholdMs) && sure >= h.Room {
-			sure -= h.Room
+		if h.Class == classQueueable && h.State == heldRunning && h.RanMs > max(2*h.EstMs, n.ThresholdMs) && h.Room.fits(sure) {
+			sure = sure.minus(h.Room)
 			n.send(w.Agent, &promoteMsg{Worker: w.Worker, Epoch: w.Epoch, Key: h.Key})
 		}
 	}
@@ -241,7 +430,12 @@
 		return
 	}
 	for k, ws := range c.wants { // each is judged alone, so the order does not matter
-		if n.now-ws.lastMs > wantStaleMs || ws.worker != "" && n.now-ws.grantMs > grantMs {
+		for t, g := range ws.granted {
+			if n.now-g.atMs > grantMs {
+				delete(ws.granted, t)
+			}
+		}
+		if n.now-ws.lastMs > wantStaleMs {
 			delete(c.wants, k)
 		}
 	}
@@ -265,7 +459,7 @@
 			continue
 		}
 		v := rankView{Worker: name, RankMs: w.RankMs}
-		if w.badMs > n.now {
+		if w.badMs > n.now || w.Suspect {
 			v.Unsound = 1
 		}
 		m.Ranks = append(m.Ranks, v)
--- a/accord/disk_test.go
+++ b/accord/disk_test.go
@@ -182,7 +182,7 @@
 func FuzzJob(f *testing.F) {
 	f.Add([]byte(`{"queue":"a","steps":[{"name":"s","after":["s"],"tasks":[{"name":"t","room":1}]}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		j, faults := parseJob("id", b)
+		j, faults := parseJob("id", "", b)
 		must.Eq(t, j == nil, len(faults) > 0)
 	})
 }
--- a/accord/fields.go
+++ b/accord/fields.go
@@ -51,6 +51,26 @@
 				*out = append(*out, fault{path, "must be true or false"})
 			}
 		},
+		"room": func(v gjson.Result, path string, _ fieldSpec, out *[]fault) {
+			if v.IsObject() {
+				any := false
+				v.ForEach(func(k, e gjson.Result) bool {
+					i, err := strconv.ParseInt(e.Raw, 10, 64)
+					if k.Str != "cpu" && k.Str != "memory" && k.Str != "accelerators" {
+						*out = append(*out, fault{path + "." + k.Str, "is not a known field"})
+					} else if err != nil || i < 0 || i > 1<<40 {
+						*out = append(*out, fault{path + "." + k.Str, "must be a whole number of 0 or more"})
+					}
+					any = any || i > 0
+					return true
+				})
+				if !any {
+					*out = append(*out, fault{path, "asks for nothing"})
+				}
+				return
+			}
+			checkField(v, path, fieldSpec{Kind: "count", Min: 1, Max: 1 << 40}, out)
+		},
 		"labels": func(v gjson.Result, path string, _ fieldSpec, out *[]fault) {
 			if !v.IsObject() {
 				*out = append(*out, fault{path, "must be an object of names to texts"})
--- a/accord/forms_test.go
+++ b/accord/forms_test.go
@@ -57,7 +57,7 @@
 		`{"queue":"q","queue":"r","steps":[{"name":"a","tasks":[{"name":"t","room":1}]}]}`:             "queue",
 		`{"queue":"q","steps":[{"name":"a","tasks":[{"name":"t","room":1,"estimate_ms":"x"}]}]}`:       "steps.0.tasks.0.estimate_ms",
 	} {
-		_, faults := parseJob("id", []byte(body))
+		_, faults := parseJob("id", "", []byte(body))
 		must.SliceNotEmpty(t, faults, must.Sprint(body))
 		must.Eq(t, path, faults[0].Path, must.Sprint(body))
 	}
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/tidwall/gjson"
 )
@@ -38,9 +39,10 @@
 
 // task and job are kept as they stand in the slice's record.
 type task struct {
+	Round        int32
 	Step, InStep int32
 	Name         string
-	Room         int64
+	Room         amount
 	Needs        []label
 	LimitMs      int64
 	HintMs       int64
@@ -58,11 +60,64 @@
 	SetVer     int64  // record version of the last change of state
 	Last       string // the worker of the last failure, avoided next time
 	Cause      string
+	FailedRun  int32  // of a gang: the last run counted as a failure
+	Saved      string // the newest text it can go on from
+}
+
+// amount is room in its dimensions.
+type amount struct{ CPU, Memory, GPU int64 }
+
+func (a amount) plus(b amount) amount {
+	return amount{a.CPU + b.CPU, a.Memory + b.Memory, a.GPU + b.GPU}
+}
+func (a amount) minus(b amount) amount {
+	return amount{a.CPU - b.CPU, a.Memory - b.Memory, a.GPU - b.GPU}
+}
+func (a amount) fits(in amount) bool {
+	return a.CPU <= in.CPU && a.Memory <= in.Memory && a.GPU <= in.GPU
+}
+
+// share is a part of an amount, in percent.
+func (a amount) share(percent int64) amount {
+	return amount{a.CPU * percent / 100, a.Memory * percent / 100, a.GPU * percent / 100}
+}
+
+// MarshalJSON tells room as a number where processor time is all there is.
+//
+// Example: {"free": 61} or {"free": {"cpu": 61, "memory": 512, "accelerators": 0}}
+func (a amount) MarshalJSON() ([]byte, error) {
+	if a.Memory == 0 && a.GPU == 0 {
+		return strconv.AppendInt(nil, a.CPU, 10), nil
+	}
+	return json.Marshal(map[string]int64{"cpu": a.CPU, "memory": a.Memory, "accelerators": a.GPU})
+}
+
+// amountOf reads room, a number or an object.
+func amountOf(r gjson.Result) amount {
+	if r.IsObject() {
+		return amount{r.Get("cpu").Int(), r.Get("memory").Int(), r.Get("accelerators").Int()}
+	}
+	return amount{CPU: r.Int()}
 }
 
 type step struct {
 	Name  string
 	After []int32
+	Size  int32 // tasks of a round
+	// A step of Size alike tasks is held as one specification.
+	Alike     bool
+	Room      amount
+	Needs     []label
+	LimitMs   int64
+	HintMs    int64
+	Allowed   int32
+	Gang      bool // its tasks work only together
+	SameRack  bool
+	Near      string // the rack that holds its data
+	PerWorker int32  // at most so many of its tasks on one worker; 0 for any
+	Copies    bool   // two runs of a task may stand side by side
+	Lasting   bool   // its tasks run until the job is cancelled
+	Saves     bool   // its tasks tell texts that they can go on from
 }
 
 type job struct {
@@ -76,21 +131,147 @@
 	DoneMs   int64
 	Version  int64
 	Size     int32 // tasks, when finished
+	Payload  []byte
+	// A timed job runs its steps Rounds times, the one numbered K from FirstMs + K x PeriodMs on.
+	Rounds   int32
+	FirstMs  int64
+	PeriodMs int64
+	Begun    int32 // the first round that Tasks still holds
+	Opened   int32 // rounds opened so far; Tasks holds those from Begun on
 	Steps    []step
 	Tasks    []task
 }
 
+// Tasks of jobs with steps of alike tasks are named by their place, so that a
+// worker's word on a run is understood without the job.
+const (
+	placeForm  = 1 << 60
+	roundShift = 32
+	stepShift  = 20
+	stepMask   = 1<<(roundShift-stepShift) - 1
+	indexMask  = 1<<stepShift - 1
+)
+
+func placeID(round, step, index int32) int64 {
+	return placeForm | int64(round)<<roundShift | int64(step)<<stepShift | int64(index)
+}
+
+// placeOf is the opposite of placeID.
+func placeOf(id int64) (round, step, index int32, ok bool) {
+	if id < placeForm {
+		return 0, 0, 0, false
+	}
+	return int32(id &^ placeForm >> roundShift), int32(id >> stepShift & stepMask), int32(id & indexMask), true
+}
+
+func (j *job) placed() bool {
+	return slices.ContainsFunc(j.Steps, func(s step) bool { return s.Alike })
+}
+
+// taskID names the task at a position.
+func (j *job) taskID(pos int) int64 {
+	t := &j.Tasks[pos]
+	if j.Steps[t.Step].Alike || j.placed() {
+		return placeID(t.Round, t.Step, t.InStep)
+	}
+	return int64(pos)
+}
+
+// position finds a task by its name. A task of a round that is over has none:
+// past tells that.
+func (j *job) position(id int64) (pos int, past, ok bool) {
+	round, st, index, byPlace := placeOf(id)
+	if !byPlace {
+		return int(id), false, id >= 0 && id < int64(len(j.Tasks)) && !j.placed()
+	}
+	if int(st) >= len(j.Steps) || index >= j.Steps[st].Size {
+		return 0, false, false
+	}
+	if round < j.Begun {
+		return 0, true, false
+	}
+	at := int64(round-j.Begun)*int64(j.roundSize()) + int64(j.stepStart(st)+index)
+	if at >= int64(len(j.Tasks)) {
+		return 0, false, false
+	}
+	return int(at), false, true
+}
+
+func (j *job) roundSize() (size int32) {
+	for i := range j.Steps {
+		size += j.Steps[i].Size
+	}
+	return size
+}
+
+func (j *job) stepStart(st int32) (at int32) {
+	for i := range j.Steps[:st] {
+		at += j.Steps[i].Size
+	}
+	return at
+}
+
+// mates gives the positions of all tasks of a task's step in its round.
+func (j *job) mates(pos int) (from, to int) {
+	t := &j.Tasks[pos]
+	from = pos - int(t.InStep)
+	return from, from + int(j.Steps[t.Step].Size)
+}
+
+// roundsAll is how often the steps run in all.
+func (j *job) roundsAll() int32 { return max(j.Rounds, 1) }
+
+// openRound adds the tasks of the next round of alike steps.
+func (j *job) openRound() {
+	for s := range j.Steps {
+		for i := range j.Steps[s].Size {
+			j.Tasks = append(j.Tasks, task{Round: j.Opened, Step: int32(s), InStep: i})
+		}
+	}
+	j.Opened++
+	j.fill()
+}
+
+// dueOf is when a round may start; 0 for at once.
+func (j *job) dueOf(round int32) int64 {
+	if j.Rounds > 0 {
+		return j.FirstMs + int64(round)*j.PeriodMs
+	}
+	return j.DueMs
+}
+
+// fill gives tasks of alike steps what their step says.
+func (j *job) fill() {
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if int(t.Step) >= len(j.Steps) {
+			continue
+		}
+		if s := &j.Steps[t.Step]; s.Alike {
+			t.Name, t.Room, t.Needs, t.LimitMs, t.HintMs, t.Allowed, t.Payload = s.Name, s.Room, s.Needs, s.LimitMs, s.HintMs, s.Allowed, j.Payload
+		}
+	}
+}
+
 var jobFields = fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
-	"queue":    {Kind: "name", Required: true},
-	"due_ms":   {Kind: "count", Min: 0},
-	"delay_ms": {Kind: "count", Min: 0, Max: 365 * 24 * msPerHour},
+	"queue":     {Kind: "name"},
+	"payload":   {Kind: "any"},
+	"rounds":    {Kind: "count", Max: 100_000},
+	"first_ms":  {Kind: "count", Min: 0},
+	"period_ms": {Kind: "count", Min: 0, Max: 365 * 24 * msPerHour},
+	"due_ms":    {Kind: "count", Min: 0},
+	"delay_ms":  {Kind: "count", Min: 0, Max: 365 * 24 * msPerHour},
 	"steps": {Kind: "list", Required: true, Min: 1, Max: stepsMax, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
 		"name":  {Kind: "name", Required: true},
 		"after": {Kind: "list", Max: stepsMax, Elem: &fieldSpec{Kind: "name"}},
-		"tasks": {Kind: "list", Required: true, Min: 1, Max: tasksMax, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
+		"count": {Kind: "count", Min: 1, Max: tasksMax}, "room": {Kind: "room"}, "labels": {Kind: "labels"},
+		"limit_ms": {Kind: "count", Min: 1, Max: 30 * 24 * msPerHour}, "estimate_ms": {Kind: "count", Min: 0, Max: 30 * 24 * msPerHour},
+		"allowed_failures": {Kind: "count", Min: 0, Max: 100}, "gang": {Kind: "flag"}, "same_rack": {Kind: "flag"}, "near": {Kind: "text", Max: 200},
+		"per_worker": {Kind: "count", Min: 0, Max: tasksMax}, "copies": {Kind: "flag"}, "lasting": {Kind: "flag"}, "saves": {Kind: "flag"},
+		"tasks": {Kind: "list", Min: 1, Max: tasksMax, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
 			"name":             {Kind: "name", Required: true},
 			"payload":          {Kind: "any"},
-			"room":             {Kind: "count", Required: true, Min: 1, Max: 1 << 40},
+			"room":             {Kind: "room", Required: true},
 			"labels":           {Kind: "labels"},
 			"limit_ms":         {Kind: "count", Min: 1, Max: 30 * 24 * msPerHour},
 			"estimate_ms":      {Kind: "count", Min: 0, Max: 30 * 24 * msPerHour},
@@ -99,10 +280,11 @@
 	}}},
 }}
 
-// parseJob checks a job's body and gives the job, or all faults by path.
+// parseJob checks a job's body and gives the job, or all faults by path. The
+// queue is the one that the caller's address stands for, or else the body's.
 //
-// Example: j, faults := parseJob("order-7", []byte(`{"queue":"checks","steps":[{"name":"a","tasks":[{"name":"t","room":1}]}]}`))
-func parseJob(id string, body []byte) (*job, []fault) {
+// Example: j, faults := parseJob("order-7", "", []byte(`{"queue":"checks","steps":[{"name":"a","tasks":[{"name":"t","room":1}]}]}`))
+func parseJob(id, queue string, body []byte) (*job, []fault) {
 	if !nameOK(id) {
 		return nil, []fault{{"id", "must be a name: 1 to 128 letters, digits, '-', '_', '.' or ':'"}}
 	}
@@ -118,7 +300,11 @@
 	var flat bytes.Buffer
 	_ = json.Compact(&flat, body)
 	sum := sha256.Sum256(flat.Bytes()) // half of it tells bodies apart well enough
-	j := &job{ID: id, Queue: root.Get("queue").Str, Digest: sum[:16], DueMs: root.Get("due_ms").Int(), DelayMs: root.Get("delay_ms").Int()}
+	j := &job{ID: id, Queue: orText(queue, root.Get("queue").Str), Digest: sum[:16], DueMs: root.Get("due_ms").Int(), DelayMs: root.Get("delay_ms").Int(),
+		Payload: []byte(root.Get("payload").Raw), Rounds: int32(root.Get("rounds").Int()), FirstMs: root.Get("first_ms").Int(), PeriodMs: root.Get("period_ms").Int()}
+	if j.Queue == "" {
+		bad("queue", "is missing")
+	}
 	if root.Get("due_ms").Exists() && root.Get("delay_ms").Exists() {
 		bad("delay_ms", "can't stand beside due_ms")
 	}
@@ -141,6 +327,18 @@
 			}
 			st.After = append(st.After, at)
 		}
+		list, count := s.Get("tasks"), s.Get("count")
+		if list.Exists() == count.Exists() {
+			bad(fmt.Sprintf("steps.%d", i), "has either tasks or a count")
+			continue
+		}
+		st.Size = int32(len(list.Array()))
+		if count.Exists() {
+			st.alike(s)
+			if st.Room == (amount{}) {
+				bad(fmt.Sprintf("steps.%d.room", i), "is missing")
+			}
+		}
 		j.Steps = append(j.Steps, st)
 		names := map[string]bool{}
 		for k, t := range s.Get("tasks").Array() {
@@ -153,12 +351,26 @@
 			if a := t.Get("allowed_failures"); a.Exists() {
 				allowed = int32(a.Int())
 			}
-			j.Tasks = append(j.Tasks, task{Step: int32(i), InStep: int32(k), Name: t.Get("name").Str, Room: t.Get("room").Int(),
+			j.Tasks = append(j.Tasks, task{Step: int32(i), InStep: int32(k), Name: t.Get("name").Str, Room: amountOf(t.Get("room")),
 				Needs: labelsOf(t.Get("labels")), LimitMs: t.Get("limit_ms").Int(), HintMs: t.Get("estimate_ms").Int(),
 				Allowed: allowed, Payload: []byte(t.Get("payload").Raw)})
 		}
 	}
-	if len(j.Tasks) > tasksMax {
+	if j.placed() {
+		if len(j.Tasks) > 0 {
+			bad("steps", "have tasks in some and counts in others")
+		}
+		j.Tasks = nil
+		if j.Rounds == 0 && len(faults) == 0 && j.roundSize() <= tasksMax {
+			j.openRound()
+		}
+	} else {
+		j.Opened = 1
+		if j.Rounds > 0 {
+			bad("rounds", "needs steps with a count")
+		}
+	}
+	if len(j.Tasks) > tasksMax || j.roundSize() > tasksMax {
 		bad("steps", fmt.Sprintf("have more than %d tasks together", tasksMax))
 	}
 	if at, ok := cycle(j.Steps); ok {
@@ -170,6 +382,17 @@
 	return j, nil
 }
 
+// alike reads the specification that all tasks of a step share.
+func (st *step) alike(s gjson.Result) {
+	st.Alike, st.Size, st.Room, st.Needs = true, int32(s.Get("count").Int()), amountOf(s.Get("room")), labelsOf(s.Get("labels"))
+	st.LimitMs, st.HintMs, st.Allowed = s.Get("limit_ms").Int(), s.Get("estimate_ms").Int(), -1
+	if a := s.Get("allowed_failures"); a.Exists() {
+		st.Allowed = int32(a.Int())
+	}
+	st.Gang, st.SameRack, st.Near, st.PerWorker = s.Get("gang").Bool() && st.Size > 1, s.Get("same_rack").Bool(), s.Get("near").Str, int32(s.Get("per_worker").Int())
+	st.Copies, st.Lasting, st.Saves = s.Get("copies").Bool(), s.Get("lasting").Bool(), s.Get("saves").Bool()
+}
+
 // cycle gives a step that waits on itself through others.
 func cycle(steps []step) (int, bool) {
 	state := make([]int8, len(steps)) // 1 being visited, 2 done
@@ -201,30 +424,55 @@
 
 func (t *task) settled() bool { return t.State >= taskEnded }
 
-// readySteps tells for each step whether all it waits on ended well, and durably.
+// readySteps tells for each step of each round held whether all it waits on
+// ended well, and durably: at (round - Begun) x steps + step.
 func (j *job) readySteps(committed int64) []bool {
-	done := make([]bool, len(j.Steps))
+	rounds := max(int(j.Opened-j.Begun), 1)
+	done := make([]bool, rounds*len(j.Steps))
 	for i := range done {
 		done[i] = true
 	}
 	for i := range j.Tasks {
 		if t := &j.Tasks[i]; t.State != taskEnded || t.SetVer > committed {
-			done[t.Step] = false
+			done[j.stepAt(t)] = false
 		}
 	}
-	ready := make([]bool, len(j.Steps))
-	for i, s := range j.Steps {
-		ready[i] = true
-		for _, a := range s.After {
-			ready[i] = ready[i] && done[a]
+	ready := make([]bool, len(done))
+	for r := range rounds {
+		for i, s := range j.Steps {
+			at := r*len(j.Steps) + i
+			ready[at] = true
+			for _, a := range s.After {
+				ready[at] = ready[at] && done[r*len(j.Steps)+int(a)]
+			}
 		}
 	}
 	return ready
 }
 
+// stepAt is where a task's step and round stand in readySteps.
+func (j *job) stepAt(t *task) int { return int(t.Round-j.Begun)*len(j.Steps) + int(t.Step) }
+
+// closeRounds lets go of rounds whose tasks have all ended well, durably.
+func (j *job) closeRounds(committed int64) (some bool) {
+	for size := int(j.roundSize()); j.Rounds > 0 && len(j.Tasks) > size; some = true {
+		for i := range j.Tasks[:size] {
+			if t := &j.Tasks[i]; t.State != taskEnded || t.SetVer > committed {
+				return some
+			}
+		}
+		j.Tasks = slices.Clone(j.Tasks[size:])
+		j.Begun++
+	}
+	return some
+}
+
 // verdict derives a job's state from its tasks, where it has one.
 func (j *job) verdict() (int8, bool) {
 	all := true
+	if j.State == jobRunning && j.Opened < j.roundsAll() {
+		return j.State, false
+	}
 	for i := range j.Tasks {
 		if !j.Tasks[i].settled() {
 			return j.State, false
@@ -249,9 +497,16 @@
 		for i := range c.Tasks {
 			c.Tasks[i].Payload, c.Tasks[i].Needs = nil, nil
 		}
+		c.Payload = nil
 		if j.State == jobComplete {
 			c.Steps, c.Tasks = nil, nil
 		}
+	} else if j.placed() { // the step says what its tasks share
+		c.Tasks = slices.Clone(j.Tasks)
+		for i := range c.Tasks {
+			t := &c.Tasks[i]
+			t.Name, t.Room, t.Needs, t.LimitMs, t.HintMs, t.Allowed, t.Payload = "", amount{}, nil, 0, 0, 0, nil
+		}
 	}
 	return pack(nil, c)
 }
@@ -263,6 +518,7 @@
 		return nil, false
 	}
 	j.ID = r.ID
+	j.fill()
 	return j, true
 }
 
@@ -285,6 +541,9 @@
 		if w := why(t); w != "" {
 			m["waits"] = w
 		}
+		if j.Rounds > 0 {
+			m["round"] = t.Round
+		}
 		steps[t.Step]["tasks"] = append(steps[t.Step]["tasks"].([]map[string]any), m)
 	}
 	state := jobNames[j.State]
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -46,42 +46,43 @@
 	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
 
-	fan          = 4         // siblings a daemon exchanges with; log2 of today's fleets
-	coreSize     = 3         // disks that hold the state
-	kLowest      = 50        // the design's k: the most workers a queueable task is drawn among
-	kLeast       = 3         // and the fewest; between them a quarter of the allowed ones, see docs/rounds.md
-	thresholdMs  = 2500      // learned run time below this is queueable; see docs/rounds.md
-	quotaTasks   = 100       // the paper's queueable quota per job
-	preemptMax   = 2         // after two preemptions a task is guaranteed
-	unsoundMin   = 8         // ends an agent needs before it judges its worker
-	hopMax       = 2         // an ask is handed over at most this often
-	finishedMax  = 5000      // finished jobs an owner keeps in memory
-	learnedMax   = 4096      // run-time estimates a daemon keeps
-	learnedTell  = 500       // of them told to all others in one round
-	queueJobsMax = 2000      // live jobs one queue may have in a slice, unless the setup says less
-	sliceJobsMax = 4000      // live jobs a slice may have; see urgentShare
-	urgentShare  = 25        // percent of a slice's jobs kept for queues above the lowest urgency
-	agentQueue   = 400       // unstarted tasks an agent holds before it bounces
-	wantsTick    = 64        // asks for firm places a slice sends in one tick, most urgent first
-	grantNow     = 64        // waiting asks up to which each event tries to grant; beyond, only ticks do
-	asksMax      = 4000      // asks in flight through one daemon before it bounces
-	againShare   = 5         // every so many asks allow one to be handed over again: a crowd costs a fifth more at most
-	againTick    = 1         // and so many a tick, that few asks need not wait
-	readsTick    = 10        // states read from the core a tick: 100 a second for each daemon
-	budgetMost   = 100       // what either budget saves up for a burst
-	bodyMax      = 1 << 20   // bytes of a job's body
-	setupMax     = 16 << 20  // bytes of a setup
-	frameMax     = 64 << 20  // bytes of one message between daemons
-	stepsMax     = 64        // steps of a job
-	tasksMax     = 1000      // tasks of a job
-	chunkBytes   = 256 << 10 // finished records lie in chunks this large, and are copied in such parts
-	chunkMs      = 600_000   // or of jobs done within ten minutes: chunks go as a whole
-	entryBytes   = 80        // what a log entry takes beside its value, about
-	snapshotMin  = 8 << 20   // bytes of log before a snapshot is worth its writing
-	copyAgainMs  = 2000      // a part of a copy that does not come is asked for again
-	sliceBytes   = 24 << 20  // live jobs of a slice as packed: a seal's answer must fit a frame
-	segmentBytes = 8 << 20   // a segment is closed at this size
-	keepHoursDef = 24        // hours a finished job is kept; callers check states within a day
+	fan           = 4         // siblings a daemon exchanges with; log2 of today's fleets
+	coreSize      = 3         // disks that hold the state
+	kLowest       = 50        // the design's k: the most workers a queueable task is drawn among
+	kLeast        = 3         // and the fewest; between them a quarter of the allowed ones, see docs/rounds.md
+	thresholdMs   = 2500      // learned run time below this is queueable; see docs/rounds.md
+	quotaTasks    = 100       // the paper's queueable quota per job
+	preemptMax    = 2         // after two preemptions a task is guaranteed
+	unsoundMin    = 8         // ends an agent needs before it judges its worker
+	hopMax        = 2         // an ask is handed over at most this often
+	finishedMax   = 5000      // finished jobs an owner keeps in memory
+	learnedMax    = 4096      // run-time estimates a daemon keeps
+	learnedTell   = 500       // of them told to all others in one round
+	queueJobsMax  = 2000      // live jobs one queue may have in a slice, unless the setup says less
+	sliceJobsMax  = 4000      // live jobs a slice may have; see urgentShare
+	urgentShare   = 25        // percent of a slice's jobs kept for queues above the lowest urgency
+	agentQueue    = 400       // unstarted tasks an agent holds before it bounces
+	wantsTick     = 64        // asks for firm places a slice sends in one tick, most urgent first
+	grantNow      = 64        // waiting asks up to which each event tries to grant; beyond, only ticks do
+	asksMax       = 4000      // asks in flight through one daemon before it bounces
+	againShare    = 5         // every so many asks allow one to be handed over again: a crowd costs a fifth more at most
+	againTick     = 1         // and so many a tick, that few asks need not wait
+	readsTick     = 10        // states read from the core a tick: 100 a second for each daemon
+	budgetMost    = 100       // what either budget saves up for a burst
+	bodyMax       = 1 << 20   // bytes of a job's body
+	setupMax      = 16 << 20  // bytes of a setup
+	frameMax      = 64 << 20  // bytes of one message between daemons
+	stepsMax      = 64        // steps of a job
+	roundTasksMax = 2000      // tasks of the rounds of a job that are open at once
+	tasksMax      = 1000      // tasks of a job
+	chunkBytes    = 256 << 10 // finished records lie in chunks this large, and are copied in such parts
+	chunkMs       = 600_000   // or of jobs done within ten minutes: chunks go as a whole
+	entryBytes    = 80        // what a log entry takes beside its value, about
+	snapshotMin   = 8 << 20   // bytes of log before a snapshot is worth its writing
+	copyAgainMs   = 2000      // a part of a copy that does not come is asked for again
+	sliceBytes    = 24 << 20  // live jobs of a slice as packed: a seal's answer must fit a frame
+	segmentBytes  = 8 << 20   // a segment is closed at this size
+	keepHoursDef  = 24        // hours a finished job is kept; callers check states within a day
 
 	dialMs       = 1000    // a sibling in reach answers in milliseconds
 	writeMs      = 2000    // a frame not taken by then ends its connection
@@ -98,3 +99,24 @@
 
 	msPerHour = 3600_000
 )
+
+// Of agents beside their workers, of gangs and of firm room.
+const (
+	holdSpanMs    = 4000   // a beat's answer holds its worker this long; a daemon that is killed is back before
+	ownerSpanMs   = 6000   // an agent keeps a run without its owner's word this long: longer than a takeover or a short cut
+	staleStopMs   = 900    // before that it stops the run, in time for the stop to be listed
+	lapseMarginMs = 300    // past the longest a hold may last, for what clocks and messages differ by
+	driftPercent  = 2      // a worker's clock may run this much slow
+	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
+	urgentWaitMs  = 150    // a queueable task of a more urgent queue waits this long before it pushes others out
+	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
+	regrantMs     = 400    // a place still wanted this long after its grant was not taken
+	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
+	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
+	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
+	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
+	openAheadMs   = 400    // a round is written down this long before it is due
+	goneMs        = 500    // a worker that said it goes has ended this long after
+	leaveStopMs   = 800    // so long before its worker leaves, work that saves is stopped, to go on elsewhere
+	workerKeepMs  = 60_000 // a worker's agent whose worker is gone keeps the ends nobody took note of for this long
+)
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -208,7 +208,7 @@
 
 type attemptKey struct {
 	Job     string
-	Task    int32
+	Task    int64 // see taskID
 	Attempt int32
 }
 
@@ -221,12 +221,18 @@
 	Queue    string
 	Name     string
 	Class    int8
-	Room     int64
+	Room     amount
 	Needs    []label
 	SubmitMs int64
 	EstMs    int64
 	LimitMs  int64
 	Payload  []byte
+	Saved    string
+	Gang     bool
+	Lasting  bool
+	Saves    bool
+	// PerWorker bounds the tasks of its step and round on one worker; 0 for none.
+	PerWorker int32
 }
 
 type placeMsg struct {
@@ -238,15 +244,18 @@
 }
 
 type heldView struct {
-	Key    attemptKey
-	Class  int8
-	State  int8
-	Result int8
-	Room   int64
-	RanMs  int64
-	EstMs  int64
-	Queue  string
-	Name   string
+	Key     attemptKey
+	Class   int8
+	State   int8
+	Result  int8
+	Room    amount
+	RanMs   int64
+	EstMs   int64
+	Queue   string
+	Name    string
+	Saved   string
+	Unknown bool // found running by an agent that was not told what it is
+	Late    bool // its owner may have given it up: whether it counted must be said
 }
 
 type syncMsg struct {
@@ -261,8 +270,12 @@
 	Site     string
 	Labels   []label
 	Leaving  bool
-	Free     int64
-	Capacity int64
+	Rack     string
+	Free     amount
+	Capacity amount
+	Others   amount // room of all it holds, queued ones too, that are not this slice's
+	Suspect  bool   // tasks stand still there, or crawl
+	Pinned   bool   // the agent stands beside its worker, and holds end by themselves
 	RankMs   int64
 	QueuedMs int64
 	Queued   int64
@@ -284,27 +297,48 @@
 	SliceEpoch uint64
 	SentMs     int64
 	Verdicts   []verdictView
+	Specs      []orderSpec // of runs that the agent found and was not told of
 }
 
+// wantMsg wants firm places for tasks of one step that are alike: all of them
+// or none where they are a gang, else as many as there is room for.
 type wantMsg struct {
-	Slice    string
-	Job      string
-	Task     int32
-	Attempt  int32 // of the placement to come
-	Queue    string
-	Room     int64
-	Needs    []label
-	SubmitMs int64
-	Avoid    string
+	Slice     string
+	Job       string
+	Tasks     []wantTask
+	Queue     string
+	Room      amount
+	Needs     []label
+	SubmitMs  int64
+	Avoid     string
+	Gang      bool
+	SameRack  bool
+	Near      string
+	PerWorker int32
+	Used      []usedView // where others of the step are
+}
+
+type wantTask struct {
+	Task    int64
+	Attempt int32 // of the placement to come
+}
+
+type usedView struct {
+	Worker string
+	Count  int32
 }
 
 type grantMsg struct {
-	Slice   string
-	Job     string
-	Task    int32
+	Slice  string
+	Job    string
+	Places []grantView
+	Epoch  uint64 // of the central scheduler
+}
+
+type grantView struct {
+	Task    int64
 	Attempt int32
 	Worker  string
-	Epoch   uint64 // of the central scheduler
 }
 
 type rankView struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -24,6 +24,7 @@
 	ThresholdMs   int64
 	KLowest       int
 	TargetSigma   float64
+	HoldMostMs    int64 // the longest a beat's answer may hold a worker; 0 for our own span
 }
 
 // event is all that a daemon ever learns: what happened, when by its own
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -72,6 +72,7 @@
 	Queues  map[string]*queueRules
 	Empty   map[string]bool
 	Lowest  int64
+	Highest int64
 }
 
 // urgencyOf ranks a queue; one that is no longer in the setup comes last.
@@ -138,6 +139,7 @@
 		}
 		c.Queues[name] = r
 		c.Lowest = min(c.Lowest, r.Urgency)
+		c.Highest = max(c.Highest, r.Urgency)
 	}
 	for _, s := range root.Get("empty_sites").Array() {
 		c.Empty[s.Str] = true
@@ -387,7 +389,7 @@
 		return nil
 	},
 	"mostRoom": func(c *askContext, v int64) *bounceError {
-		return c.eachTask(func(t *task) bool { return v > 0 && t.Room > v }, "room", "is above the queue's bound")
+		return c.eachTask(func(t *task) bool { return v > 0 && t.Room.CPU > v }, "room", "is above the queue's bound")
 	},
 	"mostLimit": func(c *askContext, v int64) *bounceError {
 		return c.eachTask(func(t *task) bool { return v > 0 && t.LimitMs > v }, "limit_ms", "is above the queue's bound")
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -33,9 +33,10 @@
 	fetches  map[uint64]*fetchOp
 	entering map[string]*fetchOp
 	liveBy   map[string]int
-	bytes    int                          // of all live jobs' records
-	placed   map[string]map[placedAt]bool // worker -> tasks placed there
-	settled  []string                     // finished at a majority, not yet told to the members
+	bytes    int                            // of all live jobs' records
+	placed   map[string]map[placedAt]amount // worker -> tasks placed there, and their room
+	load     map[string]amount              // worker -> room of those
+	settled  []string                       // finished at a majority, not yet told to the members
 	toldMs   int64
 	wants    int // asks for firm places sent in this tick
 }
@@ -43,21 +44,28 @@
 // placedAt names a task of a slice.
 type placedAt struct {
 	job  string
-	task int
+	task int64
 }
 
+// note keeps the index of tasks by worker in line with a task's state. Rounds
+// that are over shift positions, so tasks go by their names.
 func (sl *slice) note(js *jobState, i int) {
 	t := &js.Tasks[i]
-	if sl.placed[t.Worker] == nil {
-		sl.placed[t.Worker] = map[placedAt]bool{}
+	at := placedAt{js.ID, js.taskID(i)}
+	if room, was := sl.placed[t.Worker][at]; was {
+		delete(sl.placed[t.Worker], at)
+		sl.load[t.Worker] = sl.load[t.Worker].minus(room)
 	}
 	if t.State == taskPlaced {
-		sl.placed[t.Worker][placedAt{js.ID, i}] = true
-	} else {
-		delete(sl.placed[t.Worker], placedAt{js.ID, i})
+		if sl.placed[t.Worker] == nil {
+			sl.placed[t.Worker] = map[placedAt]amount{}
+		}
+		sl.placed[t.Worker][at] = t.Room
+		sl.load[t.Worker] = sl.load[t.Worker].plus(t.Room)
 	}
 	if len(sl.placed[t.Worker]) == 0 {
 		delete(sl.placed, t.Worker)
+		delete(sl.load, t.Worker)
 	}
 }
 
@@ -87,6 +95,9 @@
 	echoMs    int64 // the agent's clock that the last placement carried
 	abandonMs int64
 	state     int8 // as the agent last told
+	saved     string
+	abort     bool  // of a gang that is begun anew
+	runMs     int64 // since when it is told to run
 }
 
 type waiter struct {
@@ -129,8 +140,12 @@
 	leaving  bool
 	rebuilt  bool
 	fresh    bool
-	free     int64
-	capacity int64
+	free     amount
+	capacity amount
+	others   map[string]amount // slice -> room there of what isn't this slice's
+	rack     string
+	suspect  bool
+	pinned   bool
 	queued   int64
 	rankMs   int64
 	silentMs int64
@@ -141,14 +156,14 @@
 
 func init() {
 	jobOps = map[string]func(*node, *slice, *ask){"job.put": (*node).putJob, "job.get": (*node).getJob,
-		"job.cancel": (*node).cancelJob, "worker.lost": (*node).loseWorker}
+		"job.cancel": (*node).cancelJob, "job.state": (*node).tellState, "worker.lost": (*node).loseWorker}
 }
 
 func (n *node) startSlice(d *duty) {
 	name := strings.TrimPrefix(d.name, "slice/")
 	n.owned[name] = &slice{name: name, epoch: d.epoch, startMs: n.now, sealed: map[string]map[string]record{}, doubts: map[string]map[string]bool{},
 		doubtOp: map[uint64]string{}, best: map[string]record{}, jobs: map[string]*jobState{}, finished: map[string]*job{}, dirty: map[string]bool{}, loading: map[string]bool{},
-		writes: map[uint64]*writeBatch{}, lag: map[string]map[string]bool{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]bool{}}
+		writes: map[uint64]*writeBatch{}, lag: map[string]map[string]bool{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}}
 	n.sendSeals(n.owned[name])
 }
 
@@ -503,7 +518,7 @@
 		case sl.jobs[f.id] != nil:
 			jobOps[a.op](n, sl, a)
 		case old == nil:
-			n.answer(a, 404, 0, jsonOf(map[string]any{"error": "no such job"}))
+			n.answerMissing(a)
 		default:
 			n.answerFinished(a, old)
 		}
@@ -513,7 +528,7 @@
 func (n *node) answerFinished(a *ask, j *job) {
 	switch {
 	case a.op == "job.put":
-		p, faults := parseJob(j.ID, a.body)
+		p, faults := parseJob(j.ID, a.queue, a.body)
 		if len(faults) > 0 {
 			n.answerFaults(a, 400, 0, faults)
 		} else if !bytes.Equal(p.Digest, j.Digest) {
@@ -521,6 +536,10 @@
 		} else {
 			n.answer(a, 200, 0, jsonOf(map[string]any{"id": j.ID, "state": jobNames[j.State]}))
 		}
+	case a.queue != "" && a.queue != j.Queue:
+		n.answerMissing(a)
+	case a.op == "job.state":
+		n.answer(a, 200, 0, jsonOf(map[string]any{"state": jobNames[j.State]}))
 	case a.op == "job.cancel" && j.State != jobCancelled:
 		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "the job has ended", "state": jobNames[j.State]}))
 	default:
@@ -528,9 +547,13 @@
 	}
 }
 
+func (n *node) answerMissing(a *ask) {
+	n.answer(a, 404, 0, jsonOf(map[string]any{"error": "no such job", "missing": "job"}))
+}
+
 func (n *node) putJob(sl *slice, a *ask) {
 	if js := sl.jobs[a.key]; js != nil {
-		p, faults := parseJob(a.key, a.body)
+		p, faults := parseJob(a.key, a.queue, a.body)
 		if len(faults) > 0 {
 			n.answerFaults(a, 400, 0, faults)
 		} else if !bytes.Equal(p.Digest, js.Digest) {
@@ -552,7 +575,7 @@
 		f.asks = append(f.asks, a)
 		return
 	}
-	j, faults := parseJob(a.key, a.body)
+	j, faults := parseJob(a.key, a.queue, a.body)
 	if len(faults) > 0 {
 		n.answerFaults(a, 400, 0, faults)
 		return
@@ -632,12 +655,19 @@
 		if js.DoneMs == 0 && js.State > jobComplete {
 			state = map[int8]string{jobFailed: "failing", jobCancelled: "cancelling"}[js.State]
 		}
+		if w.ask.op == "job.state" {
+			state = js.brief()
+		}
 		n.answer(w.ask, w.status, 0, jsonOf(map[string]any{"id": js.ID, "state": state}))
 	}
 	js.waiters = kept
 }
 
 func (n *node) getJob(sl *slice, a *ask) {
+	if js := sl.jobs[a.key]; js != nil && a.queue != "" && js.Queue != a.queue {
+		n.answerMissing(a)
+		return
+	}
 	if js := sl.jobs[a.key]; js != nil {
 		if js.committed == 0 {
 			n.whenCommitted(js, waiter{version: 1, ask: a, status: 200})
@@ -657,9 +687,52 @@
 	n.fetchRecord(sl, &fetchOp{id: a.key, asks: []*ask{a}})
 }
 
+// tellState tells no more than a job's state, and one that stands only: what ended
+// is told once a majority has it.
+func (n *node) tellState(sl *slice, a *ask) {
+	js := sl.jobs[a.key]
+	if js == nil || a.queue != "" && js.Queue != a.queue {
+		n.getJob(sl, a)
+		return
+	}
+	version := int64(1)
+	if js.DoneMs != 0 || js.State != jobRunning {
+		version = js.Version
+	}
+	n.whenCommitted(js, waiter{version: version, ask: a, status: 200})
+}
+
+// brief is a job's state in one word: pending until a task of it was placed.
+func (js *jobState) brief() string {
+	if js.State != jobRunning {
+		return jobNames[js.State]
+	}
+	for i := range js.Tasks {
+		if t := &js.Tasks[i]; t.State == taskEnded || t.State == taskPlaced && js.run[i].state >= heldRunning {
+			return jobNames[jobRunning]
+		}
+	}
+	if js.Begun > 0 {
+		return jobNames[jobRunning]
+	}
+	return "pending"
+}
+
+// waitingIn counts a queue's jobs here that wait for their first start.
+func (n *node) waitingIn(queue string) (count int64) {
+	for _, sl := range n.owned {
+		for _, js := range sl.jobs {
+			if js.Queue == queue && js.brief() == "pending" {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // whyWaits tells an operator why a task has not started.
 func (n *node) whyWaits(js *jobState, t *task) string {
-	i := slices.IndexFunc(js.Tasks, func(x task) bool { return x.Step == t.Step && x.InStep == t.InStep })
+	i := slices.IndexFunc(js.Tasks, func(x task) bool { return x.Round == t.Round && x.Step == t.Step && x.InStep == t.InStep })
 	rt := &js.run[i]
 	switch {
 	case t.State == taskPlaced && rt.abandonMs != 0:
@@ -668,9 +741,9 @@
 		return "queued at its worker"
 	case t.State != taskPending:
 		return ""
-	case js.DueMs > n.poll.medianWall(n):
+	case js.dueOf(t.Round) > n.poll.medianWall(n):
 		return "not due yet"
-	case !js.readySteps(js.committed)[t.Step]:
+	case !js.readySteps(js.committed)[js.stepAt(t)]:
 		return "steps before it have not all ended well"
 	case n.now < rt.retryMs:
 		return "backing off after a failure"
@@ -695,7 +768,7 @@
 		switch {
 		case lack || !q.matches(w.labels, w.site):
 			at = 4
-		case w.capacity < t.Room:
+		case !t.Room.fits(w.capacity):
 			at = 3
 		case n.now-w.heardMs > silentMs || w.silentMs > silentMs:
 			at = 2
@@ -709,6 +782,10 @@
 
 func (n *node) cancelJob(sl *slice, a *ask) {
 	js := sl.jobs[a.key]
+	if js != nil && a.queue != "" && js.Queue != a.queue {
+		n.answerMissing(a)
+		return
+	}
 	if js == nil {
 		if j := sl.finished[a.key]; j != nil {
 			n.answerFinished(a, j)
@@ -742,7 +819,7 @@
 		if t.State == taskPlaced {
 			if w := n.workers[t.Worker]; w != nil && w.epoch == t.AgentEpoch {
 				n.send(w.agent, &syncAck{Worker: t.Worker, Epoch: w.epoch, Slice: sl.name, SliceEpoch: sl.epoch,
-					Verdicts: []verdictView{{Key: attemptKey{js.ID, int32(i), t.Attempt}, Verdict: verdictDrop}}})
+					Verdicts: []verdictView{{Key: attemptKey{js.ID, js.taskID(i), t.Attempt}, Verdict: verdictDrop}}})
 			}
 		}
 	}
@@ -757,8 +834,12 @@
 	}
 	lost := 0
 	for _, at := range sl.placedOn(worker) {
-		n.settle(sl, sl.jobs[at.job], at.task, resultLost, 0)
-		lost++
+		if js := sl.jobs[at.job]; js != nil {
+			if i, _, ok := js.position(at.task); ok {
+				n.settle(sl, js, i, resultLost, 0)
+				lost++
+			}
+		}
 	}
 	n.log("worker_declared_lost", "worker", worker, "slice", sl.name, "tasks", lost)
 	n.answer(a, 200, 0, jsonOf(map[string]any{"slice": sl.name, "tasks": lost}))
@@ -782,8 +863,8 @@
 		n.count("jobs_" + jobNames[state])
 		return
 	}
+	n.turnRounds(sl, js)
 	wall := n.poll.medianWall(n)
-	due := js.State == jobRunning && wall != 0 && (js.DueMs == 0 || wall >= js.DueMs+dueMarginMs)
 	q := n.setup.cur.Queues[js.Queue]
 	outstanding := 0
 	for i := range js.Tasks {
@@ -797,18 +878,21 @@
 		switch {
 		case t.State == taskPlaced:
 			n.tendPlaced(sl, js, i, rt)
-		case t.State == taskPending && due && q != nil && n.now >= rt.retryMs && n.setupFresh():
+		case t.State == taskPending && js.State == jobRunning && wall != 0 && q != nil && n.now >= rt.retryMs && n.setupFresh():
+			if due := js.dueOf(t.Round); due != 0 && wall < due+dueMarginMs {
+				continue
+			}
 			if ready == nil {
 				ready = js.readySteps(js.committed)
 			}
-			if !ready[t.Step] || t.SetVer > js.committed {
+			if !ready[js.stepAt(t)] || t.SetVer > js.committed {
 				continue
 			}
 			if n.classify(js, t) == classQueueable {
 				if int64(outstanding) >= q.Quota {
 					continue
 				}
-				if w := n.selectWorker(js, t); w != "" {
+				if w := n.selectWorker(sl, js, i); w != "" {
 					n.placeTask(sl, js, i, w, classQueueable)
 					outstanding++
 				}
@@ -820,6 +904,43 @@
 	}
 }
 
+// turnRounds opens the rounds that are due soon, and lets go of those that are over.
+func (n *node) turnRounds(sl *slice, js *jobState) {
+	wall := n.poll.medianWall(n)
+	if js.Rounds == 0 || js.State != jobRunning || wall == 0 {
+		return
+	}
+	if begun := js.Begun; js.closeRounds(js.committed) {
+		js.run = js.run[int(js.Begun-begun)*int(js.roundSize()):]
+		n.touch(sl, js)
+	}
+	for js.Opened < js.Rounds && wall >= js.dueOf(js.Opened)-openAheadMs && len(js.Tasks)+int(js.roundSize()) <= roundTasksMax {
+		js.openRound()
+		for range js.roundSize() {
+			js.run = append(js.run, taskState{})
+		}
+		n.touch(sl, js)
+		for i := len(js.Tasks) - int(js.roundSize()); i < len(js.Tasks); i++ {
+			js.Tasks[i].SetVer = js.Version
+			if js.Tasks[i].Allowed < 0 {
+				js.Tasks[i].Allowed = int32(n.allowedIn(js.Queue))
+			}
+		}
+	}
+}
+
+// allowedIn is how often tasks of a queue may fail where they don't say.
+func (n *node) allowedIn(queue string) int64 {
+	if q := n.setup.cur.Queues[queue]; q != nil {
+		for _, r := range q.Rules {
+			if r.Op == "defaultFailures" {
+				return r.N
+			}
+		}
+	}
+	return 0
+}
+
 func (n *node) retire(sl *slice, js *jobState) {
 	delete(sl.jobs, js.ID)
 	sl.bytes -= js.bytes
@@ -841,6 +962,9 @@
 	if t.SetVer <= js.committed && rt.sentMs == 0 && js.State == jobRunning {
 		n.sendPlace(sl, js, i)
 	}
+	if w == nil || w.pinned {
+		n.tendPinned(sl, js, i, rt, w)
+	}
 	silent := w == nil && n.now-sl.startMs > silentMs || w != nil && (n.now-w.heardMs > silentMs || w.silentMs > silentMs)
 	if !silent {
 		rt.abandonMs = 0
@@ -855,20 +979,90 @@
 	}
 }
 
+// tendPinned settles a task whose worker's agent has been silent for longer than
+// it may hold anything without an owner's word, and begins a gang anew that did
+// not come together.
+func (n *node) tendPinned(sl *slice, js *jobState, i int, rt *taskState, w *workerView) {
+	t := &js.Tasks[i]
+	heardMs := sl.startMs
+	if w != nil {
+		heardMs = max(heardMs, w.heardMs)
+	}
+	if (w != nil || n.allPinned()) && t.SetVer <= js.committed && n.now-heardMs > ownerSpanMs*(100+driftPercent)/100+lapseMarginMs && n.now-n.wokeMs > frozenMs {
+		n.count("lapses_settled")
+		n.settle(sl, js, i, resultLost, 0)
+		return
+	}
+	if !js.Steps[t.Step].Gang || rt.abort || t.InStep != 0 {
+		return
+	}
+	from, to := js.mates(i)
+	first, whole := int64(0), true
+	for k := from; k < to; k++ {
+		if r := &js.run[k]; r.runMs != 0 && (first == 0 || r.runMs < first) {
+			first = r.runMs
+		}
+		whole = whole && js.run[k].runMs != 0
+	}
+	if !whole && first != 0 && n.now-first > gangSlackMs {
+		n.count("gangs_begun_anew")
+		for k := from; k < to; k++ {
+			js.run[k].abort = true
+		}
+	}
+}
+
+// allPinned tells whether every worker heard of has its agent beside it.
+func (n *node) allPinned() bool {
+	for _, w := range n.workers {
+		if !w.pinned {
+			return false
+		}
+	}
+	return len(n.workers) > 0
+}
+
+// gangWhole tells whether all of a task's gang is placed in one run.
+func (js *jobState) gangWhole(i int) bool {
+	from, to := js.mates(i)
+	for k := from; k < to; k++ {
+		if js.Tasks[k].State != taskPlaced || js.Tasks[k].Attempt != js.Tasks[i].Attempt || js.run[k].abort {
+			return false
+		}
+	}
+	return true
+}
+
 // classify is the paper's hybrid-GQ rule: a task known to be short may wait
 // or be stopped, all others get a firm place.
 func (n *node) classify(js *jobState, t *task) int8 {
 	if n.ThresholdMs < 0 { // only-queueable, for comparisons
 		return classQueueable
 	}
+	if js.Steps[t.Step].Gang || js.Steps[t.Step].Lasting || t.Preempts >= preemptMax {
+		return classGuaranteed
+	}
+	if js.Steps[t.Step].Alike && t.HintMs > 0 { // a guess, corrected by how guesses of its queue turned out
+		if n.estimateMs(js, t) >= n.ThresholdMs {
+			return classGuaranteed
+		}
+		return classQueueable
+	}
 	e := n.learned[js.Queue+"/"+t.Name]
-	if e == nil || t.Preempts >= preemptMax || int64(e.meanMs) >= n.ThresholdMs {
+	if e == nil || int64(e.meanMs) >= n.ThresholdMs {
 		return classGuaranteed
 	}
 	return classQueueable
 }
 
 func (n *node) estimateMs(js *jobState, t *task) int64 {
+	if js.Steps[t.Step].Alike && t.HintMs > 0 {
+		percent := 100.0
+		if e := n.learned[js.Queue+"/%"]; e != nil {
+			percent = e.meanMs
+		}
+		return max(int64(float64(t.HintMs)*percent/100), 1)
+	}
 	if e := n.learned[js.Queue+"/"+t.Name]; e != nil {
 		return int64(e.meanMs)
 	}
@@ -878,6 +1072,16 @@
 	return min(5000, t.LimitMs) // nothing known yet
 }
 
+// learnRun takes one run's time: into its name's mean, or into how far the guesses
+// of its queue are off, in percent.
+func (n *node) learnRun(js *jobState, t *task, ranMs int64) {
+	if js.Steps[t.Step].Alike && t.HintMs > 0 {
+		n.learn(js.Queue, "%", min(100*ranMs/t.HintMs, 1000))
+		return
+	}
+	n.learn(js.Queue, t.Name, ranMs)
+}
+
 // learn takes one run's time into the mean of its queue's task name.
 func (n *node) learn(queue, name string, ranMs int64) {
 	e := n.estimateOf(queue+"/"+name, float64(ranMs))
@@ -938,30 +1142,59 @@
 }
 
 // allowed tells whether a task may go to a worker now, as far as is known here.
-func (n *node) allowed(w *workerView, q *queueRules, needs []label, room int64) bool {
+func (n *node) allowed(w *workerView, q *queueRules, needs []label, room amount) bool {
 	_, lack := lacks(w.labels, needs)
 	return n.now-w.heardMs < contactMs && w.rebuilt && w.fresh && !w.leaving && !n.setup.cur.Empty[w.site] &&
-		w.capacity >= room && !lack && q.matches(w.labels, w.site)
+		room.fits(w.capacity) && !lack && q.matches(w.labels, w.site)
+}
+
+// freeAt is the room of a worker that nothing known here takes: what its agent
+// holds for other slices, and all that this slice has placed there.
+func (n *node) freeAt(sl *slice, name string, w *workerView) amount {
+	return w.capacity.minus(w.others[sl.name]).minus(sl.load[name])
+}
+
+// usedBy counts the tasks of a task's step and round by worker.
+func (js *jobState) usedBy(i int) map[string]int32 {
+	used := map[string]int32{}
+	from, to := js.mates(i)
+	for k := from; k < to; k++ {
+		if js.Tasks[k].State == taskPlaced {
+			used[js.Tasks[k].Worker]++
+		}
+	}
+	return used
 }
 
 // selectWorker is the local scheduler: at random among the k allowed workers
-// of lowest rank.
-func (n *node) selectWorker(js *jobState, t *task) string {
+// of lowest rank. Those with room now go before those where it would wait, and
+// among them those near its data.
+func (n *node) selectWorker(sl *slice, js *jobState, i int) string {
+	t := &js.Tasks[i]
+	st := &js.Steps[t.Step]
 	q := n.setup.cur.Queues[js.Queue]
+	var used map[string]int32
+	if st.PerWorker > 0 {
+		used = js.usedBy(i)
+	}
 	type ranked struct {
 		name string
 		rank int64
+		w    *workerView
 	}
 	var list []ranked
 	for _, name := range sorted(n.workers) {
 		w := n.workers[name]
-		if n.allowed(w, q, t.Needs, t.Room) {
-			list = append(list, ranked{name, n.ranks.of(n, name)})
+		if n.allowed(w, q, t.Needs, t.Room) && (st.PerWorker == 0 || used[name] < st.PerWorker) {
+			list = append(list, ranked{name, n.ranks.of(n, name), w})
 		}
 	}
+	pinned := slices.ContainsFunc(list, func(r ranked) bool { return r.w.pinned })
 	for _, shun := range []func(ranked) bool{ // as long as others are left
-		func(r ranked) bool { return n.ranks.unsound[r.name] != 0 },
+		func(r ranked) bool { return n.ranks.unsound[r.name] != 0 || r.w.suspect },
 		func(r ranked) bool { return r.name == t.Last },
+		func(r ranked) bool { return pinned && !t.Room.fits(n.freeAt(sl, r.name, r.w)) },
+		func(r ranked) bool { return st.Near != "" && r.w.rack != st.Near },
 	} {
 		if left := slices.DeleteFunc(slices.Clone(list), shun); len(left) > 0 {
 			list = left
@@ -1002,64 +1235,154 @@
 		return
 	}
 	js.run[i].sentMs, js.run[i].echoMs = n.now, w.echoMs
-	n.send(w.agent, &placeMsg{Worker: t.Worker, AgentEpoch: t.AgentEpoch, SliceEpoch: sl.epoch, EchoMs: w.echoMs, Spec: orderSpec{
-		Key: attemptKey{js.ID, int32(i), t.Attempt}, Slice: sl.name, Queue: js.Queue, Name: t.Name, Class: t.Class, Room: t.Room,
-		Needs: t.Needs, SubmitMs: js.SubmitMs, EstMs: n.estimateMs(js, t), LimitMs: t.LimitMs, Payload: t.Payload}})
+	n.send(w.agent, &placeMsg{Worker: t.Worker, AgentEpoch: t.AgentEpoch, SliceEpoch: sl.epoch, EchoMs: w.echoMs, Spec: n.specOf(sl, js, i)})
 }
 
+// specOf is what an agent must know of a placed task.
+func (n *node) specOf(sl *slice, js *jobState, i int) orderSpec {
+	t := &js.Tasks[i]
+	return orderSpec{
+		Key: attemptKey{js.ID, js.taskID(i), t.Attempt}, Slice: sl.name, Queue: js.Queue, Name: t.Name, Class: t.Class, Room: t.Room,
+		Needs: t.Needs, SubmitMs: js.SubmitMs, EstMs: n.estimateMs(js, t), LimitMs: t.LimitMs, Payload: t.Payload, Saved: t.Saved,
+		Gang: js.Steps[t.Step].Gang, Lasting: js.Steps[t.Step].Lasting, Saves: js.Steps[t.Step].Saves, PerWorker: js.Steps[t.Step].PerWorker}
+}
+
+// sendWant asks for a firm place for a task; where tasks of its step are alike,
+// for all of them that wait now, and for a gang once nobody of it is placed.
 func (n *node) sendWant(sl *slice, js *jobState, i int) {
 	to, _ := n.holder("central")
 	if to == "" {
 		return
 	}
 	t := &js.Tasks[i]
-	js.run[i].wantMs = n.now
-	n.send(to, &wantMsg{Slice: sl.name, Job: js.ID, Task: int32(i), Attempt: t.Attempt + 1, Queue: js.Queue, Room: t.Room, Needs: t.Needs, SubmitMs: js.SubmitMs, Avoid: t.Last})
+	st := &js.Steps[t.Step]
+	m := &wantMsg{Slice: sl.name, Job: js.ID, Queue: js.Queue, Room: t.Room, Needs: t.Needs, SubmitMs: js.SubmitMs, Avoid: t.Last,
+		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker}
+	from, to_ := i, i+1
+	if st.Alike {
+		from, to_ = js.mates(i)
+	}
+	attempt := int32(0)
+	for k := from; k < to_; k++ {
+		o := &js.Tasks[k]
+		if st.Gang && (o.State != taskPending || o.SetVer > js.committed || n.now < js.run[k].retryMs) {
+			return
+		}
+		attempt = max(attempt, o.Attempt+1)
+	}
+	for k := from; k < to_; k++ {
+		o, rt := &js.Tasks[k], &js.run[k]
+		if o.State != taskPending || o.SetVer > js.committed || n.now < rt.retryMs || k != i && n.classify(js, o) != classGuaranteed {
+			continue
+		}
+		rt.wantMs = n.now
+		next := o.Attempt + 1
+		if st.Gang {
+			next = attempt
+		}
+		m.Tasks = append(m.Tasks, wantTask{js.taskID(k), next})
+	}
+	if st.PerWorker > 0 {
+		used := js.usedBy(i)
+		for _, w := range sorted(used) {
+			m.Used = append(m.Used, usedView{w, used[w]})
+		}
+	}
+	n.send(to, m)
 }
 
-// onGrant takes a firm place from the central scheduler.
+// onGrant takes firm places from the central scheduler; a gang's all or none.
 func (n *node) onGrant(_ string, m *grantMsg) {
 	sl := n.owned[m.Slice]
 	if sl == nil || !n.holds("slice/"+m.Slice) {
 		return
 	}
-	js, w := sl.jobs[m.Job], n.workers[m.Worker]
-	if js == nil || w == nil || int(m.Task) >= len(js.Tasks) || js.State != jobRunning {
+	js := sl.jobs[m.Job]
+	if js == nil || js.State != jobRunning {
 		return
 	}
-	t := &js.Tasks[m.Task]
 	q := n.setup.cur.Queues[js.Queue]
-	if t.State != taskPending || m.Attempt != t.Attempt+1 || q == nil || !n.allowed(w, q, t.Needs, t.Room) {
-		return
+	good := func(p grantView) (int, bool) {
+		i, _, ok := js.position(p.Task)
+		w := n.workers[p.Worker]
+		if !ok || w == nil || q == nil {
+			return 0, false
+		}
+		t := &js.Tasks[i]
+		return i, t.State == taskPending && p.Attempt > t.Attempt && t.SetVer <= js.committed && n.allowed(w, q, t.Needs, t.Room)
+	}
+	gang := 0
+	for _, p := range m.Places {
+		i, ok := good(p)
+		if ok && js.Steps[js.Tasks[i].Step].Gang {
+			gang++
+		}
+	}
+	for k, p := range m.Places {
+		i, ok := good(p)
+		if !ok {
+			n.count("grants_not_taken")
+			continue
+		}
+		st := &js.Steps[js.Tasks[i].Step]
+		if st.Gang && k == 0 && gang < int(st.Size) {
+			n.count("grants_not_taken")
+			return
+		}
+		if st.PerWorker > 0 && js.usedBy(i)[p.Worker] >= st.PerWorker {
+			continue
+		}
+		n.placeTask(sl, js, i, p.Worker, classGuaranteed)
+		js.Tasks[i].Attempt = p.Attempt
 	}
-	n.placeTask(sl, js, int(m.Task), m.Worker, classGuaranteed)
 }
 
 // settle applies how an attempt ended to its task.
 func (n *node) settle(sl *slice, js *jobState, i int, result int8, ranMs int64) {
 	t, rt := &js.Tasks[i], &js.run[i]
+	st := &js.Steps[t.Step]
 	n.touch(sl, js)
 	t.SetVer, t.RanMs = js.Version, ranMs
 	n.count("ends_" + resultNames[result])
+	if rt.saved != "" {
+		t.Saved = rt.saved
+	}
 	*rt = taskState{}
 	defer sl.note(js, i)
 	switch result {
 	case resultOK:
+		n.learnRun(js, t, ranMs)
+		if st.Lasting {
+			rt.retryMs = n.now + backoffMs/2
+			break
+		}
 		t.State, t.Cause = taskEnded, ""
-		n.learn(js.Queue, t.Name, ranMs)
+		if st.Gang {
+			n.endGang(sl, js, i)
+		}
 		return
 	case resultFailed, resultOverrun:
-		t.Failures++
 		t.Last, t.Cause = t.Worker, resultNames[result]
+		if !n.countFailure(js, i) {
+			break
+		}
 		wait := int64(backoffMs) << min(t.Failures-1, 10)
 		rt.retryMs = n.now + min(wait, backoffMax)
+		if st.Alike { // of many tasks alike some fail; the next try is elsewhere
+			rt.retryMs = n.now + min(wait/4, backoffMs)
+		}
 	case resultPreempted:
 		t.Preempts++
+	case resultStanding, resultLost:
+		t.Last = t.Worker
 	case resultShed, resultBounced:
 		rt.retryMs = n.now + 20 + n.rand().Int64N(100)
 	}
+	if st.Gang && js.Steps[t.Step].Saves {
+		n.shareSaved(js, i)
+	}
 	switch {
-	case t.Failures >= t.allowedRuns():
+	case t.Failures >= t.allowedRuns() && !st.Lasting:
 		t.State = taskFailed
 		if js.State == jobRunning {
 			js.State = jobFailed
@@ -1073,6 +1396,46 @@
 	}
 }
 
+// countFailure counts a failed run, a gang's once for all its members.
+func (n *node) countFailure(js *jobState, i int) bool {
+	t := &js.Tasks[i]
+	if !js.Steps[t.Step].Gang {
+		t.Failures++
+		return true
+	}
+	if t.FailedRun == t.Attempt {
+		return false
+	}
+	from, to := js.mates(i)
+	for k := from; k < to; k++ {
+		js.Tasks[k].Failures++
+		js.Tasks[k].FailedRun = t.Attempt
+	}
+	return true
+}
+
+// endGang takes one member's good end for all of its run.
+func (n *node) endGang(sl *slice, js *jobState, i int) {
+	from, to := js.mates(i)
+	for k := from; k < to; k++ {
+		if o := &js.Tasks[k]; k != i && o.Attempt == js.Tasks[i].Attempt && o.State != taskEnded {
+			o.State, o.Cause, o.SetVer = taskEnded, "", js.Version
+			js.run[k] = taskState{}
+			sl.note(js, k)
+		}
+	}
+}
+
+// shareSaved gives all members of a gang the newest saved text of one of them:
+// they must go on from the same.
+func (n *node) shareSaved(js *jobState, i int) {
+	from, to := js.mates(i)
+	saved := js.Tasks[i].Saved
+	for k := from; k < to; k++ {
+		js.Tasks[k].Saved = saved
+	}
+}
+
 // onSync takes an agent's word on all it holds, settles what it says ended,
 // and answers what it may go on with.
 func (n *node) onSync(from string, m *syncMsg) {
@@ -1085,9 +1448,16 @@
 		return // an agent whose time is over
 	}
 	if m.Epoch > w.epoch || m.SentMs > w.echoMs {
-		w.addedMs = 0
+		others := w.others
+		if others == nil || m.Epoch > w.epoch {
+			others = map[string]amount{}
+		}
 		*w = workerView{agent: from, epoch: m.Epoch, echoMs: m.SentMs, heardMs: n.now, site: m.Site, labels: m.Labels, leaving: m.Leaving,
-			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs, silentMs: m.SilentMs}
+			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs, silentMs: m.SilentMs,
+			others: others, rack: m.Rack, suspect: m.Suspect, pinned: m.Pinned}
+	}
+	if m.Epoch == w.epoch && m.Slice != "" {
+		w.others[m.Slice] = m.Others
 	}
 	if m.Slice == "" {
 		n.syncCentral(from, m)
@@ -1103,12 +1473,23 @@
 		listed[h.Key] = true
 		if v := n.judge(sl, m, h); v != 0 {
 			ack.Verdicts = append(ack.Verdicts, verdictView{h.Key, v})
+			if js := sl.jobs[h.Key.Job]; js != nil && h.Unknown && v == verdictKeep {
+				i, _, _ := js.position(h.Key.Task)
+				ack.Specs = append(ack.Specs, n.specOf(sl, js, i))
+			}
 		}
 	}
 	for _, at := range sl.placedOn(m.Worker) { // settling changes the index, not this list
-		js, i := sl.jobs[at.job], at.task
+		js := sl.jobs[at.job]
+		if js == nil {
+			continue
+		}
+		i, _, ok := js.position(at.task)
+		if !ok || js.Tasks[i].State != taskPlaced {
+			continue
+		}
 		t := &js.Tasks[i]
-		if t.SetVer > js.committed || listed[attemptKey{at.job, int32(i), t.Attempt}] {
+		if t.SetVer > js.committed || listed[attemptKey{at.job, at.task, t.Attempt}] {
 			continue
 		}
 		switch {
@@ -1132,13 +1513,23 @@
 // judge gives the owner's verdict on one attempt an agent holds.
 func (n *node) judge(sl *slice, m *syncMsg, h heldView) int8 {
 	js := sl.jobs[h.Key.Job]
-	if js == nil || int(h.Key.Task) >= len(js.Tasks) { // finished, so nothing of it is wanted
+	over := func() int8 { // nothing of it is wanted
 		if h.State == heldEnded {
 			return verdictAcked
 		}
 		return verdictDrop
 	}
-	t, rt := &js.Tasks[h.Key.Task], &js.run[h.Key.Task]
+	if js == nil {
+		return over()
+	}
+	i, past, ok := js.position(h.Key.Task)
+	if !ok {
+		if past && h.State == heldEnded {
+			return verdictCounted // its round ended well, and the runs that counted were taken note of
+		}
+		return over()
+	}
+	t, rt := &js.Tasks[i], &js.run[i]
 	if js.committed == 0 {
 		return 0
 	}
@@ -1146,21 +1537,31 @@
 		n.log("attempt_unknown", "job", js.ID, "task", h.Key.Task, "attempt", h.Key.Attempt, "known", t.Attempt)
 		return verdictDrop
 	}
-	if h.Key.Attempt < t.Attempt || t.State != taskPlaced {
+	late := h.State == heldEnded && h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
+	if (h.Key.Attempt < t.Attempt || t.State != taskPlaced) && !late {
 		if h.State != heldEnded {
 			return verdictDrop
 		}
 		if t.SetVer > js.committed {
 			return 0
 		}
+		if h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskEnded {
+			return verdictCounted
+		}
 		return verdictAcked
 	}
+	if h.State == heldRunning && rt.runMs == 0 {
+		rt.runMs = n.now
+	}
 	rt.state = h.State
+	if h.Saved != "" {
+		rt.saved = h.Saved
+	}
 	if h.State == heldEnded {
-		n.settle(sl, js, int(h.Key.Task), h.Result, h.RanMs)
+		n.settle(sl, js, i, h.Result, h.RanMs)
 		return 0 // acknowledged once it is committed
 	}
-	if js.State != jobRunning {
+	if js.State != jobRunning || js.Steps[t.Step].Gang && !js.gangWhole(i) {
 		return verdictDrop
 	}
 	if t.Class == classQueueable && h.Class == classGuaranteed {
--- a/guards.sh
+++ b/guards.sh
@@ -10,7 +10,7 @@
 # name | file | text that stands there | what stands there instead
 guards() {
   cat << 'G'
-room|agents.go|if avail >= h.spec.Room {|if true {
+room|agents.go|if h.spec.Room.fits(avail) {|if true {
 unsettled orders hold room|agents.go|if (h.state == heldOrdered \|\| h.state == heldRunning) && !h.listed {|if false {
 new agent waits for the worker's fresh word|agents.go|if !ag.rebuilt && ag.tokenMs > ag.startMs+flightMs {|if !ag.rebuilt {
 lost only once rebuilt|slices.go|case m.Epoch > t.AgentEpoch && m.Rebuilt:|case m.Epoch > t.AgentEpoch:
