--- a/guards.sh
+++ b/guards.sh
@@ -11,7 +11,7 @@
 guards() {
   cat << 'G'
 room|agents.go|if h.spec.Room.fits(avail) {|if true {
-unsettled orders hold room|agents.go|if (h.state == heldOrdered \|\| h.state == heldRunning) && !h.listed {|if false {
+unsettled orders hold room|agents.go|if ag.pinned \|\| !h.listed {|if ag.pinned {
 new agent waits for the worker's fresh word|agents.go|if !ag.rebuilt && ag.tokenMs > ag.startMs+flightMs {|if !ag.rebuilt {
 lost only once rebuilt|slices.go|case m.Epoch > t.AgentEpoch && m.Rebuilt:|case m.Epoch > t.AgentEpoch:
 unknown is not ended|agents.go|"unknown": func(n *node, _ *agent, h *held) { n.count("orders_unsettled") },|"unknown": func(n *node, _ *agent, h *held) { h.state, h.result = heldEnded, resultBounced },
