--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -335,9 +335,6 @@
 		st.Size = int32(len(list.Array()))
 		if count.Exists() {
 			st.alike(s)
-			if st.Room == (amount{}) {
-				bad(fmt.Sprintf("steps.%d.room", i), "is missing")
-			}
 		}
 		j.Steps = append(j.Steps, st)
 		names := map[string]bool{}
