Setups: numbers chosen by the operator, emptied sites, addresses of queues

Cause: on the users' platform versions rise in uneven steps and name the one they build on, sites are emptied by a word of their own, and callers name a queue by host and path. Run: go vet ./accord; go test ./accord -run 'Setup|Setting': passes.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -17,6 +17,11 @@
 	body   []byte
 	atMs   int64
 	setup  *compiled // of the body, where it is known to be sound
+	host   string    // with path, the address a caller used
+	path   string
+	expect int64  // the version a setup builds on; -1 for one less than its own
+	queue  string // the queue that the address belongs to
+	byAddr bool   // it came with an address: an unknown job is told apart from an unknown queue
 }
 
 type pendingAsk struct {
@@ -31,7 +36,10 @@
 	mappings = map[string]func(*node, *ask){
 		"job.put": (*node).mapJob, "job.get": (*node).mapJob, "job.cancel": (*node).mapJob,
 		"worker.report": (*node).mapReport, "worker.lost": (*node).mapLost,
+		"queue.submit": (*node).resolveAsk, "queue.state": (*node).resolveAsk, "queue.cancel": (*node).resolveAsk,
+		"job.state": (*node).mapJob,
 		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
+		"site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
 		"members": (*node).getMembers, "workers": (*node).getWorkers, "soundness": (*node).getSoundness,
 	}
 }
@@ -60,11 +68,11 @@
 	}
 	n.count("asks_in")
 	n.again.earn(1)
-	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready})
+	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect})
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: m.Body})
+	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: m.Body, queue: m.Queue, expect: -1})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -80,6 +88,9 @@
 	if status >= 400 {
 		n.count("asks_bounced")
 	}
+	if a.byAddr && a.origin == "" && status == 404 && a.queue != "" {
+		status, body = 410, jsonOf(map[string]any{"missing": "job", "error": "no such job"})
+	}
 	m := answerMsg{ID: a.id, Status: int32(status), RetryMs: retryMs, Body: body}
 	if a.origin == "" {
 		n.reply(a.id, m)
@@ -117,7 +128,7 @@
 	n.askSeq++
 	n.asks[n.askSeq] = &pendingAsk{ask: a, to: to, limitMs: n.now + handOverMs}
 	n.count("asks_handed_over")
-	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: a.body})
+	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: a.body, Queue: a.queue})
 }
 
 func (n *node) onAnswer(from string, m *answerMsg) {
@@ -160,7 +171,7 @@
 // giveUpOn is for asks that no owner settles now: a job's state can still be
 // had from the core, anything else is bounced.
 func (n *node) giveUpOn(a *ask, reason string) {
-	if a.op != "job.get" || len(n.core.Members) == 0 || !n.fresh.spend() {
+	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || !n.fresh.spend() {
 		n.bounce(a, reason)
 		return
 	}
@@ -199,6 +210,10 @@
 	if j, ok := jobOf(all[need-1]); ok {
 		delete(n.reads, op)
 		n.count("states_from_core")
+		if r.ask.queue != "" && j.Queue != r.ask.queue {
+			n.answer(r.ask, 404, 0, jsonOf(map[string]any{"error": "no such job"}))
+			return
+		}
 		n.answer(r.ask, 200, 0, jsonOf(j.view(func(t *task) string {
 			if t.State == taskPending || t.State == taskPlaced {
 				return "its slice is being taken over"
@@ -234,7 +249,12 @@
 			n.giveUpOn(a, "the slice is being taken over")
 			return
 		}
-		jobOps[a.op](n, sl, a)
+		op := jobOps[a.op]
+		if op == nil {
+			n.answer(a, 404, 0, jsonOf(map[string]any{"error": "no such ask"}))
+			return
+		}
+		op(n, sl, a)
 		return
 	}
 	to, _ := n.holder("slice/" + name)
@@ -262,28 +282,128 @@
 			return
 		}
 	}
-	version := a.setup.Version
+	version, base := a.setup.Version, a.expect
+	if base < 0 {
+		base = version - 1
+	}
+	if version <= base {
+		n.answerFaults(a, 400, 0, []fault{{"version", "must be higher than the one it builds on"}})
+		return
+	}
 	if version < n.setup.doc.Version { // surely passed; all else only the register can say
 		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": n.setup.doc.Version}))
 		return
 	}
-	n.startCas("setup", "setup", a.body, version-1).ask = a
+	o := n.startCas("setup", "setup", a.body, base)
+	o.want, o.ask = version, a
+}
+
+// setSite empties a site or opens it again, beside the document.
+func (n *node) setSite(a *ask) {
+	if !nameOK(a.key) {
+		n.answerFaults(a, 400, 0, []fault{{"site", "must be a name"}})
+		return
+	}
+	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+		n.bounce(a, "the core can't be reached from here")
+		return
+	}
+	n.startCas("setup", strings.TrimPrefix(a.op, "site."), []byte(a.key), 0).ask = a
 }
 
+// addressOps are what calls at a queue's address ask of a job's owner.
+var addressOps = map[string]string{"queue.submit": "job.put", "queue.state": "job.state", "queue.cancel": "job.cancel"}
+
+// resolveAsk finds the queue that an address belongs to, by the setup that a
+// majority confirmed lately. That an address belongs to none is only said by
+// a setup confirmed after the call came.
+func (n *node) resolveAsk(a *ask) {
+	c := n.setup.cur
+	if c.Version == 0 {
+		n.bounce(a, "no setup yet")
+		return
+	}
+	queue, id, ok := c.resolve(a.host, a.path)
+	switch {
+	case !ok && n.setup.confirmedMs >= a.atMs:
+		n.answer(a, 404, 0, jsonOf(map[string]any{"missing": "queue", "error": "no queue has this address"}))
+		return
+	case !ok || !n.setupFresh():
+		n.holdUnsure(a, "the setup is not confirmed here")
+		return
+	}
+	a.queue, a.byAddr, a.key = queue, true, id
+	switch {
+	case id == "" && a.op == "queue.state":
+		n.answer(a, 200, 0, jsonOf(map[string]any{"waiting": n.waitingIn(queue)}))
+	case !nameOK(id):
+		n.answer(a, 404, 0, nil)
+	default:
+		a.op = addressOps[a.op]
+		n.settleAsk(a)
+	}
+}
+
+// holdUnsure keeps an ask until a newer confirmation of the setup, for a while.
+func (n *node) holdUnsure(a *ask, reason string) {
+	if len(n.setup.unsure) >= asksMax {
+		n.bounce(a, reason)
+		return
+	}
+	n.setup.unsure = append(n.setup.unsure, a)
+	n.poll.nextMs = min(n.poll.nextMs, n.poll.lastMs+tickMs) // at the next tick, if none is on its way
+}
+
+// notReady says why this daemon should get no callers; "" if it should.
+func (n *node) notReady() string {
+	switch {
+	case n.core.Cluster == 0:
+		return "no cluster yet"
+	case n.leaving != 0:
+		return "this daemon is stopping"
+	case n.now-n.poll.okMs > contactMs:
+		return "the core can't be reached from here"
+	case n.setup.cur.Version == 0:
+		return "no setup yet"
+	case !n.setupFresh():
+		return "the setup is not confirmed here"
+	}
+	for _, s := range n.core.Slices {
+		if h, _ := n.holder("slice/" + s); h == "" {
+			return "slice " + s + " has no holder"
+		}
+	}
+	return ""
+}
+
+func (n *node) getReady(a *ask) {
+	if reason := n.notReady(); reason != "" {
+		n.bounce(a, reason)
+		return
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"ready": true}))
+}
+
+// getSetup tells a setup that was confirmed after it was asked for, so that
+// nobody reads an older one than was acknowledged before.
 func (n *node) getSetup(a *ask) {
-	if !n.setupFresh() {
-		n.bounce(a, "the setup is not confirmed here")
+	if n.setup.confirmedMs < a.atMs {
+		n.holdUnsure(a, "the setup is not confirmed here")
 		return
 	}
 	past := make([]map[string]any, 0, len(n.setup.doc.Past))
 	for _, p := range n.setup.doc.Past {
 		past = append(past, map[string]any{"version": p.Version, "digest": p.Digest, "queues": p.Queues, "bytes": p.Bytes, "at_ms": p.AtMs})
 	}
+	emptied := n.setup.doc.Emptied
+	if emptied == nil {
+		emptied = []string{}
+	}
 	doc := string(n.setup.doc.Doc)
 	if doc == "" {
 		doc = "null"
 	}
-	n.answer(a, 200, 0, jsonOf(map[string]any{"version": n.setup.doc.Version, "setup": rawJSON(doc), "history": past}))
+	n.answer(a, 200, 0, jsonOf(map[string]any{"version": n.setup.doc.Version, "setup": rawJSON(doc), "emptied": emptied, "history": past}))
 }
 
 type rawJSON string
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -12,6 +12,7 @@
 type pollState struct {
 	seq     uint64
 	nextMs  int64
+	lastMs  int64 // when the last round was sent
 	sent    map[uint64]*pollRound
 	okMs    int64 // send time of the newest round a majority answered
 	setup   ballot
@@ -83,7 +84,7 @@
 	if len(n.core.Members) == 0 || n.now < n.poll.nextMs {
 		return
 	}
-	n.poll.nextMs = n.now + pollMs
+	n.poll.nextMs, n.poll.lastMs = n.now+pollMs, n.now
 	n.poll.seq++
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
 	for _, name := range sorted(n.duties) {
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -197,6 +197,7 @@
 	Op     string
 	Key    string
 	Body   []byte
+	Queue  string // the queue whose address the caller used; "" when it used none
 }
 
 type answerMsg struct {
@@ -334,7 +335,11 @@
 	MeanMs float64
 }
 
-type formMsg struct{ Set coreSet }
+// formMsg asks a disk for its vote on a formation, or tells that it failed.
+type formMsg struct {
+	Set  coreSet
+	Dead bool // a member voted no: whoever voted yes is free again
+}
 
 type formedMsg struct {
 	Cluster uint64
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -24,6 +24,13 @@
 	ThresholdMs   int64
 	KLowest       int
 	TargetSigma   float64
+	CoreSize      int  // disks that hold the state; 0 for coreSize
+	FirstStart    bool // the whole fleet starts for the first time: empty disks may form a core
+	HoldMostMs    int64
+	GangWaitMs    int64
+	SaveMs        int64
+	RestoreMs     int64
+	SpreadFactor  float64
 }
 
 // event is all that a daemon ever learns: what happened, when by its own
@@ -44,10 +51,12 @@
 	}
 	// evAsk is a caller's, worker's or operator's ask at this daemon.
 	evAsk struct {
-		ID   uint64
-		Op   string
-		Key  string
-		Body []byte
+		ID         uint64
+		Op         string
+		Key        string
+		Host, Path string // where the call came in with the address of a queue
+		Expect     int64  // the version a setup builds on; -1 for one less than its own
+		Body       []byte
 		// Ready is the setup in Body, where a traffic thread compiled it already.
 		Ready *compiled
 	}
@@ -63,6 +72,8 @@
 		SyncMs int64
 	}
 	evStop struct{}
+	// evSeeds brings other addresses to find the fleet by.
+	evSeeds struct{ Seeds []string }
 )
 
 // effect is a thing the shell is to do, as data.
@@ -200,6 +211,7 @@
 	event(onEvent((*node).onOrder))
 	event(onEvent((*node).onDisk))
 	event(onEvent((*node).onStop))
+	event(onEvent((*node).onSeeds))
 	messageHandlers = map[reflect.Type]func(*node, string, any){}
 	message := func(t reflect.Type, f func(*node, string, any)) { messageHandlers[t] = f }
 	message(onMessage((*node).onGossip))
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -10,6 +10,7 @@
 	kind    string // names what is computed and what follows, see casKinds
 	arg     []byte // the wanted value or its part
 	expect  int64  // the version the value must have, where the kind asks
+	want    int64  // the version it is to have then, where the kind asks
 	ballot  ballot
 	phase   int8 // 1 prepare, 2 accept, 3 waiting for a retry
 	yes, no map[string]bool
@@ -47,6 +48,8 @@
 		"core":  {compute: computeCore, done: (*node).coreChanged},
 		"duty":  {compute: computeDuty, done: (*node).dutyTaken},
 		"setup": {compute: computeSetup, done: (*node).setupChanged},
+		"empty": {compute: computeSites, done: (*node).sitesChanged},
+		"open":  {compute: computeSites, done: (*node).sitesChanged},
 	}
 }
 
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 
 	"github.com/tidwall/gjson"
 )
@@ -26,8 +29,15 @@
 		"default_failures": {Kind: "count", Min: 0, Max: 100},
 		"quota":            {Kind: "count", Min: 1, Max: tasksMax},
 		"trust_run_limit":  {Kind: "flag"},
+		"latency_ms":       {Kind: "count", Min: 0, Max: 1 << 40},
+		"stretch":          {Kind: "number"},
+		"addresses": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
+			"host":   {Kind: "text", Required: true, Min: 1, Max: 256},
+			"prefix": {Kind: "text", Required: true, Min: 1, Max: 1024},
+		}}},
 	}}},
 	"empty_sites": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "name"}},
+	"source":      {Kind: "any"},
 }}
 
 // setupDoc is the value of the register "setup".
@@ -35,6 +45,7 @@
 	Version int64
 	Doc     []byte
 	Past    []setupPast
+	Emptied []string // sites emptied by an operator's word beside the document, in order
 }
 
 type setupPast struct {
@@ -59,8 +70,14 @@
 	TrustLimit bool
 	Selector   []choice
 	Rules      []rule
+	Addresses  []address
+	LatencyMs  int64   // the target for a job's time
+	Stretch    float64 // the target for a job's time against its work alone
 }
 
+// address is where callers reach a queue: all paths of a host that begin so.
+type address struct{ Host, Prefix string }
+
 type choice struct {
 	Key    string
 	Values []string
@@ -72,6 +89,45 @@
 	Queues  map[string]*queueRules
 	Empty   map[string]bool
 	Lowest  int64
+	emptied []string // of Empty, what the document itself says
+	hosts   map[string]*hostPrefixes
+}
+
+// hostPrefixes finds the longest of a host's prefixes with which a path
+// begins: one look for each length there is.
+type hostPrefixes struct {
+	lengths []int // longest first
+	queues  map[string]string
+}
+
+// resolve gives the queue that an address belongs to and what follows its prefix.
+func (c *compiled) resolve(host, path string) (queue, rest string, ok bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	h := c.hosts[strings.ToLower(host)]
+	if h == nil {
+		return "", "", false
+	}
+	for _, size := range h.lengths {
+		if size > len(path) {
+			continue
+		}
+		if queue, ok = h.queues[path[:size]]; ok {
+			return queue, strings.TrimPrefix(path[size:], "/"), true
+		}
+	}
+	return "", "", false
+}
+
+// withEmptied gives the setup with the sites that were emptied beside it.
+func (c *compiled) withEmptied(sites []string) *compiled {
+	next := *c
+	next.Empty = map[string]bool{}
+	for _, s := range append(slices.Clone(c.emptied), sites...) {
+		next.Empty[s] = true
+	}
+	return &next
 }
 
 // urgencyOf ranks a queue; one that is no longer in the setup comes last.
@@ -108,8 +164,9 @@
 	}
 	var faults []fault
 	root := gjson.ParseBytes(doc)
-	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40}
-	for i, q := range root.Get("queues").Array() {
+	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40, hosts: map[string]*hostPrefixes{}}
+	for i, doc := range root.Get("queues").Array() {
+		q := queueFields(doc.Map()) // one pass: there are thousands
 		name := q.Get("name").Str
 		if c.Queues[name] != nil {
 			faults = append(faults, fault{fmt.Sprintf("queues.%d.name", i), "stands twice"})
@@ -136,18 +193,55 @@
 			{"mostLimit", most},
 			{"grantEntry", orElse(q.Get("max_live_jobs").Int(), queueJobsMax)},
 		}
+		r.LatencyMs, r.Stretch = q.Get("latency_ms").Int(), q.Get("stretch").Num
+		for k, a := range q.Get("addresses").Array() {
+			at := address{strings.ToLower(a.Get("host").Str), a.Get("prefix").Str}
+			if !c.addAddress(at, name) {
+				faults = append(faults, fault{fmt.Sprintf("queues.%d.addresses.%d", i, k), "stands twice"})
+			}
+			r.Addresses = append(r.Addresses, at)
+		}
 		c.Queues[name] = r
 		c.Lowest = min(c.Lowest, r.Urgency)
 	}
 	for _, s := range root.Get("empty_sites").Array() {
 		c.Empty[s.Str] = true
 	}
+	c.emptied = sorted(c.Empty)
+	for _, h := range c.hosts {
+		seen := map[int]bool{}
+		for prefix := range h.queues {
+			seen[len(prefix)] = true
+		}
+		h.lengths = sorted(seen)
+		slices.Reverse(h.lengths)
+	}
 	if len(faults) > 0 {
 		return nil, faults
 	}
 	return c, nil
 }
 
+// queueFields are the fields of a queue as a setup gives them.
+type queueFields map[string]gjson.Result
+
+// Get gives a field, or nothing.
+func (f queueFields) Get(name string) gjson.Result { return f[name] }
+
+// addAddress tells whether an address is the first of its kind.
+func (c *compiled) addAddress(a address, queue string) bool {
+	h := c.hosts[a.Host]
+	if h == nil {
+		h = &hostPrefixes{queues: map[string]string{}}
+		c.hosts[a.Host] = h
+	}
+	if _, twice := h.queues[a.Prefix]; twice {
+		return false
+	}
+	h.queues[a.Prefix] = queue
+	return true
+}
+
 func orElse(v, other int64) int64 {
 	if v == 0 {
 		return other
@@ -166,16 +260,28 @@
 	return compileSetup(version, doc)
 }
 
-// readySetup compiles the setup that a message from the core brings, on the
-// thread that read it: thousands of queues would hold the control thread up.
-func readySetup(msg any) *compiled {
+// setupReader compiles the setups that messages from the core bring, on the
+// thread that read them: thousands of queues would hold the control thread up.
+// A document that it met last is not compiled again.
+type setupReader struct {
+	mu   sync.Mutex
+	doc  []byte
+	last *compiled
+}
+
+func (r *setupReader) ready(msg any) *compiled {
 	m, ok := msg.(*regMsg)
 	var d setupDoc
-	if !ok || m.Reg != "setup" || unpack(m.Value, &d) != nil {
+	if !ok || m.Reg != "setup" || unpack(m.Value, &d) != nil || d.Version == 0 {
 		return nil
 	}
-	c, _ := compileSetup(d.Version, d.Doc)
-	return c
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last == nil || r.last.Version != d.Version || !bytes.Equal(r.doc, d.Doc) {
+		r.doc = d.Doc
+		r.last, _ = compileSetup(d.Version, d.Doc)
+	}
+	return r.last
 }
 
 // matches tells whether a worker's labels put it in a queue's group. The
@@ -264,6 +370,11 @@
 func (n *node) adoptSetup(b ballot, d setupDoc) {
 	if d.Version == n.setup.doc.Version && bytes.Equal(d.Doc, n.setup.doc.Doc) {
 		n.setup.ballot = b
+		if !slices.Equal(d.Emptied, n.setup.doc.Emptied) {
+			n.setup.cur, n.setup.doc, n.setup.confirmedMs = n.setup.cur.withEmptied(d.Emptied), d, -1<<40
+			n.log("sites_adopted", "emptied", d.Emptied)
+			n.poll.nextMs = 0
+		}
 		return
 	}
 	c := n.ready
@@ -274,7 +385,7 @@
 			return
 		}
 	}
-	n.setup.cur, n.setup.doc, n.setup.ballot, n.setup.confirmedMs = c, d, b, -1<<40
+	n.setup.cur, n.setup.doc, n.setup.ballot, n.setup.confirmedMs = c.withEmptied(d.Emptied), d, b, -1<<40
 	n.log("setup_adopted", "version", d.Version, "queues", len(c.Queues))
 	n.poll.nextMs = 0
 }
@@ -302,7 +413,7 @@
 	if len(o.cur) > 0 && unpack(o.cur, &cur) != nil {
 		return nil, false
 	}
-	if cur.Version == o.expect+1 && bytes.Equal(cur.Doc, o.arg) {
+	if cur.Version == o.want && bytes.Equal(cur.Doc, o.arg) {
 		return o.cur, true
 	}
 	if cur.Version != o.expect {
@@ -310,7 +421,7 @@
 	}
 	h := fnv.New64a()
 	h.Write(o.arg)
-	next := setupDoc{Version: o.expect + 1, Doc: o.arg, Past: append(slices.Clone(cur.Past), setupPast{Version: o.expect + 1, Digest: h.Sum64(),
+	next := setupDoc{Version: o.want, Doc: o.arg, Emptied: cur.Emptied, Past: append(slices.Clone(cur.Past), setupPast{Version: o.want, Digest: h.Sum64(),
 		Queues: gjson.GetBytes(o.arg, "queues.#").Int(), Bytes: int64(len(o.arg)), AtMs: n.poll.medianWall(n)})}
 	if len(next.Past) > 50 {
 		next.Past = next.Past[len(next.Past)-50:]
@@ -318,6 +429,39 @@
 	return pack(nil, next), true
 }
 
+// computeSites empties a site beside the document, or takes that back. It
+// builds on no version: whatever stands, the site's word is added to it.
+func computeSites(_ *node, o *casOp) ([]byte, bool) {
+	var cur setupDoc
+	if len(o.cur) > 0 && unpack(o.cur, &cur) != nil {
+		return nil, false
+	}
+	site := string(o.arg)
+	sites := slices.DeleteFunc(slices.Clone(cur.Emptied), func(s string) bool { return s == site })
+	if o.kind == "empty" {
+		sites = append(sites, site)
+		slices.Sort(sites)
+	}
+	cur.Emptied = sites
+	return pack(nil, cur), true
+}
+
+func (n *node) sitesChanged(o *casOp, how string) {
+	if o.ask == nil {
+		return
+	}
+	if how != casDone {
+		n.bounce(o.ask, "outcome unknown: send it again")
+		return
+	}
+	var next setupDoc
+	if unpack(o.next, &next) == nil && n.setup.ballot.less(o.ballot) {
+		n.adoptSetup(o.ballot, next)
+	}
+	n.log("sites_accepted", "emptied", next.Emptied)
+	n.answer(o.ask, 200, 0, jsonOf(map[string]any{"emptied": next.Emptied}))
+}
+
 func (n *node) setupChanged(o *casOp, how string) {
 	var cur setupDoc
 	_ = unpack(o.cur, &cur)
--- /dev/null
+++ b/accord/setup_test.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"otterchute/verdict"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// answered is what a call in the simulated world came to.
+type answered struct {
+	status int
+	body   string
+}
+
+// settle runs the world on until a call is answered.
+func (w *world) settle(to *simNode, e evAsk, waitMs int64) answered {
+	var got answered
+	done := false
+	w.call("caller", to, e, waitMs, func(status int, _ int64, b []byte) { got, done = answered{status, string(b)}, true })
+	w.until(waitMs+500, func() bool { return done })
+	return got
+}
+
+// served gives a world whose core, slices and polls stand.
+func served(t *testing.T, seed uint64) *world {
+	t.Helper()
+	w := newWorld(seed, verdict.Deployments["hakata"])
+	must.True(t, w.until(20_000, func() bool {
+		for _, s := range verdict.Sites {
+			if w.holderOf("slice/"+s) == nil {
+				return false
+			}
+		}
+		return true
+	}))
+	w.run(1000)
+	return w
+}
+
+func queueSetup(name string, extra string) []byte {
+	return fmt.Appendf(nil, `{"queues":[{"name":%q,"urgency":1%s}]}`, name, extra)
+}
+
+func TestSetupResolve(t *testing.T) {
+	doc := `{"queues":[{"name":"a","addresses":[{"host":"One.example","prefix":"/x/"},{"host":"two.example","prefix":"/"}]},
+		{"name":"b","addresses":[{"host":"one.example","prefix":"/x/y/"}],"latency_ms":1500,"stretch":2.5},{"name":"c","addresses":[{"host":"one.example","prefix":"/x/yz"}]}],"source":{"any":[1]}}`
+	c, faults := compileSetup(1, []byte(doc))
+	must.SliceEmpty(t, faults)
+	must.Eq(t, int64(1500), c.Queues["b"].LatencyMs)
+	must.Eq(t, 2.5, c.Queues["b"].Stretch)
+	for _, x := range []struct{ host, path, queue, rest string }{
+		{"one.example", "/x/1", "a", "1"}, {"ONE.example", "/x/y/2", "b", "2"}, {"one.example:8080", "/x/y", "a", "y"}, {"one.example", "/x/", "a", ""},
+		{"one.example", "/x/yz/3", "c", "3"}, {"one.example", "/x", "", ""}, {"two.example", "/x/y/4", "a", "x/y/4"}, {"three.example", "/x/1", "", ""}, {"one.example", "", "", ""},
+	} {
+		queue, rest, ok := c.resolve(x.host, x.path)
+		must.Eq(t, x.queue != "", ok, must.Sprint(x))
+		must.Eq(t, x.queue, queue, must.Sprint(x))
+		must.Eq(t, x.rest, rest, must.Sprint(x))
+	}
+	_, faults = compileSetup(1, []byte(`{"queues":[{"name":"a","addresses":[{"host":"h","prefix":"/a"}]},{"name":"b","addresses":[{"host":"g","prefix":"/a"},{"host":"H","prefix":"/a"}]}]}`))
+	must.Eq(t, []fault{{"queues.1.addresses.1", "stands twice"}}, faults)
+}
+
+// Thousands of queues, as the largest documents of the users have them.
+func TestSetupOfThousandsCompiles(t *testing.T) {
+	var b strings.Builder
+	b.WriteString(`{"queues":[`)
+	for i := range 8000 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"q%d","urgency":%d,"latency_ms":2000,"stretch":2.2,"selector":{"service":["s%d"]},"addresses":[{"host":"h%d.example","prefix":"/p%d/"}]}`, i, i%3, i%40, i%200, i)
+	}
+	b.WriteString(`]}`)
+	start := time.Now()
+	c, faults := compileSetup(1, []byte(b.String()))
+	t.Logf("%d bytes, %d queues in %v", b.Len(), len(c.Queues), time.Since(start))
+	must.SliceEmpty(t, faults)
+	queue, rest, _ := c.resolve("h17.example", "/p7817/abc")
+	must.Eq(t, "q7817", queue)
+	must.Eq(t, "abc", rest)
+}
+
+// Two operators build on the same version with uneven steps: one wins, the
+// other's never takes effect, and the same one sent again is told it stands.
+func TestSetupOperatorsRace(t *testing.T) {
+	for seed := range uint64(12) {
+		w := served(t, 900+seed)
+		must.Eq(t, 200, w.settle(w.nodes["d00"], evAsk{Op: "setup.put", Key: "5", Expect: 0, Body: queueSetup("first", "")}, 4000).status)
+		got := map[string]int{}
+		for i, o := range []struct{ key, name string }{{"7", "left"}, {"9", "right"}, {"8", "mid"}} {
+			w.call("caller", w.anyNode(i+int(seed)), evAsk{Op: "setup.put", Key: o.key, Expect: 5, Body: queueSetup(o.name, "")}, 4000,
+				func(status int, _ int64, b []byte) { got[o.name] = status })
+		}
+		must.True(t, w.until(5000, func() bool { return len(got) == 3 }))
+		won := ""
+		for name, status := range got {
+			must.SliceContains(t, []int{200, 409, 503}, status, must.Sprint(name))
+			if status == 200 {
+				must.Eq(t, "", won, must.Sprint("two won: ", name))
+				won = name
+			}
+		}
+		must.NotEq(t, "", won)
+		w.run(2000)
+		key := map[string]string{"left": "7", "mid": "8", "right": "9"}[won]
+		for i := range 4 {
+			r := w.settle(w.anyNode(i), evAsk{Op: "setup.get"}, 3000)
+			must.Eq(t, 200, r.status)
+			must.Eq(t, won, gjson.Get(r.body, "setup.queues.0.name").Str)
+			must.Eq(t, key, gjson.Get(r.body, "version").Raw)
+		}
+		must.Eq(t, 200, w.settle(w.anyNode(1), evAsk{Op: "setup.put", Key: key, Expect: 5, Body: queueSetup(won, "")}, 4000).status)
+		must.Eq(t, 409, w.settle(w.anyNode(2), evAsk{Op: "setup.put", Key: key, Expect: 5, Body: queueSetup("other", "")}, 4000).status)
+		lost := w.settle(w.anyNode(3), evAsk{Op: "setup.put", Key: "40", Expect: 6, Body: queueSetup("other", "")}, 4000)
+		must.Eq(t, 409, lost.status)
+		must.Eq(t, key, gjson.Get(lost.body, "current").Raw)
+		must.Eq(t, 400, w.settle(w.anyNode(3), evAsk{Op: "setup.put", Key: "9", Expect: 9, Body: queueSetup("other", "")}, 4000).status)
+	}
+}
+
+// Before the first setup the version is 0; a site emptied then stays emptied.
+func TestSetupEmptiedSites(t *testing.T) {
+	for seed := range uint64(8) {
+		w := served(t, 940+seed)
+		none := w.settle(w.nodes["d01"], evAsk{Op: "setup.get"}, 3000)
+		must.Eq(t, 200, none.status)
+		must.Eq(t, int64(0), gjson.Get(none.body, "version").Int())
+		must.Eq(t, 200, w.settle(w.nodes["d00"], evAsk{Op: "site.empty", Key: "west"}, 4000).status)
+		done := map[string]int{}
+		put := func(name, op, key string, doc []byte) {
+			w.call("caller", w.anyNode(len(done)+int(seed)), evAsk{Op: op, Key: key, Expect: 0, Body: doc}, 4000, func(status int, _ int64, _ []byte) { done[name] = status })
+		}
+		put("setup", "setup.put", "3", queueSetup("a", ""))
+		put("empty", "site.empty", "mid", nil)
+		put("open", "site.open", "west", nil)
+		must.True(t, w.until(5000, func() bool { return len(done) == 3 }))
+		must.Eq(t, map[string]int{"setup": 200, "empty": 200, "open": 200}, done)
+		w.run(1500)
+		for _, name := range sorted(w.nodes) {
+			n := w.nodes[name].sh.n
+			must.Eq(t, map[string]bool{"mid": true}, n.setup.cur.Empty, must.Sprint(name))
+			must.Eq(t, int64(3), n.setup.cur.Version)
+			must.True(t, n.setupFresh())
+		}
+		must.Eq(t, 200, w.settle(w.nodes["d02"], evAsk{Op: "setup.put", Key: "4", Expect: 3, Body: []byte(`{"queues":[],"empty_sites":["east"]}`)}, 4000).status)
+		must.Eq(t, 200, w.settle(w.nodes["d01"], evAsk{Op: "site.open", Key: "east"}, 4000).status)
+		w.run(1000)
+		must.Eq(t, map[string]bool{"mid": true, "east": true}, w.nodes["d00"].sh.n.setup.cur.Empty) // the document's own word stays
+	}
+}
+
+// An address that no queue has is only said to be unknown by a setup confirmed
+// after the call came; one that was just added is found at every daemon.
+func TestSetupAddressesAreSure(t *testing.T) {
+	w := served(t, 960)
+	at := func(op, path string) evAsk { return evAsk{Op: op, Host: "one.example", Path: path, Expect: -1} }
+	must.Eq(t, 503, w.settle(w.nodes["d03"], at("queue.state", "/a/1"), 3000).status)
+	must.Eq(t, 200, w.settle(w.nodes["d00"], evAsk{Op: "setup.put", Key: "2", Expect: 0, Body: queueSetup("a", `,"addresses":[{"host":"one.example","prefix":"/a/"}]`)}, 4000).status)
+	w.run(2000)
+	for step := range 6 {
+		doc := queueSetup("a", fmt.Sprintf(`,"addresses":[{"host":"one.example","prefix":"/a/"},{"host":"one.example","prefix":"/b%d/"}]`, step))
+		key := fmt.Sprint(10 + 10*step)
+		must.Eq(t, 200, w.settle(w.anyNode(step), evAsk{Op: "setup.put", Key: key, Expect: int64(gjson.Parse(key).Int() - 10 + map[bool]int64{true: 2}[step == 0]), Body: doc}, 4000).status)
+		for i := range 4 {
+			r := w.settle(w.anyNode(step+i), at("queue.state", fmt.Sprintf("/b%d/x1", step)), 3000)
+			must.Eq(t, 410, r.status, must.Sprint(r.body))
+			must.Eq(t, "job", gjson.Get(r.body, "missing").Str)
+		}
+		r := w.settle(w.anyNode(step), at("queue.state", "/c/x1"), 3000)
+		must.Eq(t, 404, r.status)
+		must.Eq(t, "queue", gjson.Get(r.body, "missing").Str)
+		must.Eq(t, 410, w.settle(w.anyNode(step), at("queue.cancel", "/a/no/name"), 3000).status)
+		must.Eq(t, 200, w.settle(w.anyNode(step), at("queue.state", "/a/"), 3000).status)
+	}
+	must.Eq(t, 200, w.settle(w.nodes["d04"], evAsk{Op: "ready"}, 1000).status)
+	w.cutHost("d04")
+	delete(w.cuts, [2]string{"caller", "d04"})
+	w.run(3000)
+	must.Eq(t, 503, w.settle(w.nodes["d04"], evAsk{Op: "ready"}, 1000).status)
+	must.Eq(t, 503, w.settle(w.nodes["d04"], at("queue.state", "/c/x1"), 3000).status)
+	must.Eq(t, 503, w.settle(w.nodes["d04"], at("queue.state", "/a/x1"), 3000).status)
+}
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -38,6 +38,11 @@
 	return all[:min(fan, len(all))]
 }
 
+func (n *node) onSeeds(e evSeeds) {
+	n.Seeds = e.Seeds
+	n.gossipAt = 0
+}
+
 func (n *node) tickSiblings() {
 	if n.now < n.gossipAt {
 		return
--- a/accord/wire.go
+++ b/accord/wire.go
@@ -20,6 +20,7 @@
 	lines map[string]*line
 	open  map[net.Conn]bool
 	stop  bool
+	setup setupReader
 }
 
 type line struct {
@@ -149,7 +150,7 @@
 			w.log("frame_bounced", "from", conn.RemoteAddr().String(), "reason", err.Error())
 			return
 		}
-		ready := readySetup(msg)
+		ready := w.setup.ready(msg)
 		w.post(func(s *shell) { s.event(evMsg{Head: h, Msg: msg, Ready: ready}) })
 	}
 }
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -83,7 +83,7 @@
 	for i := range dep.Daemons {
 		name := fmt.Sprintf("d%02d", i)
 		n := &simNode{w: w, disk: &simDisk{w: w, host: name}, place: place{Name: name, Addr: fmt.Sprintf("10.0.0.%d:7000", i), HTTP: fmt.Sprintf("10.0.0.%d:8000", i),
-			Site: verdict.Sites[i%3], Seeds: seeds, Disk: i < coreSize, KeepMs: keepHoursDef * msPerHour, SnapshotBytes: 1 << 20, ThresholdMs: thresholdMs, TargetSigma: 2}}
+			Site: verdict.Sites[i%3], Seeds: seeds, Disk: i < coreSize, KeepMs: keepHoursDef * msPerHour, SnapshotBytes: 1 << 20, ThresholdMs: thresholdMs, TargetSigma: 2, FirstStart: true}}
 		if n.Disk {
 			n.place.DiskID = w.rng.Uint64() | 1
 		}
@@ -473,6 +473,11 @@
 
 // ask sends an HTTP ask from a host to a daemon; cb gets status 0 on silence.
 func (w *world) ask(from string, to *simNode, op, key string, body []byte, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
+	w.call(from, to, evAsk{Op: op, Key: key, Expect: -1, Body: body}, waitMs, cb)
+}
+
+// call is ask for all that an ask may hold.
+func (w *world) call(from string, to *simNode, e evAsk, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
 	done := false
 	finish := func(status int, retryMs int64, b []byte) {
 		if !done {
@@ -490,7 +495,8 @@
 			to.asks[to.askSeq] = func(status int, retryMs int64, b []byte) {
 				w.carryTo(to.Name, from, func() { finish(status, retryMs, b) })
 			}
-			to.event(evAsk{ID: to.askSeq, Op: op, Key: key, Body: body})
+			e.ID = to.askSeq
+			to.event(e)
 		})
 	})
 }
