Core of any size, formed by votes; incarnations and seeds; acknowledgements within one set

Cause: the users' fleets have more disks than three, and name no fixed number of machines. A formation that only its proposer could end left the others waiting if it died half way. Answers to an earlier try of a register's change counted for a later one with a higher ballot, and acknowledgements from members under different core sets were added up: with five members that could lose a write. Change: every disk votes once on a formation and any member brings it to its end; members are spread over the sites; a set lacks one member at most and a copy needs a majority of those left (the reason stands at joining). Answers carry the ballot or the core set they belong to. A daemon that hears of a later life of its own goes above it. Seeds may change at run time.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -36,7 +36,7 @@
 	mappings = map[string]func(*node, *ask){
 		"job.put": (*node).mapJob, "job.get": (*node).mapJob, "job.cancel": (*node).mapJob,
 		"worker.report": (*node).mapReport, "worker.lost": (*node).mapLost,
-		"queue.submit": (*node).resolveAsk, "queue.state": (*node).resolveAsk, "queue.cancel": (*node).resolveAsk,
+		"queue.submit": (*node).resolveAddress, "queue.state": (*node).resolveAddress, "queue.cancel": (*node).resolveAddress,
 		"job.state": (*node).mapJob,
 		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
 		"site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
@@ -314,10 +314,10 @@
 // addressOps are what calls at a queue's address ask of a job's owner.
 var addressOps = map[string]string{"queue.submit": "job.put", "queue.state": "job.state", "queue.cancel": "job.cancel"}
 
-// resolveAsk finds the queue that an address belongs to, by the setup that a
+// resolveAddress finds the queue that an address belongs to, by the setup that a
 // majority confirmed lately. That an address belongs to none is only said by
 // a setup confirmed after the call came.
-func (n *node) resolveAsk(a *ask) {
+func (n *node) resolveAddress(a *ask) {
 	c := n.setup.cur
 	if c.Version == 0 {
 		n.bounce(a, "no setup yet")
--- a/accord/core.go
+++ b/accord/core.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // store is a core member's part of the state: registers, sealed epochs and
@@ -11,8 +14,10 @@
 	cluster uint64
 	regs    map[string]*register
 	slices  map[string]*sliceStore
-	set     coreSet // last chosen core set this disk knows
-	guardMs int64   // no lease is granted before this time
+	set     coreSet         // last chosen core set this disk knows
+	formed  coreSet         // the formation this disk voted for
+	refused map[uint64]bool // formations it voted against, or that it knows failed
+	guardMs int64           // no lease is granted before this time
 	grants  map[string]*grant
 	clocks  map[string]clockSeen // of all daemons that poll here; never stored
 	logged  int64                // bytes of entries since the last snapshot, about
@@ -82,10 +87,11 @@
 	entryChunk  // finished records in frames, as a whole
 	entryUnsure // one of them that a majority may not know
 	entryServed
+	entryAgainst // a vote against a formation, for good
 )
 
 func newStore() *store {
-	return &store{regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}}
+	return &store{refused: map[uint64]bool{}, regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}}
 }
 
 func (s *store) reg(name string) *register {
@@ -110,7 +116,13 @@
 	entryForm: func(s *store, e logEntry) {
 		var set coreSet
 		if unpack(e.Value, &set) == nil {
-			s.cluster = set.Cluster
+			s.cluster, s.formed = set.Cluster, set
+		}
+	},
+	entryAgainst: func(s *store, e logEntry) {
+		s.refused[e.Epoch] = true
+		if s.set.Version == 0 && s.formed.Cluster == e.Epoch {
+			s.cluster, s.formed = 0, coreSet{}
 		}
 	},
 	entryPromise: func(s *store, e logEntry) {
@@ -232,7 +244,9 @@
 	}
 	if c.Slice == "" {
 		if s.cluster != 0 {
-			out = append(out, logEntry{Kind: entryForm, Value: pack(nil, coreSet{Cluster: s.cluster})})
+			formed := s.formed
+			formed.Cluster = s.cluster
+			out = append(out, logEntry{Kind: entryForm, Value: pack(nil, formed)})
 		}
 		if s.set.Version != 0 {
 			out = append(out, logEntry{Kind: entrySet, Value: pack(nil, s.set)})
@@ -291,7 +305,7 @@
 		return
 	}
 	r := n.store.reg(m.Reg)
-	a := &promiseMsg{Op: m.Op, Promised: r.promised}
+	a := &promiseMsg{Op: m.Op, Promised: r.promised, Ballot: m.Ballot}
 	if r.promised.less(m.Ballot) {
 		a.OK, a.Accepted, a.Value = true, r.accepted, r.value
 		n.keep([]logEntry{{Kind: entryPromise, Name: m.Reg, Ballot: m.Ballot}}, n.sendEffect(from, a))
@@ -306,11 +320,11 @@
 	}
 	r := n.store.reg(m.Reg)
 	if m.Ballot.less(r.promised) {
-		n.send(from, &acceptedMsg{Op: m.Op, Promised: r.promised})
+		n.send(from, &acceptedMsg{Op: m.Op, Promised: r.promised, Ballot: m.Ballot})
 		return
 	}
 	n.keep([]logEntry{{Kind: entryAccept, Name: m.Reg, Ballot: m.Ballot, Value: m.Value}},
-		n.sendEffect(from, &acceptedMsg{Op: m.Op, OK: true}))
+		n.sendEffect(from, &acceptedMsg{Op: m.Op, OK: true, Ballot: m.Ballot}))
 }
 
 func (n *node) onReadReg(from string, m *readRegMsg) {
@@ -327,10 +341,10 @@
 	}
 	x := n.store.slice(m.Slice)
 	if m.Epoch < x.sealed {
-		n.send(from, &sealedMsg{Slice: m.Slice, Epoch: m.Epoch})
+		n.send(from, &sealedMsg{CoreVer: m.CoreVer, Slice: m.Slice, Epoch: m.Epoch})
 		return
 	}
-	a := &sealedMsg{Slice: m.Slice, Epoch: m.Epoch, OK: true, Served: x.served}
+	a := &sealedMsg{CoreVer: m.CoreVer, Slice: m.Slice, Epoch: m.Epoch, OK: true, Served: x.served}
 	for _, id := range sorted(x.live) {
 		a.Records = append(a.Records, x.live[id])
 	}
@@ -352,7 +366,7 @@
 			n.keep([]logEntry{{Kind: entrySeal, Name: m.Slice, Epoch: m.Epoch}})
 		} else {
 			n.count("writes_bounced")
-			n.send(from, &wroteMsg{Slice: m.Slice, Epoch: m.Epoch, Seq: m.Seq})
+			n.send(from, &wroteMsg{CoreVer: m.CoreVer, Slice: m.Slice, Epoch: m.Epoch, Seq: m.Seq})
 			return
 		}
 	}
@@ -366,7 +380,7 @@
 	for _, r := range m.Records {
 		entries = append(entries, logEntry{Kind: entryRecord, Name: m.Slice, Rec: r})
 	}
-	n.keep(entries, n.sendEffect(from, &wroteMsg{Slice: m.Slice, Epoch: m.Epoch, Seq: m.Seq, OK: true}))
+	n.keep(entries, n.sendEffect(from, &wroteMsg{CoreVer: m.CoreVer, Slice: m.Slice, Epoch: m.Epoch, Seq: m.Seq, OK: true}))
 }
 
 func (n *node) onFetch(from string, m *fetchMsg) {
@@ -465,15 +479,59 @@
 	}
 }
 
-// formation is the first agreement of three empty disks on the core set.
+// A core begins as a formation: a cluster number and its first members. Each
+// of the named members votes on it once, for or against, and its disk keeps
+// that. A formation stands exactly if all its members voted for it, and has
+// failed exactly if one voted against; so any member can bring it to its end
+// when the one that proposed it is gone, and all come to the same. A disk votes
+// for a formation only while it has no vote for another that may still stand:
+// of two formations that share a member at most one ever does. Members are the
+// lowest names of each site, so two proposers that see the fleet differently
+// still share some, unless neither hears of any the other takes.
 type formation struct {
-	set   coreSet
-	acked map[string]bool
-	seen  int64 // since when the same three stood there
+	set    coreSet
+	votes  map[string]bool // members that voted for it
+	sinceM int64           // since when this disk is bound by its vote
+	sentMs int64
+}
+
+// coreGoal is how many disks are to hold the state: an odd number, since an
+// even one bears no more losses than the odd one below it.
+func (n *node) coreGoal() int {
+	if n.CoreSize > 0 {
+		return n.CoreSize - 1 + n.CoreSize%2
+	}
+	return coreSize
+}
+
+// spread picks so many disks, spread over the sites as evenly as possible: in
+// turns through the sites in the order of their names, each turn the lowest
+// name that is left. No site gets more than its even share while another has
+// disks to give, so a site's loss leaves a majority wherever that is possible.
+func spread(disks []sibling, most int) []coreMember {
+	bySite := map[string][]coreMember{}
+	for _, d := range disks {
+		bySite[d.Site] = append(bySite[d.Site], coreMember{d.Name, d.DiskID})
+	}
+	var out []coreMember
+	for len(out) < most {
+		before := len(out)
+		for _, site := range sorted(bySite) {
+			if list := bySite[site]; len(list) > 0 && len(out) < most {
+				out, bySite[site] = append(out, list[0]), list[1:]
+			}
+		}
+		if len(out) == before {
+			break
+		}
+	}
+	slices.SortFunc(out, func(a, b coreMember) int { return strings.Compare(a.Name, b.Name) })
+	return out
 }
 
 func (n *node) tickFormation() {
 	if n.store == nil || n.diskFailed != "" || n.core.Cluster != 0 {
+		n.forming = nil
 		return
 	}
 	if n.store.set.Version != 0 { // a restart: the disk knows the set
@@ -482,63 +540,123 @@
 		n.log("core_set", "version", n.core.Version, "members", memberNames(n.core))
 		return
 	}
+	if len(n.store.formed.Members) > 0 {
+		n.driveFormation()
+		return
+	}
+	n.forming = nil
+	if !n.FirstStart {
+		return
+	}
 	var disks []sibling
+	key := ""
 	for _, name := range n.liveNames() {
 		s := n.self()
 		if name != n.Name {
 			s = n.siblings[name].sibling
 		}
-		if s.Disk && (s.Empty || n.forming != nil || n.store.cluster != 0) {
+		if s.Disk && s.Empty {
 			disks = append(disks, s)
+			key += s.Name + " "
 		}
 	}
-	if len(disks) != coreSize || disks[0].Name != n.Name {
-		n.forming = nil
+	if key != n.formKey {
+		n.formKey, n.formSince = key, n.now
+	}
+	if len(disks) < n.coreGoal() || n.now-n.formSince < formStableMs {
 		return
 	}
-	if n.forming == nil {
-		set := coreSet{Cluster: n.seed | 1, Version: 1}
-		for _, d := range disks {
-			set.Members = append(set.Members, coreMember{d.Name, d.DiskID})
-			if !slices.Contains(set.Slices, d.Site) {
-				set.Slices = append(set.Slices, d.Site)
-			}
+	set := coreSet{Cluster: n.rand().Uint64() | 1, Version: 1, Members: spread(disks, n.coreGoal())}
+	for _, d := range disks {
+		if !slices.Contains(set.Slices, d.Site) {
+			set.Slices = append(set.Slices, d.Site)
 		}
-		slices.Sort(set.Slices)
-		n.forming = &formation{set: set, acked: map[string]bool{}, seen: n.now}
-		return
 	}
-	if n.now-n.forming.seen < 2*gossipMs {
-		return
+	slices.Sort(set.Slices)
+	if set.Members[0].Name == n.Name { // one proposes: the lowest name among the members
+		n.voteFor(set)
+	}
+}
+
+// voteFor binds this disk to a formation; its own word comes back once that is synced.
+func (n *node) voteFor(set coreSet, then ...effect) {
+	n.forming = &formation{set: set, votes: map[string]bool{}, sinceM: n.now}
+	if first := set.Members[0].Name; first != n.Name {
+		n.forming.votes[first] = true // who proposed it had synced its vote before it asked
+	}
+	n.keep([]logEntry{{Kind: entryForm, Value: pack(nil, set)}}, append(then, n.sendEffect(n.Name, &formedMsg{Cluster: set.Cluster, OK: true}))...)
+}
+
+// driveFormation asks for the members' votes: the first member at once, each
+// later one only if it hasn't heard of an end for longer.
+func (n *node) driveFormation() {
+	if n.forming == nil { // a restart with a vote on disk
+		n.forming = &formation{set: n.store.formed, votes: map[string]bool{n.Name: true, n.store.formed.Members[0].Name: true}, sinceM: n.now}
 	}
-	if n.store.cluster == 0 {
-		n.keep([]logEntry{{Kind: entryForm, Value: pack(nil, n.forming.set)}})
+	f := n.forming
+	turn := int64(slices.Index(f.set.Members, coreMember{n.Name, n.DiskID}))
+	if !f.votes[n.Name] || n.now-f.sinceM < turn*formTurnMs || n.now-f.sentMs < formAgainMs && f.sentMs != 0 {
+		return
 	}
-	n.forming.set.Cluster = n.store.cluster
-	if n.now%500 < tickMs {
-		for _, m := range n.forming.set.Members[1:] {
-			n.send(m.Name, &formMsg{Set: n.forming.set})
+	f.sentMs = n.now
+	for _, m := range f.set.Members {
+		if m.Name != n.Name && !f.votes[m.Name] {
+			n.send(m.Name, &formMsg{Set: f.set})
 		}
 	}
 }
 
+// onForm votes. Members of a formation that failed are told so and go free.
 func (n *node) onForm(from string, m *formMsg) {
-	if n.store == nil || n.core.Cluster != 0 || !m.Set.has(n.Name, n.DiskID) || m.Set.Members[0].Name != from {
+	if n.store == nil || n.diskFailed != "" || !m.Set.has(n.Name, n.DiskID) {
 		return
 	}
-	if n.store.cluster != 0 && n.store.cluster != m.Set.Cluster && n.store.set.Version != 0 {
-		return
+	id := m.Set.Cluster
+	against := func() {
+		n.forming = nil
+		n.keep([]logEntry{{Kind: entryAgainst, Epoch: id}}, n.sendEffect(from, &formedMsg{Cluster: id}))
+	}
+	switch {
+	case n.core.Cluster == id || n.store.set.Cluster == id && n.store.set.Version != 0:
+		n.send(from, n.gossip(false)) // it stands
+	case m.Dead:
+		if n.store.formed.Cluster == id {
+			n.forming = nil
+		}
+		n.keep([]logEntry{{Kind: entryAgainst, Epoch: id}})
+	case n.store.refused[id]:
+		n.keep(nil, n.sendEffect(from, &formedMsg{Cluster: id}))
+	case n.store.formed.Cluster == id:
+		n.keep(nil, n.sendEffect(from, &formedMsg{Cluster: id, OK: true}))
+	case n.store.cluster != 0 || n.core.Cluster != 0: // bound to another
+		n.keep([]logEntry{{Kind: entryAgainst, Epoch: id}}, n.sendEffect(from, &formedMsg{Cluster: id}))
+	case !n.FirstStart:
+		against()
+	default:
+		n.voteFor(m.Set, n.sendEffect(from, &formedMsg{Cluster: id, OK: true}))
 	}
-	n.keep([]logEntry{{Kind: entryForm, Value: pack(nil, m.Set)}}, n.sendEffect(from, &formedMsg{Cluster: m.Set.Cluster, OK: true}))
 }
 
 func (n *node) onFormed(from string, m *formedMsg) {
 	f := n.forming
-	if f == nil || m.Cluster != f.set.Cluster || !m.OK {
+	if f == nil || m.Cluster != f.set.Cluster || n.core.Cluster != 0 {
 		return
 	}
-	f.acked[from] = true
-	if len(f.acked) < coreSize-1 {
+	if !m.OK { // it never stands: all may vote anew
+		n.log("formation_failed", "cluster", f.set.Cluster, "against", from)
+		n.forming = nil
+		n.formSince = n.now + n.rand().Int64N(formTurnMs)
+		then := make([]effect, 0, len(f.set.Members))
+		for _, mem := range f.set.Members {
+			if mem.Name != n.Name && mem.Name != from {
+				then = append(then, n.sendEffect(mem.Name, &formMsg{Set: f.set, Dead: true}))
+			}
+		}
+		n.keep([]logEntry{{Kind: entryAgainst, Epoch: f.set.Cluster}}, then...)
+		return
+	}
+	f.votes[from] = true
+	if len(f.votes) < len(f.set.Members) {
 		return
 	}
 	set := f.set
@@ -546,14 +664,24 @@
 	n.keep([]logEntry{{Kind: entrySet, Value: pack(nil, set)}})
 	n.core = set
 	n.log("cluster_formed", "cluster", set.Cluster, "members", memberNames(set), "slices", set.Slices)
-	for _, name := range n.watched() {
-		n.send(name, n.gossip(true))
-	}
+	n.tellCore()
 }
 
 // joining is a spare disk's way into the core: the missing member leaves the
-// set, all is copied from both survivors, then the set takes the new one in.
+// set, all is copied from a majority of those left, then the set takes the new
+// one in. A set is full or lacks one member, never more.
+//
+// Why a majority of those left is enough. The full set has k=2f+1 members. What
+// was acknowledged under it is held by f+1 of them, so by f of the 2f left,
+// whoever left; a majority of those is f+1, and f+(f+1) is above 2f: the copy
+// meets every such write. With the copy it is at f+1 of 2f+1 again. What is
+// acknowledged while the set lacks one is held by f+1 of the 2f, which with or
+// without the copy is a majority of the full set after it. So all that was
+// acknowledged is at a majority before the next member may leave. For k=3 both
+// that are left are copied. This holds as long as the acknowledgements that
+// make a majority come from members under one set: see coreMoved.
 type joining struct {
+	ver    int64                 // of the core set that is copied: another set's copies say nothing
 	goneMs int64                 // since when a member is missing
 	at     map[string]copyCursor // member -> the part of its copy that is awaited
 	done   map[string]bool       // members whose copy is whole and synced
@@ -585,20 +713,21 @@
 			missing = i
 		}
 	}
-	if missing < 0 && len(n.core.Members) == coreSize {
+	full := len(n.core.Members) >= n.coreGoal()
+	if missing < 0 && full {
 		n.joining = nil
 		return
 	}
-	if n.joining == nil {
-		n.joining = &joining{goneMs: n.now, at: map[string]copyCursor{}, done: map[string]bool{}}
+	if n.joining == nil || n.joining.ver != n.core.Version {
+		n.joining = &joining{ver: n.core.Version, goneMs: n.now, at: map[string]copyCursor{}, done: map[string]bool{}}
 	}
 	j := n.joining
-	if len(n.core.Members) == coreSize {
+	if full {
 		wait := int64(replaceMs)
 		if wiped {
 			wait = 2 * gossipMs
 		}
-		if n.now-j.goneMs < wait || n.now < j.casAt {
+		if n.now-j.goneMs < wait+n.spareRank(n.core.Members[missing].Name)*spareStepMs || n.now < j.casAt {
 			return
 		}
 		next := n.core
@@ -608,7 +737,10 @@
 		n.startCas("core", "core", pack(nil, next), n.core.Version)
 		return
 	}
-	if len(j.done) < len(n.core.Members) {
+	if n.now-j.goneMs < n.spareRank("")*spareStepMs {
+		return
+	}
+	if len(j.done) < n.core.majority() {
 		if j.op == 0 {
 			n.opSeq++
 			j.op = n.opSeq
@@ -633,6 +765,44 @@
 	n.startCas("core", "core", pack(nil, next), n.core.Version)
 }
 
+// spareRank orders the live disks outside the core: the first goes at once, the
+// others only if it doesn't. One that comes back under the missing member's
+// name is first, then those in the sites with the fewest members.
+func (n *node) spareRank(missing string) int64 {
+	members := map[string]int{}
+	for _, m := range n.core.Members {
+		if m.Name != missing {
+			members[n.siteOf(m.Name)]++
+		}
+	}
+	var spares []sibling
+	for _, name := range n.liveNames() {
+		s := n.self()
+		if name != n.Name {
+			s = n.siblings[name].sibling
+		}
+		if s.Disk && !s.Leaving && !n.core.has(s.Name, s.DiskID) {
+			spares = append(spares, s)
+		}
+	}
+	key := "core" + strconv.FormatInt(n.core.Version, 10)
+	slices.SortFunc(spares, func(a, b sibling) int {
+		return cmp.Or(boolRank(a.Name != missing, b.Name != missing), cmp.Compare(members[a.Site], members[b.Site]),
+			cmp.Compare(weight(key, b.Name), weight(key, a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return int64(max(0, slices.IndexFunc(spares, func(s sibling) bool { return s.Name == n.Name })))
+}
+
+func boolRank(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+	return 1
+}
+
 func (n *node) onCopy(from string, m *copyMsg) {
 	if n.serves(m.CoreVer) {
 		part, next := n.store.part(m.At, chunkBytes)
--- /dev/null
+++ b/accord/formation_test.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"otterchute/verdict"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// coreWorld is a world with disks in the sites of sitesOf, and a core of size.
+func coreWorld(seed uint64, size int, sitesOf []string, diskless int) *world {
+	w := newWorld(seed, verdict.Deployment{Daemons: len(sitesOf) + diskless, Workers: 0, Cores: 4, JobsPerSec: 1})
+	for i, name := range sorted(w.nodes) {
+		n := w.nodes[name]
+		n.place.CoreSize, n.place.Disk = size, i < len(sitesOf)
+		if n.place.Disk {
+			n.place.Site = sitesOf[i]
+			n.place.DiskID = w.rng.Uint64() | 1
+		}
+	}
+	w.keepLog = true
+	return w
+}
+
+// cluster gives the one core that all daemons that are up know, or nil.
+func (w *world) cluster() *coreSet {
+	var set *coreSet
+	for _, name := range sorted(w.nodes) {
+		n := w.nodes[name]
+		if !n.up {
+			continue
+		}
+		c := n.sh.n.core
+		if c.Cluster == 0 || set != nil && (c.Cluster != set.Cluster || c.Version != set.Version) {
+			return nil
+		}
+		set = &c
+	}
+	return set
+}
+
+// clusters counts the clusters that any daemon or disk took for formed.
+func (w *world) clusters() map[uint64]bool {
+	all := map[uint64]bool{}
+	for _, n := range w.nodes {
+		if n.sh == nil {
+			continue
+		}
+		if c := n.sh.n.core.Cluster; c != 0 {
+			all[c] = true
+		}
+		if st := n.sh.n.store; st != nil && st.set.Version != 0 {
+			all[st.set.Cluster] = true
+		}
+	}
+	return all
+}
+
+func (w *world) allServed() bool {
+	c := w.cluster()
+	if c == nil {
+		return false
+	}
+	for _, s := range c.Slices {
+		h := w.holderOf("slice/" + s)
+		if h == nil || !h.sh.n.owned[s].serving {
+			return false
+		}
+	}
+	return true
+}
+
+var eightDisks = []string{"east", "west", "mid", "far", "east", "west", "mid", "far"}
+
+// Eight disks in four sites, a core of five: one core, no site with a majority
+// of it, quickly.
+func TestFormationOfFive(t *testing.T) {
+	worstFormed, worstServed := int64(0), int64(0)
+	for seed := range uint64(30) {
+		w := coreWorld(3000+seed, 5, eightDisks, 20)
+		must.True(t, w.until(20_000, func() bool { return w.cluster() != nil }), must.Sprint(seed, w.told()))
+		worstFormed = max(worstFormed, w.nowMs())
+		set := w.cluster()
+		must.Len(t, 5, set.Members)
+		must.Eq(t, []string{"east", "far", "mid", "west"}, set.Slices)
+		bySite := map[string]int{}
+		for _, m := range set.Members {
+			bySite[w.nodes[m.Name].Site]++
+		}
+		for site, k := range bySite {
+			must.LessEq(t, 2, k, must.Sprint(site))
+		}
+		must.True(t, w.until(20_000, w.allServed), must.Sprint(seed))
+		worstServed = max(worstServed, w.nowMs())
+		must.MapLen(t, 1, w.clusters())
+	}
+	t.Logf("formed and known everywhere after %d ms, served after %d ms, at most", worstFormed, worstServed)
+	must.Less(t, 2500, worstFormed)
+	must.Less(t, 5000, worstServed)
+}
+
+// Gossip that arrives unevenly, daemons that start late, are killed half way,
+// or lose power: never two cores, and one in the end.
+func TestFormationNeverSplits(t *testing.T) {
+	for seed := range uint64(24) {
+		w := coreWorld(4000+seed, []int{3, 5}[seed%2], eightDisks, 4)
+		names := sorted(w.nodes)
+		for _, a := range names { // some ways are slow, some cut for a while
+			for _, b := range names {
+				switch w.rng.IntN(5) {
+				case 0:
+					w.hold[[2]string{a, b}] = w.rng.Int64N(900_000)
+				case 1:
+					w.cuts[[2]string{a, b}] = true
+				}
+			}
+		}
+		w.after(w.rng.Int64N(3_000_000), func() { w.cuts = map[[2]string]bool{} })
+		w.after(w.rng.Int64N(4_000_000), func() { w.hold = map[[2]string]int64{} })
+		for range 3 {
+			w.after(300_000+w.rng.Int64N(3_000_000), func() {
+				n := w.nodes[names[w.rng.IntN(len(names))]]
+				if !n.up {
+					return
+				}
+				n.kill(w.rng.IntN(2) == 0)
+				w.after(200_000+w.rng.Int64N(2_000_000), n.start)
+			})
+		}
+		for w.nowMs() < 25_000 {
+			w.run(500)
+			must.LessEq(t, 1, len(w.clusters()), must.Sprint(seed, w.told()))
+		}
+		must.True(t, w.until(20_000, func() bool { return w.cluster() != nil && w.allServed() }), must.Sprint(seed, w.told()))
+	}
+}
+
+// The one that proposes dies for good right after all voted, or before: the
+// others bring the formation to its end, and another disk takes its place.
+func TestFormationOutlivesItsProposer(t *testing.T) {
+	for seed := range uint64(20) {
+		w := coreWorld(4200+seed, 5, eightDisks, 4)
+		first := w.nodes["d00"]
+		must.True(t, w.until(10_000, func() bool {
+			for _, name := range sorted(w.nodes) {
+				if n := w.nodes[name]; name != "d00" && n.up && n.sh.n.store != nil && n.sh.n.store.formed.Cluster != 0 {
+					return true
+				}
+			}
+			return false
+		}))
+		for _, b := range sorted(w.nodes) { // its word on the end reaches nobody
+			w.cuts[[2]string{"d00", b}] = true
+		}
+		w.after(w.rng.Int64N(20_000), func() { first.kill(true) })
+		must.True(t, w.until(40_000, func() bool {
+			return w.cluster() != nil && w.allServed() && len(w.cluster().Members) == 5 && !w.cluster().has("d00", first.DiskID)
+		}), must.Sprint(seed, w.told()))
+		first.sh = nil
+		must.MapLen(t, 1, w.clusters())
+	}
+}
+
+// Only a first start forms a core.
+func TestFormationOnlyAtAFirstStart(t *testing.T) {
+	w := coreWorld(4300, 5, eightDisks, 2)
+	for _, n := range w.nodes {
+		n.place.FirstStart = false
+	}
+	w.run(15_000)
+	must.MapEmpty(t, w.clusters())
+}
+
+// A member of five comes back empty under its name and address: it is in again
+// within seconds, and what was acknowledged is there. So it is when two disks
+// of one site are lost at once, and then the rest one after the other.
+func TestFormationWipedMembers(t *testing.T) {
+	for seed := range uint64(10) {
+		w := coreWorld(4400+seed, 5, []string{"east", "west", "mid", "east", "west"}, 4)
+		must.True(t, w.until(20_000, w.allServed))
+		version := int64(0)
+		put := func() {
+			version++
+			got := answered{}
+			must.True(t, w.until(15_000, func() bool {
+				got = w.settle(w.anyNode(int(version)+5), evAsk{Op: "setup.put", Key: fmt.Sprint(version), Expect: -1, Body: queueSetup(fmt.Sprint("q", version), "")}, 4000)
+				return got.status == 200
+			}), must.Sprint(got))
+		}
+		put()
+		for _, lost := range [][]string{{"d00"}, {"d03", "d00"}, {"d01"}, {"d02"}, {"d04"}, {"d03"}, {"d01", "d04"}} {
+			for _, name := range lost {
+				w.nodes[name].kill(true)
+				w.nodes[name].wipe()
+				w.nodes[name].place.FirstStart = false
+			}
+			for _, name := range lost {
+				w.after(500_000, w.nodes[name].start)
+			}
+			at := w.nowMs()
+			must.True(t, w.until(20_000, func() bool {
+				c := w.cluster()
+				if c == nil || len(c.Members) != 5 || !w.allServed() {
+					return false
+				}
+				for _, name := range lost {
+					if n := w.nodes[name]; !n.up || !c.has(name, n.place.DiskID) {
+						return false
+					}
+				}
+				return true
+			}), must.Sprint(seed, lost, w.told()))
+			must.Less(t, 500+6000*int64(len(lost)), w.nowMs()-at, must.Sprint(lost))
+			r := w.settle(w.nodes["d05"], evAsk{Op: "setup.get"}, 3000)
+			must.Eq(t, version, gjson.Get(r.body, "version").Int(), must.Sprint(r.body))
+			put()
+		}
+	}
+}
+
+// A member that never comes back is replaced by one spare, of its site if there is one.
+func TestFormationSpareOfTheSite(t *testing.T) {
+	w := coreWorld(4500, 5, eightDisks, 4)
+	must.True(t, w.until(20_000, w.allServed))
+	set := w.cluster()
+	lost := set.Members[2].Name
+	site := w.nodes[lost].Site
+	w.nodes[lost].kill(true)
+	must.True(t, w.until(30_000, func() bool {
+		c := w.cluster()
+		return c != nil && c.Version == set.Version+2 && len(c.Members) == 5
+	}))
+	for _, m := range w.cluster().Members {
+		if !set.has(m.Name, m.DiskID) {
+			must.Eq(t, site, w.nodes[m.Name].Site)
+		}
+	}
+	w.run(20_000)
+	must.Eq(t, set.Version+2, w.cluster().Version) // and none goes on
+}
+
+// A daemon whose clock was set back across a restart is heard again soon, also
+// at another address.
+func TestIncarnationSetBack(t *testing.T) {
+	w := coreWorld(4600, 3, []string{"east", "west", "mid"}, 5)
+	must.True(t, w.until(20_000, w.allServed))
+	for _, move := range []bool{false, true} {
+		n := w.nodes["d05"]
+		n.kill(false)
+		if move {
+			n.place.Addr = "10.0.7.5:7000"
+		}
+		n.incs = ^uint64(0) // its next incarnation is far below the last
+		w.run(1500)
+		n.start()
+		must.Less(t, w.nodes["d00"].sh.n.siblings["d05"].Inc, n.sh.n.Inc)
+		at := w.nowMs()
+		must.True(t, w.until(4000, func() bool {
+			for _, name := range sorted(w.nodes) {
+				if s := w.nodes[name].sh.n.siblings["d05"]; name != "d05" && (s == nil || s.Inc != n.sh.n.Inc || s.Addr != n.Addr) {
+					return false
+				}
+			}
+			return true
+		}), must.Sprint(move))
+		t.Logf("moved %v: heard everywhere after %d ms", move, w.nowMs()-at)
+	}
+}
+
+// Seeds that changed while running are used.
+func TestSeedsChange(t *testing.T) {
+	w := coreWorld(4700, 3, []string{"east", "west", "mid"}, 5)
+	w.nodes["d07"].place.Seeds = []string{"10.9.9.9:7000"}
+	w.run(5000)
+	must.MapEmpty(t, w.nodes["d07"].sh.n.siblings)
+	w.nodes["d07"].event(evSeeds{Seeds: []string{"10.9.9.9:7000", w.nodes["d02"].Addr}})
+	must.True(t, w.until(2000, func() bool { return len(w.nodes["d07"].sh.n.siblings) == 7 }))
+}
+
+// told gives the log without the siblings that were met.
+func (w *world) told() string {
+	return "\n" + strings.Join(slices.DeleteFunc(slices.Clone(w.logs), func(s string) bool { return strings.Contains(s, "sibling_new") }), "\n")
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -45,6 +45,11 @@
 	clockOldMs    = 10_000         // a clock reading older than this is replaced by a later one, or has no say
 	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
+	formStableMs  = 700            // so long the same empty disks must be seen before a core is formed of them
+	formTurnMs    = 1500           // each later member waits this much longer before it brings a formation to its end
+	formAgainMs   = 300            // votes that did not come are asked for again
+	greetMs       = 200            // a disk without a core gossips at this pace
+	spareStepMs   = 1500           // each later spare disk waits this much longer before it goes for the core
 
 	fan          = 4         // siblings a daemon exchanges with; log2 of today's fleets
 	coreSize     = 3         // disks that hold the state
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -119,6 +119,7 @@
 	Promised ballot
 	Accepted ballot
 	Value    []byte
+	Ballot   ballot // that was asked for
 }
 
 type acceptMsg struct {
@@ -133,6 +134,7 @@
 	Op       uint64
 	OK       bool
 	Promised ballot
+	Ballot   ballot // that was asked for
 }
 
 type record struct {
@@ -157,6 +159,7 @@
 	OK      bool
 	Served  uint64 // the last epoch under which all live jobs were committed, as far as known
 	Records []record
+	CoreVer int64 // under which the member said so
 }
 
 type writeMsg struct {
@@ -170,10 +173,11 @@
 }
 
 type wroteMsg struct {
-	Slice string
-	Epoch uint64
-	Seq   uint64
-	OK    bool
+	Slice   string
+	Epoch   uint64
+	Seq     uint64
+	OK      bool
+	CoreVer int64 // under which the member said so
 }
 
 type fetchMsg struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -135,11 +135,13 @@
 	core     coreSet
 	leaving  int64
 
-	store   *store
-	forming *formation
-	joining *joining
-	ops     map[uint64]*casOp
-	opSeq   uint64
+	store     *store
+	forming   *formation
+	formKey   string // the empty disks seen
+	formSince int64  // since when they are the same
+	joining   *joining
+	ops       map[uint64]*casOp
+	opSeq     uint64
 
 	poll   pollState
 	duties map[string]*duty
@@ -222,9 +224,9 @@
 	message(onMessage((*node).onAccept))
 	message(onMessage((*node).onAccepted))
 	message(onMessage((*node).onSeal))
-	message(onMessage((*node).onSealed))
+	message(onMessage((*node).onSealedNow))
 	message(onMessage((*node).onWrite))
-	message(onMessage((*node).onWrote))
+	message(onMessage((*node).onWroteNow))
 	message(onMessage((*node).onFetch))
 	message(onMessage((*node).onFetched))
 	message(onMessage((*node).onHandedOver))
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -76,7 +76,7 @@
 
 func (n *node) onPromise(from string, m *promiseMsg) {
 	o := n.ops[m.Op]
-	if o == nil || o.phase != 1 {
+	if o == nil || o.phase != 1 || m.Ballot != o.ballot { // an earlier try's answer says nothing of this one
 		return
 	}
 	if !m.OK {
@@ -110,7 +110,7 @@
 
 func (n *node) onAccepted(from string, m *acceptedMsg) {
 	o := n.ops[m.Op]
-	if o == nil || o.phase != 2 {
+	if o == nil || o.phase != 2 || m.Ballot != o.ballot {
 		return
 	}
 	if !m.OK {
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -5,7 +5,7 @@
 func (n *node) self() sibling {
 	s := sibling{Name: n.Name, Inc: n.Inc, Beat: n.beat, Addr: n.Addr, HTTP: n.HTTP, Site: n.Site, Disk: n.Disk && n.diskFailed == "", Leaving: n.leaving != 0}
 	if n.store != nil {
-		s.DiskID, s.Empty = n.DiskID, n.store.cluster == 0
+		s.DiskID, s.Empty = n.DiskID, n.store.cluster == 0 && n.FirstStart
 	}
 	return s
 }
@@ -48,6 +48,9 @@
 		return
 	}
 	n.gossipAt = n.now + gossipMs
+	if n.core.Cluster == 0 && n.store != nil && n.FirstStart {
+		n.gossipAt = n.now + greetMs
+	}
 	n.beat++
 	oldest := ""
 	for _, name := range sorted(n.siblings) {
@@ -70,8 +73,15 @@
 	}
 	// Seeds and long-gone siblings are tried too, one of each a round with
 	// jitter, so that a fleet joined through seeds that were all replaced,
-	// or a site back from a long cut, finds the rest.
-	if len(n.Seeds) > 0 && (len(n.siblings) < fan || n.rand().IntN(8) == 0) {
+	// or a site back from a long cut, finds the rest. Who hears nobody yet
+	// tries all seeds.
+	if len(n.liveNames()) == 1 {
+		for _, a := range n.Seeds {
+			if a != n.Addr {
+				n.emit(effSend{Addr: a, Msg: n.gossip(true)})
+			}
+		}
+	} else if len(n.Seeds) > 0 && (len(n.siblings) < fan || n.rand().IntN(8) == 0) {
 		if a := n.Seeds[n.rand().IntN(len(n.Seeds))]; a != n.Addr {
 			n.emit(effSend{Addr: a, Msg: n.gossip(true)})
 		}
@@ -104,11 +114,21 @@
 	}
 	n.learnCore(m.Core)
 	if m.Back && from != n.Name {
-		n.send(from, n.gossip(false))
+		// To where it says it is: a daemon that is new at its address, with a
+		// clock set back, is known at its old one until it has heard of that.
+		n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: n.gossip(false)})
 	}
 }
 
 func (n *node) learnSibling(s sibling) {
+	if s.Name == n.Name && (s.Inc > n.Inc || s.Inc == n.Inc && (s.Beat > n.beat || s.Addr != n.Addr)) {
+		// An earlier life of this daemon began by a later clock, or another
+		// process has our name: only above it are we heard. Leases taken
+		// under the old number end by themselves.
+		n.log("incarnation_raised", "from", n.Inc, "above", s.Inc)
+		n.Inc = s.Inc + 1
+		n.gossipAt = 0
+	}
 	if s.Name == n.Name || s.Name == "" {
 		return
 	}
@@ -136,27 +156,73 @@
 	if c.Cluster == 0 || n.core.Cluster != 0 && c.Cluster != n.core.Cluster || c.Version <= n.core.Version {
 		return
 	}
-	was := n.inCore()
+	was, first := n.inCore(), n.core.Cluster == 0
 	n.core = c
+	if first {
+		n.forming = nil
+		defer n.tellCore()
+	}
 	for m := range n.poll.clocks { // clocks of former members have no say
 		if !slices.Contains(memberNames(c), m) {
 			delete(n.poll.clocks, m)
 			delete(n.poll.slowMs, m)
 		}
 	}
+	n.coreMoved()
 	n.log("core_set", "version", c.Version, "members", memberNames(c))
 	if n.store != nil && n.store.cluster == c.Cluster {
 		// A joined member waits one lease before it grants. At the very first
 		// set there is nothing to wait for: had this disk granted anything
 		// under it, the set would have been synced before.
-		first := c.Version == 1 && n.store.set.Version == 0
+		formed := c.Version == 1 && n.store.set.Version == 0
 		n.store.learnSet(n, c)
-		if !was && n.inCore() && !first {
+		if !was && n.inCore() && !formed {
 			n.store.guardMs = n.now + leaseMs
 		}
 	}
 }
 
+// coreMoved begins anew what members under the former set acknowledged only
+// in part: a majority counts within one set, and one that left may be back
+// under its old name with an empty disk.
+func (n *node) coreMoved() {
+	for _, sl := range n.owned {
+		if !sl.serving {
+			sl.sealed, sl.doubts, sl.doubtOp, sl.sealSent = map[string]map[string]record{}, map[string]map[string]bool{}, map[uint64]string{}, 0
+		}
+		for _, b := range sl.writes {
+			if !b.done {
+				b.acked, b.sentMs = map[string]bool{}, 0
+			}
+		}
+	}
+}
+
+// onSealedNow and onWroteNow drop what a member said under another set.
+func (n *node) onSealedNow(from string, m *sealedMsg) {
+	if m.CoreVer == n.core.Version {
+		n.onSealed(from, m)
+	}
+}
+
+func (n *node) onWroteNow(from string, m *wroteMsg) {
+	if m.CoreVer == n.core.Version {
+		n.onWrote(from, m)
+	}
+}
+
+// tellCore spreads a set that was just learned, so that a first start or a new
+// daemon waits for no round of gossip: to its members, and to whom we watch.
+func (n *node) tellCore() {
+	told := map[string]bool{n.Name: true}
+	for _, name := range append(n.watched(), memberNames(n.core)...) {
+		if !told[name] {
+			told[name] = true
+			n.send(name, n.gossip(false))
+		}
+	}
+}
+
 func memberNames(c coreSet) []string {
 	var out []string
 	for _, m := range c.Members {
