Lines between daemons: given up early, fewer system calls

Cause: a machine without power or behind a cut says nothing; a line to it hung for up to the write limit per frame, and each frame cost calls of its own. Change: both ends set the time unacknowledged bytes may wait and probe a quiet line; frames that wait go out in one call, those older than a second are left; one buffered reader per connection. TestUnsureFinishIsWrittenBack says the core set its made-up answers belong to, as members do since answers carry it.

--- a/accord/fence_test.go
+++ b/accord/fence_test.go
@@ -90,7 +90,7 @@
 	owner.startSlice(&duty{name: "slice/east", epoch: 99})
 	var wrote []record
 	for from, recs := range map[string][]record{"d00": nil, "d01": {finished}} {
-		for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: from}, Msg: &sealedMsg{Slice: "east", Epoch: 99, OK: true, Records: recs}}}) {
+		for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: from}, Msg: &sealedMsg{CoreVer: owner.core.Version, Slice: "east", Epoch: 99, OK: true, Records: recs}}}) {
 			if s, ok := e.(effSend); ok {
 				if m, ok := s.Msg.(*writeMsg); ok {
 					wrote = m.Records
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -88,13 +88,18 @@
 	segmentBytes = 8 << 20   // a segment is closed at this size
 	keepHoursDef = 24        // hours a finished job is kept; callers check states within a day
 
-	dialMs       = 1000    // a sibling in reach answers in milliseconds
-	writeMs      = 2000    // a frame not taken by then ends its connection
-	lineIdleMs   = 300_000 // a line without frames is closed
-	replyMs      = 4000    // the control thread answers long before; this guards against a fault in it
-	visitAgainMs = 2000    // doctor's second look; every bound on a passing state is shorter
-	spreadMs     = 1000    // a clock this far off is wrong, whatever the network
-	slowSyncMs   = 200     // a sync this slow sets the pace of every change
+	dialMs       = 1000      // a sibling in reach answers in milliseconds
+	unackedMs    = 1500      // a line whose bytes nobody acknowledges for so long is given up
+	aliveMs      = 1000      // a quiet line is probed at this pace; after two lost probes it is given up. Go rounds up to seconds
+	frameOldMs   = 1000      // frames that waited longer are not sent: what matters was sent again
+	sendBytes    = 256 << 10 // frames that wait go out together, up to about this many bytes
+	readBytes    = 16 << 10  // of a connection's buffer
+	writeMs      = 2000      // a frame not taken by then ends its connection
+	lineIdleMs   = 300_000   // a line without frames is closed
+	replyMs      = 4000      // the control thread answers long before; this guards against a fault in it
+	visitAgainMs = 2000      // doctor's second look; every bound on a passing state is shorter
+	spreadMs     = 1000      // a clock this far off is wrong, whatever the network
+	slowSyncMs   = 200       // a sync this slow sets the pace of every change
 
 	lineFrames = 512  // frames waiting for one sibling; beyond, the newest are dropped
 	connsMax   = 2000 // connections taken from siblings
--- a/accord/wire.go
+++ b/accord/wire.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // wire carries frames between daemons over TCP: one connection per sibling
@@ -24,11 +28,33 @@
 }
 
 type line struct {
-	frames chan []byte
+	frames chan outFrame
+}
+
+type outFrame struct {
+	bytes []byte
+	at    time.Time
+}
+
+// keepAlive lets both ends give a quiet line up soon: a machine without power
+// or behind a cut says nothing.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: aliveMs * time.Millisecond, Interval: aliveMs * time.Millisecond, Count: 2}
+
+// giveUpEarly sets how long what was written may stay unacknowledged before
+// the system ends the line. Accepted lines take it from their listener.
+func giveUpEarly(_, _ string, c syscall.RawConn) error {
+	var bad error
+	if err := c.Control(func(fd uintptr) {
+		bad = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedMs)
+	}); err != nil {
+		return err
+	}
+	return bad
 }
 
 func newWire(addr string, post func(func(*shell)), log func(string, ...any)) (*wire, error) {
-	ln, err := net.Listen("tcp", addr)
+	lc := net.ListenConfig{Control: giveUpEarly, KeepAliveConfig: keepAlive}
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(errSettings, "addr: %v", err)
 	}
@@ -43,16 +69,51 @@
 	}
 	l := w.lines[addr]
 	if l == nil {
-		l = &line{frames: make(chan []byte, lineFrames)}
+		l = &line{frames: make(chan outFrame, lineFrames)}
 		w.lines[addr] = l
 		go w.write(addr, l)
 	}
 	select {
-	case l.frames <- frame:
+	case l.frames <- outFrame{frame, time.Now()}:
 	default: // all that matters is sent again by who needs it
 	}
 }
 
+// next waits for a frame and takes all others that wait too, up to so many
+// bytes: they go out in one system call. Frames that waited for long, while a
+// dead line was found out, are left: who needs them has sent them again.
+// It gives nothing when the line was idle, and ok false when it is closed.
+func (l *line) next(idle *time.Timer) (frames [][]byte, ok bool) {
+	idle.Reset(lineIdleMs * time.Millisecond)
+	size := 0
+	take := func(f outFrame) {
+		if time.Since(f.at) < frameOldMs*time.Millisecond {
+			frames, size = append(frames, f.bytes), size+len(f.bytes)
+		}
+	}
+	select {
+	case f, open := <-l.frames:
+		if !open {
+			return nil, false
+		}
+		take(f)
+	case <-idle.C:
+		return nil, true
+	}
+	for size < sendBytes {
+		select {
+		case f, open := <-l.frames:
+			if !open {
+				return frames, false
+			}
+			take(f)
+		default:
+			return frames, true
+		}
+	}
+	return frames, true
+}
+
 func (w *wire) write(addr string, l *line) {
 	var conn net.Conn
 	hangUp := func() {
@@ -65,14 +126,18 @@
 		}
 	}
 	defer hangUp()
+	dialer := net.Dialer{Timeout: dialMs * time.Millisecond, Control: giveUpEarly, KeepAliveConfig: keepAlive}
+	idle := time.NewTimer(time.Hour)
+	defer idle.Stop()
 	var failedAt time.Time
-	for {
-		var frame []byte
-		select {
-		case frame = <-l.frames:
-		case <-time.After(lineIdleMs * time.Millisecond):
+	for began := time.Now(); ; began = time.Now() {
+		frames, ok := l.next(idle)
+		if !ok {
+			return
+		}
+		if len(frames) == 0 {
 			w.mu.Lock()
-			if len(l.frames) == 0 {
+			if len(l.frames) == 0 && time.Since(began) >= lineIdleMs*time.Millisecond {
 				delete(w.lines, addr)
 				w.mu.Unlock()
 				return
@@ -80,23 +145,24 @@
 			w.mu.Unlock()
 			continue
 		}
-		if frame == nil {
-			return
-		}
 		if conn == nil {
 			if time.Since(failedAt) < dialMs/4*time.Millisecond {
 				continue
 			}
-			c, err := net.DialTimeout("tcp", addr, dialMs*time.Millisecond)
+			c, err := dialer.Dial("tcp", addr)
 			if err != nil {
 				failedAt = time.Now()
 				continue
 			}
 			conn = c
 		}
-		head := binary.BigEndian.AppendUint32(nil, uint32(len(frame)))
 		_ = conn.SetWriteDeadline(time.Now().Add(writeMs * time.Millisecond))
-		bufs := net.Buffers{head, frame}
+		heads := make([]byte, 0, 4*len(frames))
+		bufs := make(net.Buffers, 0, 2*len(frames))
+		for _, f := range frames {
+			heads = binary.BigEndian.AppendUint32(heads, uint32(len(f)))
+			bufs = append(bufs, heads[len(heads)-4:], f)
+		}
 		if _, err := bufs.WriteTo(conn); err != nil {
 			hangUp()
 		}
@@ -131,9 +197,10 @@
 		_ = conn.Close()
 	}()
 	head := make([]byte, 4)
+	in := bufio.NewReaderSize(conn, readBytes)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(2 * lineIdleMs * time.Millisecond))
-		if _, err := io.ReadFull(conn, head); err != nil {
+		if _, err := io.ReadFull(in, head); err != nil {
 			return
 		}
 		size := binary.BigEndian.Uint32(head)
@@ -141,7 +208,7 @@
 			w.log("frame_bounced", "from", conn.RemoteAddr().String(), "reason", "too large")
 			return
 		}
-		frame, err := io.ReadAll(io.LimitReader(conn, int64(size)))
+		frame, err := readSized(in, int64(size))
 		if err != nil || len(frame) != int(size) {
 			return
 		}
@@ -155,6 +222,17 @@
 	}
 }
 
+// readSized reads a frame whose length is known. A large one's memory grows
+// with what arrives: a length alone costs nothing.
+func readSized(in io.Reader, size int64) ([]byte, error) {
+	if size > sendBytes {
+		return io.ReadAll(io.LimitReader(in, size))
+	}
+	frame := make([]byte, size)
+	_, err := io.ReadFull(in, frame)
+	return frame, err
+}
+
 func (w *wire) close() {
 	_ = w.ln.Close()
 	w.mu.Lock()
