--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -24,7 +24,13 @@
 	ThresholdMs   int64
 	KLowest       int
 	TargetSigma   float64
-	HoldMostMs    int64 // the longest a beat's answer may hold a worker; 0 for our own span
+	CoreSize      int  // disks that hold the state; 0 for coreSize
+	FirstStart    bool // the whole fleet starts for the first time: empty disks may form a core
+	HoldMostMs    int64
+	GangWaitMs    int64
+	SaveMs        int64
+	RestoreMs     int64
+	SpreadFactor  float64
 }
 
 // event is all that a daemon ever learns: what happened, when by its own
@@ -45,10 +51,12 @@
 	}
 	// evAsk is a caller's, worker's or operator's ask at this daemon.
 	evAsk struct {
-		ID   uint64
-		Op   string
-		Key  string
-		Body []byte
+		ID         uint64
+		Op         string
+		Key        string
+		Host, Path string // where the call came in with the address of a queue
+		Expect     int64  // the version a setup builds on; -1 for one less than its own
+		Body       []byte
 		// Ready is the setup in Body, where a traffic thread compiled it already.
 		Ready *compiled
 	}
@@ -64,6 +72,8 @@
 		SyncMs int64
 	}
 	evStop struct{}
+	// evSeeds brings other addresses to find the fleet by.
+	evSeeds struct{ Seeds []string }
 )
 
 // effect is a thing the shell is to do, as data.
@@ -125,11 +135,13 @@
 	core     coreSet
 	leaving  int64
 
-	store   *store
-	forming *formation
-	joining *joining
-	ops     map[uint64]*casOp
-	opSeq   uint64
+	store     *store
+	forming   *formation
+	formKey   string // the empty disks seen
+	formSince int64  // since when they are the same
+	joining   *joining
+	ops       map[uint64]*casOp
+	opSeq     uint64
 
 	poll   pollState
 	duties map[string]*duty
@@ -201,6 +213,7 @@
 	event(onEvent((*node).onOrder))
 	event(onEvent((*node).onDisk))
 	event(onEvent((*node).onStop))
+	event(onEvent((*node).onSeeds))
 	messageHandlers = map[reflect.Type]func(*node, string, any){}
 	message := func(t reflect.Type, f func(*node, string, any)) { messageHandlers[t] = f }
 	message(onMessage((*node).onGossip))
@@ -211,9 +224,9 @@
 	message(onMessage((*node).onAccept))
 	message(onMessage((*node).onAccepted))
 	message(onMessage((*node).onSeal))
-	message(onMessage((*node).onSealed))
+	message(onMessage((*node).onSealedNow))
 	message(onMessage((*node).onWrite))
-	message(onMessage((*node).onWrote))
+	message(onMessage((*node).onWroteNow))
 	message(onMessage((*node).onFetch))
 	message(onMessage((*node).onFetched))
 	message(onMessage((*node).onHandedOver))
