--- a/accord/beats.go
+++ b/accord/beats.go
@@ -65,6 +65,7 @@
 		return
 	}
 	if f := checkDoc(a.body, beatFields); len(f) > 0 {
+		n.log("beat_unreadable", "worker", a.key, "path", f[0].Path, "reason", f[0].Reason)
 		n.answerFaults(a, 400, 0, f)
 		return
 	}
