--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -473,6 +473,10 @@
 
 // ask sends an HTTP ask from a host to a daemon; cb gets status 0 on silence.
 func (w *world) ask(from string, to *simNode, op, key string, body []byte, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
+	w.askAs(from, to, evAsk{Op: op, Key: key, Body: body}, waitMs, cb)
+}
+
+func (w *world) askAs(from string, to *simNode, e evAsk, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
 	done := false
 	finish := func(status int, retryMs int64, b []byte) {
 		if !done {
@@ -490,7 +494,8 @@
 			to.asks[to.askSeq] = func(status int, retryMs int64, b []byte) {
 				w.carryTo(to.Name, from, func() { finish(status, retryMs, b) })
 			}
-			to.event(evAsk{ID: to.askSeq, Op: op, Key: key, Body: body})
+			e.ID = to.askSeq
+			to.event(e)
 		})
 	})
 }
