--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -10,7 +10,9 @@
 )
 
 // placeBeatNode gives a daemon of the users' platform its place.
-func placeBeatNode(p *place, site beatSite, side bool) {}
+func placeBeatNode(p *place, site beatSite, side bool) {
+	p.HoldMostMs = site.holdMaxMs
+}
 
 // evAskOf is a call as a daemon gets it; in terms of the calls under /v1 as
 // long as the others aren't there.
@@ -374,7 +376,10 @@
 	},
 	"accelerators are few": func(t *testing.T, b *beatWorld) {
 		for i := range 3 {
-			b.worker(i * 3).capacity[2] = 2
+			s := b.worker(i * 3)
+			s.crash()
+			s.capacity[2] = 2
+			s.start()
 		}
 		b.run(1000)
 		b.traffic()
