A queue's defaults are kept with the steps

Cause: steps of alike tasks are kept as one specification, which held -1 for the failures allowed and 0 for the limit; the queue's defaults stood in the tasks alone, and were lost when a further round was opened or another owner read the record. Such a task was given up at its first failure: callers saw jobs failed without a cause. Change: the defaults go into the steps when the job enters.

--- a/accord/setup.go
+++ b/accord/setup.go
@@ -369,12 +369,20 @@
 // ruleOps is the instruction table of the interpreter.
 var ruleOps = map[string]func(*askContext, int64) *bounceError{
 	"defaultLimit": func(c *askContext, v int64) *bounceError {
+		for i := range c.job.Steps {
+			c.job.Steps[i].LimitMs = orElse(c.job.Steps[i].LimitMs, v)
+		}
 		for i := range c.job.Tasks {
 			c.job.Tasks[i].LimitMs = orElse(c.job.Tasks[i].LimitMs, v)
 		}
 		return nil
 	},
 	"defaultFailures": func(c *askContext, v int64) *bounceError {
+		for i := range c.job.Steps {
+			if c.job.Steps[i].Allowed < 0 {
+				c.job.Steps[i].Allowed = int32(v)
+			}
+		}
 		for i := range c.job.Tasks {
 			if c.job.Tasks[i].Allowed < 0 {
 				c.job.Tasks[i].Allowed = int32(v)
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -922,23 +922,8 @@
 		n.touch(sl, js)
 		for i := len(js.Tasks) - int(js.roundSize()); i < len(js.Tasks); i++ {
 			js.Tasks[i].SetVer = js.Version
-			if js.Tasks[i].Allowed < 0 {
-				js.Tasks[i].Allowed = int32(n.allowedIn(js.Queue))
-			}
-		}
-	}
-}
-
-// allowedIn is how often tasks of a queue may fail where they don't say.
-func (n *node) allowedIn(queue string) int64 {
-	if q := n.setup.cur.Queues[queue]; q != nil {
-		for _, r := range q.Rules {
-			if r.Op == "defaultFailures" {
-				return r.N
-			}
 		}
 	}
-	return 0
 }
 
 func (n *node) retire(sl *slice, js *jobState) {
