--- a/accord/beatunit_test.go
+++ b/accord/beatunit_test.go
@@ -26,3 +26,26 @@
 		}
 	}
 }
+
+// A timed job that is cancelled before its last round is opened is not complete,
+// though all tasks so far ended well, or there were none.
+func TestCancelledBetweenRounds(t *testing.T) {
+	for _, opened := range []int{0, 1, 3} {
+		j, faults := parseJob("j", "q", []byte(`{"payload":"x","steps":[{"name":"a","count":2,"room":1}],"rounds":3,"first_ms":1000,"period_ms":1000}`))
+		must.SliceEmpty(t, faults)
+		for range opened {
+			j.openRound()
+		}
+		for i := range j.Tasks {
+			j.Tasks[i].State = taskEnded
+		}
+		j.State = jobCancelled
+		state, over := j.verdict()
+		must.True(t, over)
+		want := jobCancelled
+		if opened == 3 {
+			want = jobComplete
+		}
+		must.Eq(t, want, state)
+	}
+}
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -476,7 +476,7 @@
 		}
 		all = all && j.Tasks[i].State == taskEnded
 	}
-	if all {
+	if all && j.Opened >= j.roundsAll() {
 		return jobComplete, true
 	}
 	return j.State, true
