--- a/accord/agents.go
+++ b/accord/agents.go
@@ -477,7 +477,7 @@
 // ones by their queue's urgency and the age of their job. A pinned agent's
 // orders leave in the answer to a beat only.
 func (n *node) pump(ag *agent) {
-	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || n.now < ag.lapseTill) {
+	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || ag.lapseTill != 0) {
 		return
 	}
 	queue := ag.waiting(n)
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -265,7 +265,7 @@
 		}
 		until = min(until, h.confirmedMs+ownerSpanMs)
 	}
-	if n.now < ag.lapseTill {
+	if ag.lapseTill != 0 {
 		until = 0
 	}
 	if until > n.now {
