--- a/accord/core.go
+++ b/accord/core.go
@@ -709,7 +709,7 @@
 		s := n.siblings[m.Name]
 		if m.Name == n.Name || s != nil && s.DiskID != m.DiskID && n.live(m.Name) {
 			missing, wiped = i, true
-		} else if !n.live(m.Name) && missing < 0 {
+		} else if (!n.live(m.Name) || n.quietMember(m.Name)) && missing < 0 {
 			missing = i
 		}
 	}
@@ -726,6 +726,8 @@
 		wait := int64(replaceMs)
 		if wiped {
 			wait = 2 * gossipMs
+		} else if n.quietMember(n.core.Members[missing].Name) {
+			wait = 0 // this machine was brought in its place
 		}
 		if n.now-j.goneMs < wait+n.spareRank(n.core.Members[missing].Name)*spareStepMs || n.now < j.casAt {
 			return
@@ -765,6 +767,15 @@
 	n.startCas("core", "core", pack(nil, next), n.core.Version)
 }
 
+// quietMember tells whether a member answers none of this daemon's polls while a
+// majority does, and this disk is empty though the fleet is not new: then it was
+// most likely brought in that member's place, and need not wait as long as a
+// disk that stood by before. If the member is back after all it becomes a spare.
+func (n *node) quietMember(name string) bool {
+	return !n.FirstStart && n.store.set.Version == 0 && n.poll.firstMs != 0 && n.now-n.poll.okMs < 2*pollMs &&
+		n.now-max(n.poll.heardMs[name], n.poll.firstMs) > quietMs
+}
+
 // spareRank orders the live disks outside the core: the first goes at once, the
 // others only if it doesn't. One that comes back under the missing member's
 // name is first, then those in the sites with the fewest members.
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -20,7 +20,9 @@
 	slowMs  map[string]int64
 	free    map[string]int64 // duty -> since when no majority lists a holder
 	lost    map[string]lostHolder
-	guardMs int64 // until then too many members grant nothing
+	guardMs int64            // until then too many members grant nothing
+	firstMs int64            // when this daemon first polled
+	heardMs map[string]int64 // core member -> when it last answered a poll
 }
 
 // lostHolder is who held a duty whose lease has ended: not the one to ask next.
@@ -106,6 +108,9 @@
 			delete(n.poll.sent, seq)
 		}
 	}
+	if n.poll.firstMs == 0 {
+		n.poll.firstMs = n.now
+	}
 	for _, mem := range n.core.Members {
 		n.send(mem.Name, m)
 	}
@@ -121,6 +126,10 @@
 }
 
 func (n *node) onPollAck(from string, m *pollAck) {
+	if n.poll.heardMs == nil {
+		n.poll.heardMs = map[string]int64{}
+	}
+	n.poll.heardMs[from] = n.now
 	r := n.poll.sent[m.Seq]
 	if r == nil || m.CoreVer != n.core.Version || r.acks[from] != nil || len(m.Granted) != len(r.holds) {
 		return
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -46,6 +46,7 @@
 	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
 	formStableMs  = 700            // so long the same empty disks must be seen before a core is formed of them
+	quietMs       = 1600           // a new empty disk takes the place of a member that missed four polls
 	formTurnMs    = 1500           // each later member waits this much longer before it brings a formation to its end
 	formAgainMs   = 300            // votes that did not come are asked for again
 	greetMs       = 200            // a disk without a core gossips at this pace
