A port is read as a number, never looked up

Cause: a look-up of a port goes through the resolver, which a machine may not have. (It was suspected of the 4 s that a start takes; it isn't the cause of those.)

--- a/accord/settings.go
+++ b/accord/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"otterchute/platform"
@@ -245,7 +246,7 @@
 	if port == "" || port == "0" {
 		return "must name a port"
 	}
-	if _, err := net.LookupPort("tcp", port); err != nil {
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 { // a look-up by name may wait for a resolver
 		return "must name a port"
 	}
 	return ""
