Shorter leases, not waited out where the holder's life is over; duties on edges only

Cause: after a loss of all power the core was back in 0.4 s, yet slices were owned again only 2.9 s after the machines: restarted members grant nothing for a lease of 2.5 s. Daemons beside workers (0.24 of a core) took slices. With an owner cut off or frozen its slice stood 3 s. Ruled out: disks, gossip and setups (all there within 0.7 s). Change: leases of 1.5 s; a member that started anew grants a duty where its last holder (by the register, of which any majority holds the newest) is heard from in a later life at the same address; who took a duty since the lease was granted goes first (epoch compared in the change itself); daemons beside workers take no duty, those with a disk go first. A restarted holder gets its duty back at once. TestLeaseExcludes, two new fence tests, guards follow their texts.

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -454,6 +454,8 @@
 func (n *node) stopRun(ag *agent, h *held, why int8) {
 	if h.stopMs == 0 {
 		h.stopMs, h.stopWhy = n.now, why
+		n.log("run_stopped", "attempt", h.spec.Key.String(), "worker", ag.worker, "why", resultNames[why], "queue", h.spec.Queue, "class", classNames[h.spec.Class],
+			"ran_ms", n.now-h.startedMs, "percent", h.percent, "cpu", h.spec.Room.CPU, "gang", h.spec.Gang)
 	}
 	if n.now-h.stopSentMs < 1000 && h.stopSentMs != 0 || ag.addr == "" || ag.pinned {
 		return // a pinned agent says it in the answer to each beat
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -357,7 +357,7 @@
 		switch {
 		case h.state == heldQueued && (n.now-ag.heardMs > contactMs || ag.goneAt != 0):
 			h.state, h.result, changed = heldEnded, resultShed, true
-		case (h.state == heldRunning || h.state == heldOrdered) && h.stopMs == 0 && n.now > max(h.confirmedMs+ownerSpanMs, h.adoptedMs+ownerSpanMs/2)-staleStopMs:
+		case (h.state == heldRunning || h.state == heldOrdered) && h.stopMs == 0 && n.now > max(h.confirmedMs+ownerSpanMs, h.adoptedMs+ownerSpanMs)-staleStopMs:
 			n.count("stale_stops")
 			n.stopRun(ag, h, resultLost)
 		}
--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -14,9 +14,9 @@
 	p.HoldMostMs = site.holdMaxMs
 }
 
-// evAskOf is a call as a daemon gets it; in terms of the calls under /v1 as
+// eventOf is a call as a daemon gets it; in terms of the calls under /v1 as
 // long as the others aren't there.
-func evAskOf(c beatCall) evAsk {
+func eventOf(c beatCall) evAsk {
 	e := evAsk{Op: c.op, Key: c.key, Body: c.body}
 	id := c.path[strings.LastIndex(c.path, "/")+1:]
 	switch c.op {
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -919,7 +919,7 @@
 }
 
 func (b *beatWorld) call(from string, to *simNode, c beatCall, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
-	b.world.call(from, to, evAskOf(c), waitMs, func(status int, retryMs int64, body []byte) { cb(statusOf(c, status, body), retryMs, body) })
+	b.world.call(from, to, eventOf(c), waitMs, func(status int, retryMs int64, body []byte) { cb(statusOf(c, status, body), retryMs, body) })
 }
 
 // ready is what the platform asks each edge daemon every second.
@@ -928,16 +928,16 @@
 	b.in = in
 	for i, host := range b.edges() {
 		n := b.nodes[host]
-		var ask func()
-		ask = func() {
+		var check func()
+		check = func() {
 			b.call("caller", n, beatCall{op: "ready"}, 1000, func(status int, _ int64, _ []byte) {
 				if in[host]++; status == 200 {
 					in[host] = 0
 				}
 			})
-			b.after(1_000_000, ask)
+			b.after(1_000_000, check)
 		}
-		b.after(int64(i)*90_000, ask)
+		b.after(int64(i)*90_000, check)
 	}
 }
 
--- a/accord/core.go
+++ b/accord/core.go
@@ -17,7 +17,8 @@
 	set     coreSet         // last chosen core set this disk knows
 	formed  coreSet         // the formation this disk voted for
 	refused map[uint64]bool // formations it voted against, or that it knows failed
-	guardMs int64           // no lease is granted before this time
+	guardMs int64           // before this time a lease is granted only where the last holder is surely over
+	startMs int64           // when this member began to hear clocks
 	grants  map[string]*grant
 	clocks  map[string]clockSeen // of all daemons that poll here; never stored
 	logged  int64                // bytes of entries since the last snapshot, about
@@ -69,6 +70,7 @@
 // starts waits one lease instead.
 type grant struct {
 	holder    string
+	addr      string
 	inc       uint64
 	epoch     uint64
 	untilMs   int64
@@ -413,15 +415,18 @@
 			*g = grant{holder: "", untilMs: n.now + leaseMs, epoch: g.epoch, successor: r.Successor}
 		}
 	}
+	addr := n.addrOf(from)
 	for _, d := range m.Holds {
 		g := st.grants[d.Name]
 		free := g == nil || g.untilMs <= n.now || g.holder == from && g.inc == inc ||
-			g.holder == "" && (g.successor == from || g.successor == "")
-		ok := free && n.now >= st.guardMs
+			g.holder == "" && (g.successor == from || g.successor == "") || n.over(g.holder, g.inc, g.addr)
+		last := st.lastHolder(d.Name)
+		ok := free && (n.now >= st.guardMs || last.Holder == "" || n.over(last.Holder, last.Inc, last.Addr))
 		if ok {
-			st.grants[d.Name] = &grant{holder: from, inc: inc, epoch: d.Epoch, untilMs: n.now + leaseMs}
+			st.grants[d.Name] = &grant{holder: from, inc: inc, addr: addr, epoch: d.Epoch, untilMs: n.now + leaseMs}
 		}
 		a.Granted = append(a.Granted, ok)
+		a.Epochs = append(a.Epochs, last.Epoch)
 	}
 	for _, name := range sorted(st.grants) {
 		g := st.grants[name]
@@ -436,12 +441,41 @@
 	n.keep(nil, n.sendEffect(from, a))
 }
 
+// lastHolder is who took a duty last, as far as this disk knows. Of any majority
+// one member at least knows the newest.
+func (s *store) lastHolder(name string) (v dutyView) {
+	if r := s.regs["duty/"+name]; r != nil {
+		_ = unpack(r.value, &v)
+	}
+	return v
+}
+
+// over tells whether a life of a daemon surely has ended: a later one is heard
+// from at the same address, where only one process at a time can listen.
+func (n *node) over(name string, inc uint64, addr string) bool {
+	if name == n.Name {
+		return inc < n.Inc && addr == n.Addr
+	}
+	s := n.siblings[name]
+	return s != nil && s.Inc > inc && s.Addr == addr && addr != ""
+}
+
+func (n *node) addrOf(name string) string {
+	if name == n.Name {
+		return n.Addr
+	}
+	if s := n.siblings[name]; s != nil {
+		return s.Addr
+	}
+	return ""
+}
+
 // fleetWall is the median of the wall clocks that this core member hears, its
 // own among them: a minority of wrong ones, core or not, has no say. Right after
 // a start it waits as long as leases do, so that it hears the others first; and
 // after a freeze until what waited here for long is replaced.
 func (n *node) fleetWall() int64 {
-	if n.now < n.store.guardMs || n.now-n.wokeMs < 2*pollMs {
+	if n.now-n.store.startMs < clockWaitMs || n.now-n.wokeMs < 2*pollMs {
 		return 0
 	}
 	var all []int64
@@ -536,7 +570,7 @@
 	}
 	if n.store.set.Version != 0 { // a restart: the disk knows the set
 		n.core = n.store.set
-		n.store.guardMs = n.now + leaseMs
+		n.store.guardMs, n.store.startMs = n.now+leaseMs, n.now
 		n.log("core_set", "version", n.core.Version, "members", memberNames(n.core))
 		return
 	}
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -41,7 +41,8 @@
 type duty struct {
 	name      string
 	epoch     uint64
-	untilMs   int64 // end of the lease
+	seen      uint64 // the newest epoch that those who granted the lease knew
+	untilMs   int64  // end of the lease
 	phase     int8
 	takenMs   int64 // when the lease was first had
 	wantMs    int64 // asked for since
@@ -91,7 +92,7 @@
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
-		if d.phase == dutyWanted && n.now >= n.poll.guardMs {
+		if d.phase == dutyWanted {
 			if d.rounds++; d.rounds > 2 {
 				n.letGo(d)
 			}
@@ -131,7 +132,7 @@
 	}
 	n.poll.heardMs[from] = n.now
 	r := n.poll.sent[m.Seq]
-	if r == nil || m.CoreVer != n.core.Version || r.acks[from] != nil || len(m.Granted) != len(r.holds) {
+	if r == nil || m.CoreVer != n.core.Version || r.acks[from] != nil || len(m.Granted) != len(r.holds) || len(m.Epochs) != len(r.holds) {
 		return
 	}
 	r.acks[from] = m
@@ -139,19 +140,20 @@
 	n.poll.slowMs[from] = m.DiskSlow
 	need := n.core.majority()
 	for i, h := range r.holds {
-		yes := 0
+		yes, seen := 0, uint64(0)
 		for _, a := range r.acks {
 			if a.Granted[i] {
 				yes++
+				seen = max(seen, a.Epochs[i])
 			}
 		}
 		if d := n.duties[h.Name]; d != nil && yes >= need && d.phase != dutyGoing {
 			d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
 			if d.phase == dutyWanted {
-				d.phase, d.takenMs = dutyCas, n.now
+				d.phase, d.takenMs, d.seen = dutyCas, n.now, seen
 				n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
 			}
-		} else if d != nil && d.phase == dutyWanted && len(r.acks) == len(n.core.Members) && n.now >= n.poll.guardMs {
+		} else if d != nil && d.phase == dutyWanted && len(r.acks) == len(n.core.Members) {
 			n.letGo(d)
 		}
 	}
@@ -215,7 +217,10 @@
 	if len(o.cur) > 0 && unpack(o.cur, &v) != nil {
 		return nil, false
 	}
-	return pack(nil, dutyView{Name: d.name, Holder: n.Name, Inc: n.Inc, Epoch: v.Epoch + 1}), true
+	if v.Epoch > d.seen && (v.Holder != n.Name || v.Inc != n.Inc) {
+		return nil, false // taken by another since our lease was granted, by members that have started anew
+	}
+	return pack(nil, dutyView{Name: d.name, Holder: n.Name, Inc: n.Inc, Addr: n.Addr, Epoch: v.Epoch + 1}), true
 }
 
 func (n *node) dutyTaken(o *casOp, how string) {
@@ -290,9 +295,19 @@
 		return n.siblings[s].Leaving
 	})
 	order := rendezvous(name, all)
+	if kindOfDuty(name) != "agent" { // small machines beside workers come last, then those without a disk
+		rank := func(s string) int {
+			me := n.self()
+			if s != n.Name {
+				me = n.siblings[s].sibling
+			}
+			return map[bool]int{true: 2}[me.Beside] + map[bool]int{true: 1}[!me.Disk]
+		}
+		slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
+	}
 	var home, away []string
 	for _, s := range order {
-		if n.siteOf(s) == site {
+		if n.siteOf(s) == site && (kindOfDuty(name) == "agent" || s != n.Name && !n.siblings[s].Beside || s == n.Name && !n.Beside) {
 			home = append(home, s)
 		} else {
 			away = append(away, s)
@@ -338,8 +353,8 @@
 			n.goHome(name, wanted[name])
 			continue
 		}
-		if _, ok := n.poll.free[name]; !ok || n.now < n.poll.guardMs {
-			n.poll.free[name] = max(n.now, n.poll.guardMs)
+		if _, ok := n.poll.free[name]; !ok {
+			n.poll.free[name] = n.now
 		}
 		site := wanted[name]
 		if name == "central" {
--- a/accord/fence_test.go
+++ b/accord/fence_test.go
@@ -59,11 +59,60 @@
 	must.True(t, poll("d09", 1))
 	n.now += leaseMs + 1
 	n.store.guardMs = n.now + leaseMs // as after a start
+	n.store.reg("duty/slice/some").value = pack(nil, dutyView{Name: "slice/some", Holder: "d07", Inc: 5, Addr: "10.0.0.7:7000", Epoch: 3})
 	must.False(t, poll("d09", 1))
 	n.now += leaseMs
 	must.True(t, poll("d09", 1))
 }
 
+// A lease need not be waited out where a later life of its holder is heard from
+// at the holder's own address: only one process can listen there. Under another
+// address the former may still run.
+func TestLeaseOfALifeThatIsOver(t *testing.T) {
+	n, say := coreMemberOf(t)
+	poll := func(from string, inc uint64) *pollAck {
+		return say(from, &pollMsg{Inc: inc, CoreVer: n.core.Version, Holds: []dutyAsk{{Name: "slice/some"}}}).(*pollAck)
+	}
+	heard := func(name string, inc uint64, addr string) {
+		n.siblings[name] = &siblingState{sibling: sibling{Name: name, Inc: inc, Addr: addr}, heardMs: n.now}
+	}
+	heard("d08", 1, "10.0.0.8:7000")
+	heard("d09", 1, "10.0.0.9:7000")
+	must.True(t, poll("d08", 1).Granted[0])
+	heard("d08", 2, "10.0.0.88:7000")
+	must.False(t, poll("d09", 1).Granted[0])
+	heard("d08", 2, "10.0.0.8:7000")
+	must.True(t, poll("d09", 1).Granted[0])
+
+	// After a start the grants are forgotten: what the register says of the last holder counts.
+	n.store.grants = map[string]*grant{}
+	n.store.guardMs = n.now + leaseMs
+	n.store.reg("duty/slice/some").value = pack(nil, dutyView{Name: "slice/some", Holder: "d07", Inc: 5, Addr: "10.0.0.7:7000", Epoch: 3})
+	must.False(t, poll("d09", 1).Granted[0])
+	heard("d07", 6, "10.0.0.77:7000")
+	must.False(t, poll("d09", 1).Granted[0])
+	heard("d07", 6, "10.0.0.7:7000")
+	a := poll("d09", 1)
+	must.True(t, a.Granted[0])
+	must.Eq(t, uint64(3), a.Epochs[0])
+}
+
+// Who took a duty after the lease was asked for goes first: a change of the epoch
+// that builds on an older one is lost.
+func TestDutyTakenMeanwhile(t *testing.T) {
+	n, _ := coreMemberOf(t)
+	n.duties["slice/some"] = &duty{name: "slice/some", seen: 3}
+	cur := func(holder string, inc, epoch uint64) []byte {
+		return pack(nil, dutyView{Name: "slice/some", Holder: holder, Inc: inc, Epoch: epoch})
+	}
+	_, ok := computeDuty(n, &casOp{arg: []byte("slice/some"), cur: cur("d07", 5, 3)})
+	must.True(t, ok)
+	_, ok = computeDuty(n, &casOp{arg: []byte("slice/some"), cur: cur("d09", 1, 4)})
+	must.False(t, ok)
+	_, ok = computeDuty(n, &casOp{arg: []byte("slice/some"), cur: cur(n.Name, n.Inc, 4)}) // an own earlier try
+	must.True(t, ok)
+}
+
 // A finished record that only a minority may hold is told to a new owner until
 // a majority is known to hold it, and the new owner writes it back: else a later
 // owner could meet the job alive again.
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -4,8 +4,9 @@
 // the reason for its size.
 const (
 	tickMs        = 100            // the reducer's heartbeat; every wait below is a multiple
-	pollMs        = 400            // lease renewals; six tries fit in one lease
-	leaseMs       = 2500           // long enough for six renewals, short enough for a 12 s recovery
+	pollMs        = 300            // lease renewals; five tries fit in one lease
+	leaseMs       = 1500           // long enough for five renewals, short enough that urgent work hardly misses its aim
+	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
 	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
 	contactMs     = 1500           // an order needs the owner's word this fresh; a cancel must bite in 3 s
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -38,6 +38,7 @@
 	DiskID  uint64
 	Empty   bool // has a disk with no cluster on it
 	Leaving bool
+	Beside  bool // stands beside a worker, and takes no duty of the fleet's
 }
 
 type gossipMsg struct {
@@ -91,6 +92,7 @@
 type dutyView struct {
 	Name, Holder string
 	Inc          uint64
+	Addr         string // of the holder: only one process at a time can listen there
 	Epoch        uint64
 	Successor    string // set when released
 }
@@ -99,6 +101,7 @@
 	Seq      uint64
 	CoreVer  int64
 	Granted  []bool
+	Epochs   []uint64 // of what was granted: the last epoch that this member knows
 	Duties   []dutyView
 	Setup    ballot
 	GuardMs  int64 // so long this member grants nothing yet
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -24,6 +24,7 @@
 	ThresholdMs   int64
 	KLowest       int
 	TargetSigma   float64
+	Beside        bool // it stands beside a worker: no duty of the fleet's
 	CoreSize      int  // disks that hold the state; 0 for coreSize
 	FirstStart    bool // the whole fleet starts for the first time: empty disks may form a core
 	HoldMostMs    int64
--- a/accord/settings.go
+++ b/accord/settings.go
@@ -31,6 +31,7 @@
 
 	CoreSize     int64
 	FirstStart   bool
+	Beside       bool
 	HoldMostMs   int64
 	GangWaitMs   int64
 	SaveMs       int64
@@ -46,7 +47,7 @@
 	"seeds": {Kind: "list", Min: 1, Max: 16, Elem: &fieldSpec{Kind: "text", Min: 1, Max: 100}},
 	"data":  {Kind: "text", Max: 4096}, "keep_hours": {Kind: "count", Min: 1, Max: 24 * 366},
 	"threshold_ms": {Kind: "count", Min: -1, Max: msPerHour},
-	"k_lowest":     {Kind: "count", Min: 0, Max: 10_000}, "target_sigma": {Kind: "number"}, "log_level": {Kind: "name"},
+	"k_lowest":     {Kind: "count", Min: 0, Max: 10_000}, "target_sigma": {Kind: "number"}, "log_level": {Kind: "name"}, "beside": {Kind: "flag"},
 	"core_size": {Kind: "count", Min: 1, Max: 99}, "first_start": {Kind: "flag"},
 	"hold_most_ms": {Kind: "count", Min: 1, Max: msPerHour}, "gang_wait_ms": {Kind: "count", Min: 1, Max: msPerHour},
 	"save_ms": {Kind: "count", Min: 1, Max: msPerHour}, "restore_ms": {Kind: "count", Min: 0, Max: msPerHour}, "spread_factor": {Kind: "number"},
@@ -78,6 +79,7 @@
 
 	"core_size":     func(s *settings, v gjson.Result) { s.CoreSize = v.Int() },
 	"first_start":   func(s *settings, v gjson.Result) { s.FirstStart = v.Bool() },
+	"beside":        func(s *settings, v gjson.Result) { s.Beside = v.Bool() },
 	"hold_most_ms":  func(s *settings, v gjson.Result) { s.HoldMostMs = v.Int() },
 	"gang_wait_ms":  func(s *settings, v gjson.Result) { s.GangWaitMs = v.Int() },
 	"save_ms":       func(s *settings, v gjson.Result) { s.SaveMs = v.Int() },
@@ -90,6 +92,7 @@
 	file, name, addr, http, site, seeds, data, level string
 	keep, threshold, k                               int64
 	sigma                                            float64
+	beside                                           bool
 	core, hold, gang, save, restore                  int64
 	first                                            bool
 	spread                                           float64
@@ -111,6 +114,7 @@
 	fs.Float64Var(&f.sigma, "target-sigma", d.TargetSigma, "the delay target is the mean rank plus this many deviations")
 	fs.Int64Var(&f.core, "core-size", d.CoreSize, "disks that hold the state; an even number counts as the odd one below")
 	fs.BoolVar(&f.first, "first-start", d.FirstStart, "the whole fleet starts for the first time: empty disks may form a core")
+	fs.BoolVar(&f.beside, "beside", false, "this machine stands beside a worker: it takes no duty of the fleet's")
 	fs.Int64Var(&f.hold, "hold-most-ms", d.HoldMostMs, "the longest a worker holds its runs after one answer to its beat")
 	fs.Int64Var(&f.gang, "gang-wait-ms", d.GangWaitMs, "how long a member of a gang waits for the others")
 	fs.Int64Var(&f.save, "save-ms", d.SaveMs, "a run that saves does so after this much work")
@@ -146,6 +150,7 @@
 		"seeds": func() { s.Seeds = strings.Split(f.seeds, ",") }, "data": func() { s.Data = f.data }, "log-level": func() { s.LogLevel = f.level },
 		"keep-hours": func() { s.KeepHours = f.keep }, "threshold-ms": func() { s.ThresholdMs = f.threshold }, "k-lowest": func() { s.KLowest = f.k },
 		"target-sigma": func() { s.TargetSigma = f.sigma }, "core-size": func() { s.CoreSize = f.core }, "first-start": func() { s.FirstStart = f.first },
+		"beside":       func() { s.Beside = f.beside },
 		"hold-most-ms": func() { s.HoldMostMs = f.hold }, "gang-wait-ms": func() { s.GangWaitMs = f.gang }, "save-ms": func() { s.SaveMs = f.save },
 		"restore-ms": func() { s.RestoreMs = f.restore }, "spread-factor": func() { s.SpreadFactor = f.spread },
 	}
@@ -172,6 +177,7 @@
 	s.Name, s.Addr, s.HTTP, s.Site, s.Data, s.Seeds = p.Name, p.Addr, p.HTTP, p.Site, p.Data, p.Seeds
 	s.FirstStart, s.MemoryMb = p.FirstStart, p.MemoryMb
 	s.CoreSize = orElse(int64(p.CoreSize), s.CoreSize)
+	s.Beside = p.Beside
 	s.HoldMostMs, s.GangWaitMs = orElse(p.HoldMostMs, s.HoldMostMs), orElse(p.GangWaitMs, s.GangWaitMs)
 	s.SaveMs, s.RestoreMs = orElse(p.SaveMs, s.SaveMs), orElse(p.RestoreMs, s.RestoreMs)
 	if p.SpreadFactor > 0 {
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -3,7 +3,7 @@
 import "slices"
 
 func (n *node) self() sibling {
-	s := sibling{Name: n.Name, Inc: n.Inc, Beat: n.beat, Addr: n.Addr, HTTP: n.HTTP, Site: n.Site, Disk: n.Disk && n.diskFailed == "", Leaving: n.leaving != 0}
+	s := sibling{Name: n.Name, Inc: n.Inc, Beat: n.beat, Addr: n.Addr, HTTP: n.HTTP, Site: n.Site, Disk: n.Disk && n.diskFailed == "", Leaving: n.leaving != 0, Beside: n.Beside}
 	if n.store != nil {
 		s.DiskID, s.Empty = n.DiskID, n.store.cluster == 0 && n.FirstStart
 	}
@@ -177,7 +177,7 @@
 		formed := c.Version == 1 && n.store.set.Version == 0
 		n.store.learnSet(n, c)
 		if !was && n.inCore() && !formed {
-			n.store.guardMs = n.now + leaseMs
+			n.store.guardMs, n.store.startMs = n.now+leaseMs, n.now
 		}
 	}
 }
--- a/guards.sh
+++ b/guards.sh
@@ -17,18 +17,18 @@
 unknown is not ended|agents.go|"unknown": func(n *node, _ *agent, h *held) { n.count("orders_unsettled") },|"unknown": func(n *node, _ *agent, h *held) { h.state, h.result = heldEnded, resultBounced },
 placement is durable first|slices.go|if t.SetVer <= js.committed && rt.sentMs == 0|if rt.sentMs == 0
 end is durable before it is acknowledged|slices.go|if t.SetVer > js.committed {\n\t\t\treturn 0\n\t\t}\n\t\tif h.Result == resultOK|if h.Result == resultOK
-steps in order|slices.go|if !ready[t.Step] \|\| |if 
+steps in order|slices.go|if !ready[js.stepAt(t)] \|\| |if 
 a median of all clocks|core.go|return all[(len(all)-1)/2] + n.now|return n.wall
-due time|slices.go|(js.DueMs == 0 \|\| wall >= js.DueMs+dueMarginMs)|true
-group at the agent|agents.go|if q == nil \|\| lack \|\| !q.matches(ag.labels, ag.site) {|if q == nil \|\| false && lack {
+due time|slices.go|due != 0 && wall < due+dueMarginMs|false
+group at the agent|agents.go|if q == nil \|\| lack \|\| !q.matches(ag.labels, ag.site) \|\| |if q == nil \|\| false && lack \|\| 
 allowed failures|slices.go|case t.Failures >= t.allowedRuns():|case t.Failures > t.allowedRuns():
 cancel reaches the agent|slices.go|if js.State != jobRunning {\n\t\treturn verdictDrop|if false {\n\t\treturn verdictDrop
 leaving and emptied|agents.go|if ag.leaving \|\| n.setup.cur.Empty[ag.site] {|if false {
 acknowledged only when durable|slices.go|if w.version > js.committed {|if false {
 register needs a majority|siblings.go|return len(c.Members)/2 + 1|return 1
 old epochs are fenced|core.go|if m.Epoch != x.sealed {|if false {
-leases exclude|core.go|ok := free && n.now >= st.guardMs|ok := free \|\| true
-a started member waits a lease|core.go|ok := free && n.now >= st.guardMs|ok := free
+leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
+a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
 copied before joining|core.go|if len(j.done) < n.core.majority() {|if false {
 copied from a majority|core.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
