--- a/guards.sh
+++ b/guards.sh
@@ -21,8 +21,8 @@
 a median of all clocks|core.go|return all[(len(all)-1)/2] + n.now|return n.wall
 due time|slices.go|due != 0 && wall < due+dueMarginMs|false
 group at the agent|agents.go|if q == nil \|\| lack \|\| !q.matches(ag.labels, ag.site) \|\| |if q == nil \|\| false && lack \|\| 
-allowed failures|slices.go|case t.Failures >= t.allowedRuns():|case t.Failures > t.allowedRuns():
-cancel reaches the agent|slices.go|if js.State != jobRunning {\n\t\treturn verdictDrop|if false {\n\t\treturn verdictDrop
+allowed failures|slices.go|case t.Failures >= t.allowedRuns() && !st.Lasting:|case t.Failures > t.allowedRuns() && !st.Lasting:
+cancel reaches the agent|slices.go|if js.State != jobRunning \|\| js.Steps[t.Step].Gang|if js.Steps[t.Step].Gang
 leaving and emptied|agents.go|if ag.leaving \|\| n.setup.cur.Empty[ag.site] {|if false {
 acknowledged only when durable|slices.go|if w.version > js.committed {|if false {
 register needs a majority|siblings.go|return len(c.Members)/2 + 1|return 1
