A late end of a round that is over is not said to have counted

Change: of a round that is over nobody knows which runs counted, so such an end waits for the lapse like any other.

--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1507,11 +1507,8 @@
 	if js == nil {
 		return over()
 	}
-	i, past, ok := js.position(h.Key.Task)
-	if !ok {
-		if past && h.State == heldEnded {
-			return verdictCounted // its round ended well, and the runs that counted were taken note of
-		}
+	i, _, ok := js.position(h.Key.Task)
+	if !ok { // no such task, or its round is over: nobody knows any more which of its runs counted
 		return over()
 	}
 	t, rt := &js.Tasks[i], &js.run[i]
