--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -919,7 +919,7 @@
 }
 
 func (b *beatWorld) call(from string, to *simNode, c beatCall, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
-	b.askAs(from, to, evAskOf(c), waitMs, func(status int, retryMs int64, body []byte) { cb(statusOf(c, status, body), retryMs, body) })
+	b.world.call(from, to, evAskOf(c), waitMs, func(status int, retryMs int64, body []byte) { cb(statusOf(c, status, body), retryMs, body) })
 }
 
 // ready is what the platform asks each edge daemon every second.
