Urgency before class at an agent; waiting tasks are called back; replaced workers settled

Ruled out: accepting (10 ms) and placing (60 ms). Conclusion: what is left is waste of gangs and preempted runs, and windows of closing faults.

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -41,6 +41,7 @@
 	verdictDrop
 	verdictAcked   // nothing more is wanted of it
 	verdictCounted // the same, and it is the run that stands for its task
+	verdictRecall  // to be given back if it has not started: there is room elsewhere
 )
 
 // agent is the only giver of one worker's orders and the guard of its room.
@@ -416,6 +417,7 @@
 	}
 	ag.owners[m.Slice] = m.SliceEpoch
 	ag.heardOwner(m.Slice, m.SentMs)
+	recalled := false
 	for _, s := range m.Specs {
 		if h := ag.held[s.Key]; h != nil && h.unknown {
 			h.spec, h.unknown = s, false
@@ -429,6 +431,13 @@
 		switch v.Verdict {
 		case verdictKeep:
 			h.confirmedMs = max(h.confirmedMs, m.SentMs)
+		case verdictRecall:
+			if h.state == heldQueued {
+				h.state, h.result, recalled = heldEnded, resultShed, true
+				n.count("recalls")
+			} else {
+				h.confirmedMs = max(h.confirmedMs, m.SentMs)
+			}
 		case verdictDrop:
 			if h.state == heldQueued {
 				h.state, h.result = heldEnded, resultCancelled
@@ -448,6 +457,9 @@
 			}
 		}
 	}
+	if recalled {
+		n.syncAgent(ag)
+	}
 	n.pump(ag)
 }
 
@@ -474,9 +486,10 @@
 	return n.holds("agent/" + ag.worker)
 }
 
-// pump starts what may start now. Firm tasks come first: for them queueable
-// runs are stopped, and they start once those ends are listed. Then queued
-// ones by their queue's urgency and the age of their job. A pinned agent's
+// pump starts what may start now, by the queue's urgency, then firm tasks before
+// queueable ones, then by the age of the job. For firm tasks queueable runs of
+// queues no more urgent are stopped, and they start once those ends are listed; short
+// runs of more urgent queues are left to end. A pinned agent's
 // orders leave in the answer to a beat only.
 func (n *node) pump(ag *agent) {
 	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || ag.lapseTill != 0) {
@@ -557,7 +570,7 @@
 	}
 	urgency := func(h *held) int64 { return n.setup.cur.urgencyOf(h.spec.Queue) }
 	slices.SortStableFunc(out, func(a, b *held) int {
-		return cmp.Or(cmp.Compare(a.spec.Class, b.spec.Class), cmp.Compare(urgency(b), urgency(a)), cmp.Compare(a.spec.SubmitMs, b.spec.SubmitMs))
+		return cmp.Or(cmp.Compare(urgency(b), urgency(a)), cmp.Compare(a.spec.Class, b.spec.Class), cmp.Compare(a.spec.SubmitMs, b.spec.SubmitMs))
 	})
 	return out
 }
@@ -577,7 +590,7 @@
 			room = room.minus(h.spec.Room)
 			continue
 		}
-		if wants.spec.Class == classGuaranteed || urgency(h) < urgency(wants) {
+		if urgency(h) < urgency(wants) || wants.spec.Class == classGuaranteed && urgency(h) == urgency(wants) {
 			runs = append(runs, h)
 		}
 	}
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -374,7 +374,8 @@
 			ag.suspects = max(0, ag.suspects-1)
 		}
 	}
-	if changed || n.now >= ag.syncAt {
+	waits := slices.ContainsFunc(ag.keys(), func(k attemptKey) bool { h := ag.held[k]; return h.state == heldQueued && n.now-h.queuedMs > recallMs })
+	if changed || n.now >= ag.syncAt || waits && n.now >= ag.syncAt-syncMs/2 {
 		n.syncAgent(ag)
 	}
 	if over := ag.replaced || ag.goneAt != 0; over && n.now-ag.heardMs > workerKeepMs || over && !slices.ContainsFunc(ag.keys(), func(k attemptKey) bool { return !ag.held[k].acked }) && n.now-ag.heardMs > contactMs {
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -53,6 +53,7 @@
 	Class      int8
 	Attempt    int32
 	Worker     string
+	Agent      string // the daemon that tends the worker
 	AgentEpoch uint64
 	Failures   int32
 	Preempts   int32
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -123,6 +123,7 @@
 	staleStopMs   = 900    // before that it stops the run, in time for the stop to be listed
 	lapseMarginMs = 300    // past the longest a hold may last, for what clocks and messages differ by
 	driftPercent  = 2      // a worker's clock may run this much slow
+	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
 	urgentWaitMs  = 150    // a queueable task of a more urgent queue waits this long before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1202,7 +1202,7 @@
 func (n *node) placeTask(sl *slice, js *jobState, i int, worker string, class int8) {
 	t := &js.Tasks[i]
 	n.touch(sl, js)
-	t.State, t.Class, t.Worker, t.AgentEpoch, t.SetVer = taskPlaced, class, worker, n.workers[worker].epoch, js.Version
+	t.State, t.Class, t.Worker, t.Agent, t.AgentEpoch, t.SetVer = taskPlaced, class, worker, n.workers[worker].agent, n.workers[worker].epoch, js.Version
 	t.Attempt++
 	sl.note(js, i)
 	n.workers[worker].queued++ // until its agent's next word
@@ -1492,6 +1492,7 @@
 			n.sendPlace(sl, js, i)
 		}
 	}
+	n.loseReplaced(sl, m)
 	n.send(from, ack)
 }
 
@@ -1552,5 +1553,51 @@
 	if t.SetVer > js.committed {
 		return 0
 	}
+	if m.Pinned && h.State == heldQueued && h.Class == classQueueable && n.now-rt.sentMs > recallMs && n.roomElsewhere(sl, js, i) {
+		return verdictRecall
+	}
 	return verdictKeep
 }
+
+// roomElsewhere tells whether another worker than its own could start a waiting
+// task at once.
+func (n *node) roomElsewhere(sl *slice, js *jobState, i int) bool {
+	t := &js.Tasks[i]
+	q := n.setup.cur.Queues[js.Queue]
+	if q == nil || js.Steps[t.Step].PerWorker > 0 {
+		return false
+	}
+	for name, w := range n.workers {
+		if name != t.Worker && !w.suspect && n.ranks.unsound[name] == 0 && n.allowed(w, q, t.Needs, t.Room) && t.Room.fits(n.freeAt(sl, name, w)) {
+			return true
+		}
+	}
+	return false
+}
+
+// loseReplaced settles what stood at workers whose place another worker has taken
+// since: its beats come from the same machine, to a later life of the same agent.
+func (n *node) loseReplaced(sl *slice, m *syncMsg) {
+	if !m.Pinned || !m.Rebuilt {
+		return
+	}
+	for _, worker := range sorted(sl.placed) {
+		if worker == m.Worker {
+			continue
+		}
+		for _, at := range sl.placedOn(worker) {
+			js := sl.jobs[at.job]
+			if js == nil {
+				continue
+			}
+			i, _, ok := js.position(at.task)
+			if !ok || js.Tasks[i].State != taskPlaced || js.Tasks[i].Agent != m.Agent || js.Tasks[i].AgentEpoch >= m.Epoch {
+				break
+			}
+			if js.Tasks[i].SetVer <= js.committed {
+				n.count("replaced_settled")
+				n.settle(sl, js, i, resultLost, 0)
+			}
+		}
+	}
+}
