A late end counts by its owner's word; setups are changed by core members; quick reconnection

A configuration through an edge with 2 Mbit/s had no acknowledgement in 5 s: that edge ran the change itself, with the document to and from each member. Daemons outside the core hand changes of the setup to a member. Dialling gives up after 350 ms.

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -40,7 +40,7 @@
 	verdictKeep int8 = iota + 1
 	verdictDrop
 	verdictAcked   // nothing more is wanted of it
-	verdictCounted // the same, and it is the run that stands for its task
+	verdictCounted // the same, and no other run took its place since its worker was silent
 	verdictRecall  // to be given back if it has not started: there is room elsewhere
 )
 
@@ -88,6 +88,7 @@
 	suspectMs int64            // until then it is suspect
 	suspects  int64            // how often it was, lately
 	adoptedMs int64
+	lapses    int64
 }
 
 type held struct {
@@ -416,7 +417,7 @@
 		return
 	}
 	ag.owners[m.Slice] = m.SliceEpoch
-	ag.heardOwner(m.Slice, m.SentMs)
+	ag.heardOwner(m.Slice, m.SentMs, n.now)
 	recalled := false
 	for _, s := range m.Specs {
 		if h := ag.held[s.Key]; h != nil && h.unknown {
@@ -447,7 +448,8 @@
 		case verdictAcked, verdictCounted:
 			if h.state == heldEnded && !h.acked {
 				if h.late && v.Verdict != verdictCounted {
-					ag.lapse(n.now)
+					ag.lapse()
+					n.log("hold_lapses", "worker", ag.worker, "attempt", v.Key.String())
 					continue
 				}
 				h.acked = true
--- a/accord/asks.go
+++ b/accord/asks.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// mapSetups are the calls of operators, who turn to another daemon after a second.
+var mapSetups = map[string]bool{"setup.put": true, "site.empty": true, "site.open": true}
+
 // budget bounds what this daemon does beyond the first try, for all asks
 // together: under a crowd that sends again and again the fleet's own work must
 // not grow with what it gives up on.
@@ -73,7 +76,7 @@
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: m.Body, queue: m.Queue, expect: -1})
+	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: m.Body, queue: m.Queue, expect: m.Expect})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -131,9 +134,13 @@
 		n.count("asks_again")
 	}
 	n.askSeq++
-	n.asks[n.askSeq] = &pendingAsk{ask: a, to: to, limitMs: n.now + handOverMs}
+	limitMs := n.now + handOverMs
+	if mapSetups[a.op] {
+		limitMs = n.now + setupHandMs
+	}
+	n.asks[n.askSeq] = &pendingAsk{ask: a, to: to, limitMs: limitMs}
 	n.count("asks_handed_over")
-	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: a.body, Queue: a.queue})
+	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: a.body, Queue: a.queue, Expect: a.expect})
 }
 
 func (n *node) onAnswer(from string, m *answerMsg) {
@@ -305,10 +312,33 @@
 		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": n.setup.doc.Version}))
 		return
 	}
+	if n.handToCore(a) {
+		return
+	}
 	o := n.startCas("setup", "setup", a.body, base)
 	o.want, o.ask = version, a
 }
 
+// handToCore passes a change of the setup on to a core member that answers
+// polls, the own site's first: a machine without a disk may have a thin line,
+// and a change takes the whole document to and from each member.
+func (n *node) handToCore(a *ask) bool {
+	if n.inCore() || a.hop > 0 {
+		return false
+	}
+	best := ""
+	for _, m := range memberNames(n.core) {
+		if n.live(m) && n.now-n.poll.heardMs[m] < 2*pollMs && (best == "" || n.siteOf(m) == n.Site && n.siteOf(best) != n.Site) {
+			best = m
+		}
+	}
+	if best == "" {
+		return false
+	}
+	n.handOver(a, best)
+	return true
+}
+
 // setSite empties a site or opens it again, beside the document.
 func (n *node) setSite(a *ask) {
 	if !nameOK(a.key) {
@@ -319,7 +349,9 @@
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
-	n.startCas("setup", strings.TrimPrefix(a.op, "site."), []byte(a.key), 0).ask = a
+	if !n.handToCore(a) {
+		n.startCas("setup", strings.TrimPrefix(a.op, "site."), []byte(a.key), 0).ask = a
+	}
 }
 
 // addressOps are what calls at a queue's address ask of a job's owner.
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -190,7 +190,8 @@
 		}
 		h := ag.held[key]
 		if h == nil {
-			h = &held{state: heldOrdered, unknown: true, ordered: true, startedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
+			// It ended before this agent knew of it: its owner may have given it up.
+			h = &held{state: heldOrdered, unknown: true, ordered: true, startedMs: n.now, adoptedMs: n.now, late: true, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
 			ag.held[key] = h
 		}
 		if saved := e.Get("saved").Str; saved != "" {
@@ -287,11 +288,14 @@
 // heardOwner notes that an owner answered a sync. Where it was silent for longer
 // than its word is good, it may have given up what runs here, and what ended
 // well meanwhile counts only if it says so.
-func (ag *agent) heardOwner(slice string, sentMs int64) {
+//
+// What counts is when the answer came: a sync that a cut held up was sent in
+// time and heard too late.
+func (ag *agent) heardOwner(slice string, sentMs, now int64) {
 	if !ag.pinned {
 		return
 	}
-	if before, ok := ag.ownerMs[slice]; ok && sentMs-before > ownerSpanMs {
+	if before, ok := ag.ownerMs[slice]; ok && now-before > ownerSpanMs {
 		for _, h := range ag.held {
 			if h.spec.Slice == slice && h.state == heldEnded && h.result == resultOK && !h.acked {
 				h.late = true
@@ -303,9 +307,10 @@
 
 // lapse lets the worker's hold run out: an end that another run took the place
 // of may be taken note of only after that.
-func (ag *agent) lapse(now int64) {
+func (ag *agent) lapse() {
 	if ag.lapseTill == 0 {
 		ag.lapseTill = ag.holdUntil + lapseMarginMs
+		ag.lapses++
 	}
 }
 
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -141,6 +141,12 @@
 	Opened   int32 // rounds opened so far; Tasks holds those from Begun on
 	Steps    []step
 	Tasks    []task
+	GaveUp   []gaveUp // runs whose worker was silent for too long: an end of theirs that comes later doesn't count
+}
+
+type gaveUp struct {
+	Task    int64
+	Attempt int32
 }
 
 // Tasks of jobs with steps of alike tasks are named by their place, so that a
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -24,6 +24,7 @@
 	wantMs        = 1000           // owners repeat their asks for firm places
 	wantStaleMs   = 3000           // the central scheduler drops asks not repeated
 	grantMs       = 2500           // a grant not seen at the agent by then frees its room
+	setupHandMs   = 2400           // the same for a change of the setup, which a core member tries for casMs
 	handOverMs    = 1200           // an ask handed over without an answer is given up on
 	readMs        = 500            // a state read from the core that takes longer is given up on
 	casMs         = 2500           // a register change that has not ended by then is given up on
@@ -95,7 +96,7 @@
 	segmentBytes  = 8 << 20   // a segment is closed at this size
 	keepHoursDef  = 24        // hours a finished job is kept; callers check states within a day
 
-	dialMs       = 1000      // a sibling in reach answers in milliseconds
+	dialMs       = 350       // a sibling in reach answers in milliseconds; one that a cut hid must be found soon after it
 	unackedMs    = 1500      // a line whose bytes nobody acknowledges for so long is given up
 	aliveMs      = 1000      // a quiet line is probed at this pace; after two lost probes it is given up. Go rounds up to seconds
 	frameOldMs   = 1000      // frames that waited longer are not sent: what matters was sent again
@@ -119,7 +120,7 @@
 // Of agents beside their workers, of gangs and of firm room.
 const (
 	holdSpanMs    = 4000   // a beat's answer holds its worker this long; a daemon that is killed is back before
-	ownerSpanMs   = 6000   // an agent keeps a run without its owner's word this long: longer than a takeover or a short cut
+	ownerSpanMs   = 7000   // an agent keeps a run without its owner's word this long: longer than a takeover or a short cut
 	staleStopMs   = 900    // before that it stops the run, in time for the stop to be listed
 	lapseMarginMs = 300    // past the longest a hold may last, for what clocks and messages differ by
 	driftPercent  = 2      // a worker's clock may run this much slow
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -205,6 +205,7 @@
 	Key    string
 	Body   []byte
 	Queue  string // the queue whose address the caller used; "" when it used none
+	Expect int64  // the version that a setup builds on
 }
 
 type answerMsg struct {
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -32,6 +32,8 @@
 	lag      map[string]map[string]bool // member -> records it has not acknowledged
 	fetches  map[uint64]*fetchOp
 	entering map[string]*fetchOp
+	lateMs   map[string]int64 // when the record of a job was last read for a late end
+	absent   map[string]bool  // jobs that late ends speak of and the core doesn't know any more
 	liveBy   map[string]int
 	bytes    int                            // of all live jobs' records
 	placed   map[string]map[placedAt]amount // worker -> tasks placed there, and their room
@@ -163,7 +165,7 @@
 	name := strings.TrimPrefix(d.name, "slice/")
 	n.owned[name] = &slice{name: name, epoch: d.epoch, startMs: n.now, sealed: map[string]map[string]record{}, doubts: map[string]map[string]bool{},
 		doubtOp: map[uint64]string{}, best: map[string]record{}, jobs: map[string]*jobState{}, finished: map[string]*job{}, dirty: map[string]bool{}, loading: map[string]bool{},
-		writes: map[uint64]*writeBatch{}, lag: map[string]map[string]bool{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}}
+		writes: map[uint64]*writeBatch{}, lag: map[string]map[string]bool{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, absent: map[string]bool{}, lateMs: map[string]int64{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}}
 	n.sendSeals(n.owned[name])
 }
 
@@ -513,6 +515,16 @@
 		n.enterJob(sl, f)
 		return
 	}
+	if len(f.asks) == 0 && sl.jobs[f.id] == nil { // read for the sake of a late end
+		if old == nil {
+			sl.absent[f.id] = true
+		} else if sl.finished[f.id] == nil {
+			old.Version = n.now
+			sl.finished[f.id] = old
+			sl.order = append(sl.order, f.id)
+		}
+		return
+	}
 	for _, a := range f.asks {
 		switch {
 		case sl.jobs[f.id] != nil:
@@ -975,6 +987,7 @@
 	}
 	if (w != nil || n.allPinned()) && t.SetVer <= js.committed && n.now-heardMs > ownerSpanMs*(100+driftPercent)/100+lapseMarginMs && n.now-n.wokeMs > frozenMs {
 		n.count("lapses_settled")
+		js.GaveUp = append(js.GaveUp, gaveUp{js.taskID(i), t.Attempt})
 		n.settle(sl, js, i, resultLost, 0)
 		return
 	}
@@ -1505,11 +1518,17 @@
 		}
 		return verdictDrop
 	}
+	if js == nil && h.State == heldEnded && h.Late {
+		return n.judgeLate(sl, h.Key)
+	}
 	if js == nil {
 		return over()
 	}
 	i, _, ok := js.position(h.Key.Task)
-	if !ok { // no such task, or its round is over: nobody knows any more which of its runs counted
+	if !ok && h.State == heldEnded && !js.gaveUpOn(h.Key) {
+		return verdictCounted
+	}
+	if !ok { // no such task, or its round is over
 		return over()
 	}
 	t, rt := &js.Tasks[i], &js.run[i]
@@ -1528,10 +1547,10 @@
 		if t.SetVer > js.committed {
 			return 0
 		}
-		if h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskEnded {
-			return verdictCounted
+		if js.gaveUpOn(h.Key) {
+			return verdictAcked
 		}
-		return verdictAcked
+		return verdictCounted
 	}
 	if h.State == heldRunning && rt.runMs == 0 {
 		rt.runMs = n.now
@@ -1559,6 +1578,26 @@
 	return verdictKeep
 }
 
+// gaveUpOn tells whether a run was given up since its worker was silent.
+func (j *job) gaveUpOn(k attemptKey) bool {
+	return slices.Contains(j.GaveUp, gaveUp{k.Task, k.Attempt})
+}
+
+// judgeLate says of a late end of a job that is over whether another run took
+// its place: the job's record tells, which is read first where it isn't at hand.
+func (n *node) judgeLate(sl *slice, k attemptKey) int8 {
+	switch j := sl.finished[k.Job]; {
+	case j != nil && j.gaveUpOn(k):
+		return verdictAcked
+	case j != nil || sl.absent[k.Job]:
+		return verdictCounted
+	case n.now-sl.lateMs[k.Job] > handOverMs && len(sl.fetches) < grantNow:
+		sl.lateMs[k.Job] = n.now
+		n.fetchRecord(sl, &fetchOp{id: k.Job})
+	}
+	return 0
+}
+
 // roomElsewhere tells whether another worker than its own could start a waiting
 // task at once.
 func (n *node) roomElsewhere(sl *slice, js *jobState, i int) bool {
--- a/guards.sh
+++ b/guards.sh
@@ -16,7 +16,7 @@
 lost only once rebuilt|slices.go|case m.Epoch > t.AgentEpoch && m.Rebuilt:|case m.Epoch > t.AgentEpoch:
 unknown is not ended|agents.go|"unknown": func(n *node, _ *agent, h *held) { n.count("orders_unsettled") },|"unknown": func(n *node, _ *agent, h *held) { h.state, h.result = heldEnded, resultBounced },
 placement is durable first|slices.go|if t.SetVer <= js.committed && rt.sentMs == 0|if rt.sentMs == 0
-end is durable before it is acknowledged|slices.go|if t.SetVer > js.committed {\n\t\t\treturn 0\n\t\t}\n\t\tif h.Result == resultOK|if h.Result == resultOK
+end is durable before it is acknowledged|slices.go|if t.SetVer > js.committed {\n\t\t\treturn 0\n\t\t}\n\t\tif js.gaveUpOn|if js.gaveUpOn
 steps in order|slices.go|if !ready[js.stepAt(t)] \|\| |if 
 a median of all clocks|core.go|return all[(len(all)-1)/2] + n.now|return n.wall
 due time|slices.go|due != 0 && wall < due+dueMarginMs|false
