Ends that were given up are taken note of only after a lapse, also by an agent that was restarted

Cause: an agent that was cut off for longer than its owners wait, and was killed soon after, was a new one that took its worker's listed ends for fresh: a good end whose task had been done again was taken note of without a lapse in between (TWICE), and so was a failure that nobody had counted (BUDGET). A failure was never held back at all. Change: an end found by a new agent, good or failed, waits until its owner says that it counted; the owner knows that of finished jobs too as long as it has them, and of the last failure counted. A failure of a run given up counts if nothing was started since. Ends told of before a lapse that the worker itself lists go at once. Such an end no longer has the hold run out at once, which killed all that ran there: it waits until a hundred others stand behind it. Where a worker lists as many ends as it can, what it doesn't list isn't lost.

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -110,7 +110,8 @@
 	orderSeq  int64 // the beat whose answer carried the order
 	percent   int64
 	movedMs   int64 // when its work last moved
-	late      bool  // ended well, and its owner may have given it up meanwhile
+	late      bool  // ended by itself, and its owner may have given it up meanwhile
+	void      bool  // ended, and the hold has lapsed since
 	adoptedMs int64
 }
 
@@ -438,8 +439,7 @@
 		case verdictAcked, verdictCounted:
 			if h.state == heldEnded && !h.acked {
 				if h.late && v.Verdict != verdictCounted {
-					ag.lapse(n.now)
-					continue
+					continue // another run may have taken its place
 				}
 				h.acked = true
 				if !h.ordered || h.result == resultLost || h.result == resultBounced {
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -13,6 +13,10 @@
 
 var beatOutcomes = map[string]bool{"ok": true, "failed": true, "stopped": true, "lapsed": true, "broken": true, "alone": true, "turned_away": true}
 
+// standing are the outcomes that a task's record stands on: they must not be
+// taken note of where another run took their place.
+var standing = map[string]bool{"ok": true, "failed": true}
+
 var placeFields = map[string]fieldSpec{
 	"job": {Kind: "text", Required: true, Min: 1, Max: 300}, "round": {Kind: "any", Required: true}, "step": {Kind: "count"}, "index": {Kind: "count"},
 	"run": {Kind: "count"}, "saved": {Kind: "text", Max: 1 << 16}, "percent": {Kind: "number"}, "n": {Kind: "count"}, "outcome": {Kind: "name"},
@@ -173,14 +177,18 @@
 		}
 		return true
 	})
-	first := int64(0)
+	first, lapsed, count := int64(0), int64(0), 0
 	r.Get("ended").ForEach(func(_, e gjson.Result) bool {
-		number := e.Get("n").Int()
+		number, outcome := e.Get("n").Int(), e.Get("outcome").Str
+		count++
 		if first == 0 || number < first {
 			first = number
 		}
+		if outcome == "lapsed" { // what ended before it ended before that lapse
+			lapsed = max(lapsed, number)
+		}
 		key, ok := runOf(e)
-		if !ok || !beatOutcomes[e.Get("outcome").Str] {
+		if !ok || !beatOutcomes[outcome] {
 			ag.ends[number] = attemptKey{}
 			return true
 		}
@@ -189,21 +197,27 @@
 			return true
 		}
 		h := ag.held[key]
-		if h == nil {
+		if h == nil { // of a former agent, that may have been cut off for long
 			h = &held{state: heldOrdered, unknown: true, ordered: true, startedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
+			h.late = standing[outcome]
 			ag.held[key] = h
 		}
 		if saved := e.Get("saved").Str; saved != "" {
 			h.spec.Saved = saved
 		}
-		if lost := h.state == heldEnded && h.result == resultLost && !h.acked && e.Get("outcome").Str == "ok"; h.state != heldEnded || lost {
-			// A run given up as lost that ended well after all: its owner says whether it still counts.
-			h.late = h.late || lost
+		if lost := h.state == heldEnded && h.result == resultLost && !h.acked && standing[outcome]; h.state != heldEnded || lost {
+			// A run given up as lost that ended by itself after all: its owner says whether it still counts.
+			h.late = (h.late || lost) && !h.void
 			changed = true
-			n.endRun(ag, h, e.Get("outcome").Str, max(n.now-h.startedMs, 1))
+			n.endRun(ag, h, outcome, max(n.now-h.startedMs, 1))
 		}
 		return true
 	})
+	for number, key := range ag.ends {
+		if h := ag.held[key]; number < lapsed && h != nil {
+			h.late, h.void = false, true
+		}
+	}
 	if first > 0 && ag.seen < first-1 {
 		ag.seen = first - 1
 	}
@@ -211,7 +225,7 @@
 		h := ag.held[key]
 		h.listed = running[key]
 		switch {
-		case running[key] || ended[key]:
+		case running[key] || ended[key] || count >= endsPage && h.state == heldRunning: // there may be more than it could list
 		case h.state == heldOrdered && h.orderSeq < ag.repSeq:
 			h.state, h.result, changed = heldEnded, resultBounced, true
 			n.count("starts_not_taken")
@@ -240,6 +254,9 @@
 		ag.seen++
 		delete(ag.ends, ag.seen)
 	}
+	if h := ag.held[ag.ends[ag.seen+1]]; len(ag.ends) > lateEndsMax && h != nil && h.late {
+		ag.lapse(n.now) // too many wait behind it
+	}
 	out.Seen = ag.seen
 	for number := range ag.ends {
 		if number <= ag.seen {
@@ -286,14 +303,14 @@
 
 // heardOwner notes that an owner answered a sync. Where it was silent for longer
 // than its word is good, it may have given up what runs here, and what ended
-// well meanwhile counts only if it says so.
+// by itself meanwhile counts only if it says so.
 func (ag *agent) heardOwner(slice string, sentMs int64) {
 	if !ag.pinned {
 		return
 	}
 	if before, ok := ag.ownerMs[slice]; ok && sentMs-before > ownerSpanMs {
 		for _, h := range ag.held {
-			if h.spec.Slice == slice && h.state == heldEnded && h.result == resultOK && !h.acked {
+			if h.spec.Slice == slice && h.state == heldEnded && (h.result == resultOK || h.result == resultFailed) && !h.acked && !h.void {
 				h.late = true
 			}
 		}
@@ -302,13 +319,21 @@
 }
 
 // lapse lets the worker's hold run out: an end that another run took the place
-// of may be taken note of only after that.
+// of may be taken note of only after that. It waits until many others wait behind it.
 func (ag *agent) lapse(now int64) {
 	if ag.lapseTill == 0 {
 		ag.lapseTill = ag.holdUntil + lapseMarginMs
 	}
 }
 
+// voidEnds notes that the hold lapsed: what ended before that stands for nothing
+// once it is taken note of.
+func (ag *agent) voidEnds() {
+	for _, h := range ag.held {
+		h.late, h.void = false, h.void || h.ordered
+	}
+}
+
 // watchWork stops work that stands still, or that its worker's leaving would cut off.
 func (n *node) watchWork(ag *agent) {
 	standing := false
@@ -341,12 +366,13 @@
 	changed := false
 	if n.now > ag.lapseTill && ag.lapseTill != 0 { // the hold has lapsed: late ends may go
 		ag.lapseTill = 0
-		for _, h := range ag.held {
-			h.late = false
-		}
 		changed = n.loseRuns(ag)
+		ag.voidEnds()
 	}
 	if ag.rebuilt && !ag.replaced && (n.now > ag.holdUntil+lapseMarginMs && n.now-ag.heardMs > lapseMarginMs || ag.goneAt != 0 && n.now > ag.goneAt) {
+		if ag.goneAt == 0 {
+			ag.voidEnds()
+		}
 		if n.loseRuns(ag) {
 			changed = true
 			n.log("worker_silent", "worker", ag.worker, "silent_ms", n.now-ag.heardMs)
--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -390,6 +390,23 @@
 		}
 		b.run(10_000)
 	},
+	"side daemons killed while ends wait that were given up": func(t *testing.T, b *beatWorld) {
+		b.day(6000)
+		for i := range 90 { // each task fails once
+			j := b.simple(i%3, 1, amounts{b.site.capacity[0] / 16, b.site.capacity[1] / 16}, 500+1000*b.rng.Float64())
+			j.fates[taskName{}].fails = []float64{b.rng.Float64()}
+			b.submit(j)
+			b.run(20)
+		}
+		hosts := b.spots[:6]
+		heal := b.cut(hosts...)
+		b.run(7000)
+		heal()
+		for i, host := range hosts {
+			b.after(int64(i)*400_000+50_000, func() { b.after(200_000, b.kill(host, false)) })
+		}
+		b.run(12_000)
+	},
 	"guarding workers": func(t *testing.T, b *beatWorld) {
 		for _, host := range b.spots {
 			b.byHost[host].guards = true
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -60,7 +60,7 @@
 	SetVer     int64  // record version of the last change of state
 	Last       string // the worker of the last failure, avoided next time
 	Cause      string
-	FailedRun  int32  // of a gang: the last run counted as a failure
+	FailedRun  int32  // the last run counted as a failure
 	Saved      string // the newest text it can go on from
 }
 
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -130,6 +130,8 @@
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
+	lateEndsMax   = 100    // ends that wait behind a late one before the hold is let run out
+	endsPage      = 500    // ends that one beat tells of at most
 	openAheadMs   = 400    // a round is written down this long before it is due
 	goneMs        = 500    // a worker that said it goes has ended this long after
 	leaveStopMs   = 800    // so long before its worker leaves, work that saves is stopped, to go on elsewhere
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1386,6 +1386,7 @@
 	t := &js.Tasks[i]
 	if !js.Steps[t.Step].Gang {
 		t.Failures++
+		t.FailedRun = t.Attempt
 		return true
 	}
 	if t.FailedRun == t.Attempt {
@@ -1495,6 +1496,12 @@
 	n.send(from, ack)
 }
 
+// counted tells whether an end is the one that stands for its task, or a failure
+// that was counted.
+func (t *task) counted(h heldView) bool {
+	return h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskEnded || h.Result == resultFailed && h.Key.Attempt == t.FailedRun
+}
+
 // judge gives the owner's verdict on one attempt an agent holds.
 func (n *node) judge(sl *slice, m *syncMsg, h heldView) int8 {
 	js := sl.jobs[h.Key.Job]
@@ -1505,6 +1512,11 @@
 		return verdictDrop
 	}
 	if js == nil {
+		if j := sl.finished[h.Key.Job]; j != nil && h.State == heldEnded {
+			if i, _, ok := j.position(h.Key.Task); ok && j.Tasks[i].counted(h) {
+				return verdictCounted
+			}
+		}
 		return over()
 	}
 	i, _, ok := js.position(h.Key.Task)
@@ -1519,7 +1531,8 @@
 		n.log("attempt_unknown", "job", js.ID, "task", h.Key.Task, "attempt", h.Key.Attempt, "known", t.Attempt)
 		return verdictDrop
 	}
-	late := h.State == heldEnded && h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
+	late := h.State == heldEnded && (h.Result == resultOK || h.Result == resultFailed && t.FailedRun != t.Attempt) &&
+		h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
 	if (h.Key.Attempt < t.Attempt || t.State != taskPlaced) && !late {
 		if h.State != heldEnded {
 			return verdictDrop
@@ -1527,7 +1540,7 @@
 		if t.SetVer > js.committed {
 			return 0
 		}
-		if h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskEnded {
+		if t.counted(h) {
 			return verdictCounted
 		}
 		return verdictAcked
