--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,51 +10,13 @@
 
 // placeBeatNode gives a daemon of the users' platform its place.
 func placeBeatNode(p *place, site beatSite, side bool) {
-	p.HoldMostMs = site.holdMaxMs
+	p.Beside, p.HoldMostMs, p.GangWaitMs = side, site.holdMaxMs, site.gangWaitMs
+	p.SaveMs, p.RestoreMs, p.SpreadFactor = int64(site.saveMs), site.restoreMs, site.spread
 }
 
-// eventOf is a call as a daemon gets it; in terms of the calls under /v1 as
-// long as the others aren't there.
+// eventOf is a call as a daemon gets it.
 func eventOf(c beatCall) evAsk {
-	e := evAsk{Op: c.op, Key: c.key, Body: c.body}
-	id := c.path[strings.LastIndex(c.path, "/")+1:]
-	switch c.op {
-	case "queue.submit":
-		var doc map[string]any
-		_ = json.Unmarshal(c.body, &doc)
-		doc["queue"] = c.queue
-		e = evAsk{Op: "job.put", Key: id, Body: jsonOf(doc)}
-	case "queue.state":
-		e = evAsk{Op: "job.state", Key: id}
-	case "queue.cancel":
-		e = evAsk{Op: "job.cancel", Key: id}
-	case "setup.put":
-		var doc map[string]any
-		_ = json.Unmarshal(c.body, &doc)
-		delete(doc, "source")
-		doc["note"] = fmt.Sprint(doc["note"], len(c.body))
-		for _, q := range doc["queues"].([]any) {
-			q := q.(map[string]any)
-			delete(q, "addresses")
-			delete(q, "latency_ms")
-			delete(q, "stretch")
-		}
-		e.Body = jsonOf(doc)
-	case "ready":
-		e = evAsk{Op: "setup.get"}
-	}
-	return e
-}
-
-// statusOf is the status that the users' calls would give.
-func statusOf(c beatCall, status int, body []byte) int {
-	switch {
-	case c.op == "queue.submit" && status == 400 && strings.Contains(string(body), "not in the setup"):
-		return 404
-	case (c.op == "queue.state" || c.op == "queue.cancel") && status == 404:
-		return 410
-	}
-	return status
+	return evAsk{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Expect: c.expect, Body: c.body}
 }
 
 // formBeats gives a world whose daemons have formed a fleet, with its setup
@@ -67,6 +28,9 @@
 	must.True(t, b.until(20_000, func() bool { return b.holderOf("central") != nil }), must.Sprint("the fleet never formed"))
 	b.putSetup(b.usualSetup(), 1, 0, nil)
 	must.True(t, b.until(5000, func() bool { return b.version == 1 }), must.Sprint("the first setup was not taken"))
+	for _, n := range b.nodes { // from here on they start into a fleet
+		n.place.FirstStart = false
+	}
 	b.run(max(0, 10_000-b.nowMs()))
 	return b
 }
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -913,13 +913,12 @@
 // beatCall is one of the product's own calls.
 type beatCall struct {
 	op, host, path, key string
-	queue               string
 	expect              int64
 	body                []byte
 }
 
 func (b *beatWorld) call(from string, to *simNode, c beatCall, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
-	b.world.call(from, to, eventOf(c), waitMs, func(status int, retryMs int64, body []byte) { cb(statusOf(c, status, body), retryMs, body) })
+	b.world.call(from, to, eventOf(c), waitMs, cb)
 }
 
 // ready is what the platform asks each edge daemon every second.
@@ -974,7 +973,7 @@
 func (b *beatWorld) send(j *beatJob) {
 	j.tries++
 	asked, to := b.nowMs(), b.edge()
-	b.call("caller", to, beatCall{op: "queue.submit", queue: j.queue.name, host: j.queue.host, path: j.queue.prefix + j.id, body: j.body()}, b.site.callerMs, func(status int, retryMs int64, body []byte) {
+	b.call("caller", to, beatCall{op: "queue.submit", host: j.queue.host, path: j.queue.prefix + j.id, body: j.body()}, b.site.callerMs, func(status int, retryMs int64, body []byte) {
 		b.answers[fmt.Sprint("submit ", status)]++
 		b.see(beatEvent{kind: bJobTried, job: j.id, host: to.Name, n: int64(status), askedMs: asked})
 		switch {
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -303,6 +303,7 @@
 
 func (n *simNode) wipe() {
 	n.disk.entries, n.disk.synced = nil, 0
+	n.disk.wipes++
 	n.place.DiskID = n.w.rng.Uint64() | 1
 }
 
@@ -402,6 +403,8 @@
 	synced  int
 	syncing bool
 	waiting []func()
+	wipes   int
+	folded  int // entries that snapshots took the place of, less what these take
 }
 
 func (d *simDisk) load() *store {
@@ -452,14 +455,20 @@
 }
 
 func (d *simDisk) snapshot(n *simNode, entries []logEntry) {
-	at := len(d.entries)
+	at := d.folded + len(d.entries)
 	var dump [][]byte
 	for _, e := range entries {
 		dump = append(dump, pack(nil, e))
 	}
+	wipes := d.wipes
 	n.later(20_000, func() {
-		d.entries = append(dump, d.entries[at:]...)
-		d.synced = max(len(dump), d.synced-at+len(dump))
+		if d.wipes != wipes {
+			return // of a disk that was emptied meanwhile
+		}
+		old := at - d.folded // another snapshot may have come before this one
+		d.entries = append(dump, d.entries[old:]...)
+		d.synced = max(len(dump), d.synced-old+len(dump))
+		d.folded = at - len(dump)
 	})
 }
 
