Reserved room doesn't stand empty beside what waits, while most of the room is free

Cause: each gang that waited 4 s kept as many workers as hold it whole from all behind it, without bound; with several waiting, no firm task got a place though half of the room was free. By the users' rules a job breaks LOST when nothing of it runs for 3 s while there is room for it twice over and less than half of the room is in use. Change: while little more than half of the room is in use, reservations don't hold against what waited 1.5 s.

--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -371,6 +371,24 @@
 		}
 		b.run(12_000)
 	},
+	"small jobs beside a gang that waits for room": func(t *testing.T, b *beatWorld) {
+		whole := amounts{b.site.capacity[0] * 3 / 4, b.site.capacity[1] * 3 / 4}
+		for range 4 {
+			b.submit(b.simple(0, 1, whole, 45_000))
+		}
+		b.run(2000)
+		gang := b.simple(0, 8, whole, 3000)
+		gang.steps[0].gang = true
+		b.submit(gang)
+		b.run(6000)
+		for range 3 {
+			j := b.submit(b.simple(1, 1, amounts{b.site.capacity[0] / 5, b.site.capacity[1] / 5}, 3000)) // long, so it gets a firm place
+			b.run(8000)
+			must.Eq(t, "complete", j.state)
+		}
+		b.run(25_000)
+		must.MapNotEmpty(t, gang.okTasks)
+	},
 	"guarding workers": func(t *testing.T, b *beatWorld) {
 		for _, host := range b.spots {
 			b.byHost[host].guards = true
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -1510,11 +1510,47 @@
 		}
 		if b.nowMs()-j.idleMs >= 3000 && !j.stuck {
 			j.stuck = true
+			b.tellCentral(id)
 			b.see(beatEvent{kind: bStuck, job: id, text: fmt.Sprintf("nothing runs since %d ms, though it could", j.idleMs)})
 		}
 	}
 }
 
+// tellCentral logs what the central scheduler makes of a job and of all room.
+func (b *beatWorld) tellCentral(id string) {
+	n := b.holderOf("central")
+	if n == nil || !b.keepLog {
+		return
+	}
+	tell := func(format string, args ...any) {
+		b.logs = append(b.logs, fmt.Sprintf("%d %s %s ", b.nowMs(), n.Name, id)+fmt.Sprintf(format, args...))
+	}
+	c, now := n.sh.n.central, n.sh.n.now
+	for _, name := range sorted(c.workers) {
+		w := c.workers[name]
+		tell("sees %s heard %d ms ago, rebuilt %v fresh %v leaving %v suspect %v bad for %d, capacity %v firm %v busy %v promised %v held %d", name, now-w.heardMs, w.Rebuilt, w.Fresh, w.Leaving,
+			w.Suspect, w.badMs-now, w.Capacity, w.firm, w.busy, c.promised(name), len(w.Held))
+	}
+	for k, ws := range c.wants {
+		tell("wants %s queue %s since %d ms, last %d ms ago, %d tasks of %v, open %d, gang %v needs %v", k.Job, ws.Queue, now-ws.firstMs, now-ws.lastMs, len(ws.Tasks), ws.Room, len(ws.open()), ws.Gang, ws.Needs)
+	}
+	for _, name := range sorted(b.nodes) {
+		if !b.nodes[name].up {
+			continue
+		}
+		for _, sl := range b.nodes[name].sh.n.owned {
+			if js := sl.jobs[id]; js != nil {
+				o := b.nodes[name].sh.n
+				for i := range js.Tasks {
+					t, r := &js.Tasks[i], &js.run[i]
+					tell("owner %s task %d.%d.%d state %s attempt %d class %s failures %d at %s, retry in %d, wanted %d ms ago, committed %v", name, t.Round, t.Step, t.InStep, taskNames[t.State], t.Attempt,
+						classNames[t.Class], t.Failures, t.Worker, r.retryMs-o.now, o.now-r.wantMs, t.SetVer <= js.committed)
+				}
+			}
+		}
+	}
+}
+
 func (b *beatWorld) couldGoOn(j *beatJob, free []*beatWorker) bool {
 	done := func(k, i int) bool {
 		for t := range j.steps[i].count {
--- a/accord/central.go
+++ b/accord/central.go
@@ -211,7 +211,7 @@
 			rooms = append(rooms, &firmRoom{name: name, sure: w.Capacity.minus(w.firm).minus(p), free: w.Capacity.minus(w.busy).minus(p), w: w})
 		}
 	}
-	reserved := map[string]bool{}
+	reserved, idle := map[string]bool{}, mostlyIdle(rooms)
 	for _, k := range keys {
 		ws := c.wants[k]
 		q := n.setup.cur.Queues[ws.Queue]
@@ -237,6 +237,9 @@
 		for _, g := range ws.granted {
 			f.used[g.worker]++
 		}
+		if idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
+			f.reserved = nil
+		}
 		places := f.find(fit)
 		if len(places) == 0 {
 			n.reserve(ws, fit, reserved, len(rooms))
@@ -252,6 +255,17 @@
 	}
 }
 
+// mostlyIdle tells whether little more than half of the room is in use, in some
+// dimension.
+func mostlyIdle(rooms []*firmRoom) bool {
+	var free, all amount
+	for _, r := range rooms {
+		free, all = free.plus(r.free), all.plus(r.w.Capacity)
+	}
+	idle := all.share(100 - busyPercent)
+	return free.CPU > idle.CPU || free.Memory > idle.Memory || free.GPU > idle.GPU
+}
+
 // reserve lets a want that waited long keep the likeliest workers from those
 // behind it: one worker for a task, as many as hold it whole for a gang.
 func (n *node) reserve(ws *wantState, fit []*firmRoom, reserved map[string]bool, all int) {
