--- a/accord/agents.go
+++ b/accord/agents.go
@@ -88,7 +88,6 @@
 	suspectMs int64            // until then it is suspect
 	suspects  int64            // how often it was, lately
 	adoptedMs int64
-	lapses    int64
 }
 
 type held struct {
@@ -112,7 +111,8 @@
 	orderSeq  int64 // the beat whose answer carried the order
 	percent   int64
 	movedMs   int64 // when its work last moved
-	late      bool  // ended well, and its owner may have given it up meanwhile
+	late      bool  // ended by itself, and its owner may have given it up meanwhile
+	void      bool  // ended, and the hold has lapsed since
 	adoptedMs int64
 }
 
@@ -448,9 +448,7 @@
 		case verdictAcked, verdictCounted:
 			if h.state == heldEnded && !h.acked {
 				if h.late && v.Verdict != verdictCounted {
-					ag.lapse()
-					n.log("hold_lapses", "worker", ag.worker, "attempt", v.Key.String())
-					continue
+					continue // another run may have taken its place
 				}
 				h.acked = true
 				if !h.ordered || h.result == resultLost || h.result == resultBounced {
--- a/accord/core.go
+++ b/accord/core.go
@@ -475,7 +475,7 @@
 // a start it waits as long as leases do, so that it hears the others first; and
 // after a freeze until what waited here for long is replaced.
 func (n *node) fleetWall() int64 {
-	if n.now-n.store.startMs < clockWaitMs || n.now-n.wokeMs < 2*pollMs {
+	if n.now-n.store.startMs < clockWaitMs || n.now-n.wokeMs < 2*pollAsideMs {
 		return 0
 	}
 	var all []int64
@@ -803,7 +803,7 @@
 // most likely brought in that member's place, and need not wait as long as a
 // disk that stood by before. If the member is back after all it becomes a spare.
 func (n *node) quietMember(name string) bool {
-	return !n.FirstStart && n.store.set.Version == 0 && n.poll.firstMs != 0 && n.now-n.poll.okMs < 2*pollMs &&
+	return !n.FirstStart && n.store.set.Version == 0 && n.poll.firstMs != 0 && n.now-n.poll.okMs < 2*pollAsideMs &&
 		n.now-max(n.poll.heardMs[name], n.poll.firstMs) > quietMs
 }
 
