A gang's member at its last percent waits, it does not stand still

Ruled out: failures of their own (1), losses with a worker. Change: a gang's member at 99 percent waits, as one at 0 does. TestGangWaitsAtItsEnd; with it tests of holds and of a replaced worker.

--- a/accord/beats.go
+++ b/accord/beats.go
@@ -345,7 +345,9 @@
 		if h.state != heldRunning || h.stopMs != 0 || h.unknown {
 			continue
 		}
-		waits := h.spec.Gang && h.percent == 0
+		// A member of a gang waits for the others at its beginning, and at its end,
+		// which comes for all at once.
+		waits := h.spec.Gang && (h.percent == 0 || h.percent >= lastPercent)
 		switch {
 		case !h.spec.Lasting && !waits && h.percent < 100 && n.now-h.movedMs > standMs+h.spec.EstMs/10:
 			standing = true
--- /dev/null
+++ b/accord/beats_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// pinned gives a daemon that a worker beats to, and a way to beat.
+func pinned(t *testing.T) (*node, func(afterMs int64, lists string) beatAnswer) {
+	n := newNode(place{Name: "side-1", Inc: 7, Site: "east", HoldMostMs: holdMostMs}, nil)
+	n.core = coreSet{Cluster: 1, Version: 1, Members: []coreMember{{"d00", 1}}, Slices: []string{"east"}}
+	seq := int64(0)
+	return n, func(afterMs int64, lists string) beatAnswer {
+		seq++
+		body := fmt.Sprintf(`{"seq":%d,"site":"east","labels":{"service":"s"},"rack":"r1","capacity":{"cpu":8000,"memory":8000,"accelerators":0}%s}`, seq, lists)
+		for _, e := range reduce(n, event{NowMs: n.now + afterMs, WallMs: 1_800_000_000_000, Seed: 1, Body: evAsk{ID: uint64(seq), Op: "worker.beat", Key: "w1", Expect: -1, Body: []byte(body)}}) {
+			if r, ok := e.(effReply); ok {
+				must.Eq(t, 200, r.Status, must.Sprint(string(r.Body)))
+				var a beatAnswer
+				must.NoError(t, jsonTo(r.Body, &a))
+				return a
+			}
+		}
+		t.Fatal("a beat was not answered")
+		return beatAnswer{}
+	}
+}
+
+func running(job string, index, run, percent int) string {
+	return fmt.Sprintf(`,"running":[{"job":"%s","round":0,"step":0,"index":%d,"run":%d,"saved":"","percent":%d}]`, job, index, run, percent)
+}
+
+// A gang ends for all its members at once: the fastest stands at its last
+// percent until the slowest is there, and must not be taken for one that stands still.
+// Any other work that doesn't move is stopped.
+func TestGangWaitsAtItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		gang    bool
+		percent int
+		stops   int
+	}{{true, 99, 0}, {true, 50, 1}, {true, 0, 0}, {false, 50, 1}, {false, 99, 1}} {
+		n, beat := pinned(t)
+		beat(100, running("j1", 0, 1, c.percent))
+		h := n.agents["w1"].held[attemptKey{"j1", placeID(0, 0, 0), 1}]
+		h.unknown, h.confirmedMs, h.spec.Gang, h.spec.EstMs = false, n.now+60_000, c.gang, 1000
+		beat(100, running("j1", 0, 1, c.percent))
+		must.Len(t, c.stops, beat(standMs+200, running("j1", 0, 1, c.percent)).Stop, must.Sprint(c))
+	}
+}
+
+// What an answer ordered and the next beat doesn't list was never started; a run
+// that nobody confirms is held no longer than its owner's word is good.
+func TestHoldEndsWithTheOwnersWord(t *testing.T) {
+	n, beat := pinned(t)
+	must.Eq(t, int64(holdSpanMs), beat(100, "").HoldMs)
+	a := beat(50, running("j1", 0, 1, 10))
+	must.Eq(t, int64(0), a.HoldMs) // found running, and no owner has spoken: what an earlier answer held must do
+	ag := n.agents["w1"]
+	h := ag.held[attemptKey{"j1", placeID(0, 0, 0), 1}]
+	h.unknown, h.confirmedMs = false, n.now
+	must.Eq(t, int64(holdSpanMs), beat(50, running("j1", 0, 1, 20)).HoldMs)
+	a = beat(ownerSpanMs-1500, running("j1", 0, 1, 30))
+	must.Eq(t, int64(1450), a.HoldMs)
+	must.Len(t, 0, a.Stop)
+	must.Eq(t, int64(0), beat(1600, running("j1", 0, 1, 40)).HoldMs)
+
+	ag.held[attemptKey{"j2", placeID(0, 0, 1), 3}] = &held{state: heldOrdered, orderSeq: ag.repSeq, confirmedMs: n.now, spec: orderSpec{Key: attemptKey{"j2", placeID(0, 0, 1), 3}}}
+	beat(50, "")
+	must.Eq(t, resultBounced, ag.held[attemptKey{"j2", placeID(0, 0, 1), 3}].result)
+}
+
+// Another worker at the same place means that the former has crashed; an end is
+// taken note of only once its owner has it.
+func TestWorkerReplacedAtItsPlace(t *testing.T) {
+	n, beat := pinned(t)
+	beat(100, running("j1", 0, 1, 10))
+	key := attemptKey{"j1", placeID(0, 0, 0), 1}
+	ended := `,"ended":[{"n":1,"job":"j1","round":0,"step":0,"index":0,"run":1,"saved":"","outcome":"ok"}]`
+	must.Eq(t, int64(0), beat(50, ended).Seen)
+	must.Eq(t, int64(0), beat(50, ended).Seen)
+	n.agents["w1"].held[key].acked = true
+	must.Eq(t, int64(1), beat(50, ended).Seen)
+
+	beat(50, running("j1", 1, 1, 10))
+	reduce(n, event{NowMs: n.now + 50, WallMs: 1, Body: evAsk{ID: 99, Op: "worker.beat", Key: "w2", Expect: -1, Body: []byte(`{"seq":1,"site":"east","capacity":{"cpu":1,"memory":1,"accelerators":0}}`)}})
+	old := n.agents["w1"]
+	must.True(t, old.replaced)
+	must.Eq(t, resultLost, old.held[attemptKey{"j1", placeID(0, 0, 1), 1}].result)
+}
+
+func jsonTo(b []byte, out any) error { return json.Unmarshal(b, out) }
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -127,12 +127,13 @@
 	driftPercent  = 2      // a worker's clock may run this much slow
 	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
-	urgentWaitMs  = 150    // a queueable task of a more urgent queue waits this long before it pushes others out
+	urgentWaitMs  = 350  // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
+	lastPercent   = 99     // a worker tells no more of work that has not ended
 	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
 	busyPercent   = 55     // of all room in use: below it no reservation holds, for a job must not wait beside idle workers
 	backfillMs    = 1500   // against anything that waited this long
