--- a/accord/central.go
+++ b/accord/central.go
@@ -227,8 +227,8 @@
 				}
 			}
 		}
-		if len(sound) > 0 { // unsound workers only where nothing else may ever do
-			fit = sound
+		if len(sound) == 0 { // unsound workers only where nothing else may ever do
+			sound = fit
 		}
 		f := &fitting{n: n, ws: ws, used: map[string]int32{}, reserved: reserved, urgent: q.Urgency >= n.setup.cur.Highest}
 		for _, u := range ws.Used {
@@ -237,12 +237,15 @@
 		for _, g := range ws.granted {
 			f.used[g.worker]++
 		}
-		if idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
-			f.reserved = nil
+		places := f.find(sound)
+		if len(places) == 0 && idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
+			f.reserved, f.urgent = nil, true
+			if places = f.find(sound); len(places) == 0 {
+				places = f.find(fit)
+			}
 		}
-		places := f.find(fit)
 		if len(places) == 0 {
-			n.reserve(ws, fit, reserved, len(rooms))
+			n.reserve(ws, sound, reserved, len(rooms))
 			continue
 		}
 		m := &grantMsg{Slice: ws.Slice, Job: ws.Job, Epoch: c.epoch}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -133,7 +133,7 @@
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
 	busyPercent   = 55     // of all room in use: below it no reservation holds, for a job must not wait beside idle workers
-	backfillMs    = 1500   // against anything that waited this long
+	backfillMs    = 2000   // against anything that waited this long
 	lateEndsMax   = 100    // ends that wait behind a late one before the hold is let run out
 	endsPage      = 500    // ends that one beat tells of at most
 	openAheadMs   = 400    // a round is written down this long before it is due
