--- a/accord/beats.go
+++ b/accord/beats.go
@@ -302,13 +302,13 @@
 }
 
 // heardOwner notes that an owner answered a sync. Where it was silent for longer
-// than its word is good, it may have given up what runs here, and what ended
-// by itself meanwhile counts only if it says so.
+// than its word is good, or never answered this agent, it may have given up what
+// runs here, and what ended by itself meanwhile counts only if it says so.
 func (ag *agent) heardOwner(slice string, sentMs int64) {
 	if !ag.pinned {
 		return
 	}
-	if before, ok := ag.ownerMs[slice]; ok && sentMs-before > ownerSpanMs {
+	if before, ok := ag.ownerMs[slice]; !ok || sentMs-before > ownerSpanMs {
 		for _, h := range ag.held {
 			if h.spec.Slice == slice && h.state == heldEnded && (h.result == resultOK || h.result == resultFailed) && !h.acked && !h.void {
 				h.late = true
--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -371,6 +371,21 @@
 		}
 		b.run(12_000)
 	},
+	"side daemons started into a cut": func(t *testing.T, b *beatWorld) {
+		b.day(6000)
+		for i := range 60 {
+			b.submit(b.simple(i%3, 1, amounts{b.site.capacity[0] / 16, b.site.capacity[1] / 16}, 1500+1500*b.rng.Float64()))
+			b.run(20)
+		}
+		hosts := b.spots[:4]
+		for _, host := range hosts {
+			b.kill(host, false)()
+		}
+		heal := b.cut(hosts...)
+		b.run(7500)
+		heal()
+		b.run(10_000)
+	},
 	"small jobs beside a gang that waits for room": func(t *testing.T, b *beatWorld) {
 		whole := amounts{b.site.capacity[0] * 3 / 4, b.site.capacity[1] * 3 / 4}
 		for range 4 {
