--- a/accord/beats.go
+++ b/accord/beats.go
@@ -255,7 +255,7 @@
 		delete(ag.ends, ag.seen)
 	}
 	if h := ag.held[ag.ends[ag.seen+1]]; len(ag.ends) > lateEndsMax && h != nil && h.late {
-		ag.lapse(n.now) // too many wait behind it
+		ag.lapse() // too many wait behind it
 	}
 	out.Seen = ag.seen
 	for number := range ag.ends {
@@ -304,11 +304,14 @@
 // heardOwner notes that an owner answered a sync. Where it was silent for longer
 // than its word is good, or never answered this agent, it may have given up what
 // runs here, and what ended by itself meanwhile counts only if it says so.
-func (ag *agent) heardOwner(slice string, sentMs int64) {
+//
+// What counts is when the answer came: a sync that a cut held up was sent in
+// time and heard too late.
+func (ag *agent) heardOwner(slice string, sentMs, now int64) {
 	if !ag.pinned {
 		return
 	}
-	if before, ok := ag.ownerMs[slice]; !ok || sentMs-before > ownerSpanMs {
+	if before, ok := ag.ownerMs[slice]; !ok || now-before > ownerSpanMs {
 		for _, h := range ag.held {
 			if h.spec.Slice == slice && h.state == heldEnded && (h.result == resultOK || h.result == resultFailed) && !h.acked && !h.void {
 				h.late = true
@@ -320,7 +323,7 @@
 
 // lapse lets the worker's hold run out: an end that another run took the place
 // of may be taken note of only after that. It waits until many others wait behind it.
-func (ag *agent) lapse(now int64) {
+func (ag *agent) lapse() {
 	if ag.lapseTill == 0 {
 		ag.lapseTill = ag.holdUntil + lapseMarginMs
 	}
@@ -342,7 +345,9 @@
 		if h.state != heldRunning || h.stopMs != 0 || h.unknown {
 			continue
 		}
-		waits := h.spec.Gang && h.percent == 0
+		// A member of a gang waits for the others at its beginning, and at its end,
+		// which comes for all at once.
+		waits := h.spec.Gang && (h.percent == 0 || h.percent >= lastPercent)
 		switch {
 		case !h.spec.Lasting && !waits && h.percent < 100 && n.now-h.movedMs > standMs+h.spec.EstMs/10:
 			standing = true
