Batches: held for the cheapest contracted hours, spread, below all others

The users want price refreshes, rechecks and imports held until the cheapest contracted hours and spread over the nodes, without slowing urgent work. A setup now declares contracts and a queue may name one with finish_by_hours and share_percent. Plans are functions of the record, the setup and the fleet's time, so a new owner comes to the same; attempts, epochs and holds stay as they are. Ruled out: a durable start time in the record (a second truth beside the setup in force).

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -495,7 +495,7 @@
 	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || ag.lapseTill != 0) {
 		return
 	}
-	queue := ag.waiting(n)
+	queue := n.returnBatches(ag, ag.waiting(n))
 	if len(queue) == 0 {
 		return
 	}
@@ -529,6 +529,9 @@
 		if n.now-h.confirmedMs > contactMs {
 			continue
 		}
+		if r := n.batchSpec(&h.spec); r != nil && (!h.spec.Room.fits(avail) || !n.mayStartBatch(ag, h, r)) {
+			continue
+		}
 		if h.spec.Room.fits(avail) {
 			avail = avail.minus(h.spec.Room)
 			n.order(ag, h)
@@ -539,9 +542,7 @@
 			avail = avail.minus(h.spec.Room) // what is free and what gets free is kept for it
 			continue
 		}
-		if n.now-h.queuedMs > urgentWaitMs {
-			n.preempt(ag, h, h.spec.Room.minus(avail)) // of lesser queues only
-		}
+		n.preempt(ag, h, h.spec.Room.minus(avail)) // of lesser queues only, batches at once
 		if n.now-h.queuedMs > bypassMs {
 			return
 		}
@@ -590,6 +591,9 @@
 			room = room.minus(h.spec.Room)
 			continue
 		}
+		if wants.spec.Class == classQueueable && n.now-wants.queuedMs <= urgentWaitMs && n.batchSpec(&h.spec) == nil {
+			continue
+		}
 		if urgency(h) < urgency(wants) || wants.spec.Class == classGuaranteed && urgency(h) == urgency(wants) {
 			runs = append(runs, h)
 		}
@@ -694,7 +698,8 @@
 		return
 	}
 	rank, tq, queued := ag.rankOf(n.now)
-	base := syncMsg{Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
+	waiting := ag.urgentWaiting(n)
+	base := syncMsg{Waiting: waiting, Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
 		SilentMs: n.now - ag.heardMs, Site: ag.site, Labels: ag.labels, Leaving: ag.leaving, Rack: ag.rack, Free: ag.free, Capacity: ag.capacity,
 		Suspect: n.now < ag.suspectMs, Pinned: ag.pinned,
 		RankMs: rank, QueuedMs: tq, Queued: queued, Oks: ag.oks, Fails: ag.fails, LagPct: ag.lagPct}
@@ -710,6 +715,7 @@
 		}
 		m := base
 		m.Slice = target
+		m.Batch = ag.batchHeld(n, target)
 		for _, key := range keys {
 			h := ag.held[key]
 			if h.spec.Slice == "" {
@@ -802,7 +808,7 @@
 		return
 	}
 	h := ag.held[m.Key]
-	if h == nil || h.state != heldRunning || h.stopMs != 0 || h.spec.Class != classQueueable {
+	if h == nil || h.state != heldRunning || h.stopMs != 0 || h.spec.Class != classQueueable || n.batchSpec(&h.spec) != nil {
 		return
 	}
 	firm := h.spec.Room
--- /dev/null
+++ b/accord/batch.go
@@ -0,0 +1,683 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Batch queues: work that may wait for the cheapest hours of a contract, and
+// that never takes room from anything more urgent. All that is decided here is
+// a function of the job's record, the setup in force, the fleet's time and what
+// agents last told; a new owner comes to the same.
+
+// contract is what an hour of a core costs, through a week that repeats.
+type contract struct {
+	Name          string
+	OffsetMinutes int64 // of its clock from UTC, all year: daylight saving is declared, never known
+	Cheapest      float64
+	spans         []priceSpan // all of the week in order, neighbours of different prices
+}
+
+// priceSpan is a part of the week, in minutes from Monday 00:00 of the contract's clock.
+type priceSpan struct {
+	From, To int64
+	Price    float64
+}
+
+// batchRules are what a queue says of its batches.
+type batchRules struct {
+	Contract     *contract
+	FinishByMs   int64 // a job is complete so long after it came or was due
+	SharePercent int64 // the most of each worker's room
+}
+
+const (
+	minutesPerDay  = 24 * 60
+	minutesPerWeek = 7 * minutesPerDay
+	msPerMinute    = 60_000
+	epochWeekday   = 3 // 1 January 1970 was a Thursday
+)
+
+var weekdays = []string{"mon", "tue", "wed", "thu", "fri", "sat", "sun"}
+
+var contractFields = fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
+	"name":               {Kind: "name", Required: true},
+	"utc_offset_minutes": {Kind: "count", Required: true, Min: -minutesPerDay + 1, Max: minutesPerDay - 1},
+	"price":              {Kind: "number", Required: true},
+	"hours": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
+		"from":  {Kind: "text", Required: true, Min: 5, Max: 5},
+		"to":    {Kind: "text", Required: true, Min: 5, Max: 5},
+		"days":  {Kind: "list", Min: 1, Max: 7, Elem: &fieldSpec{Kind: "text", Min: 3, Max: 3}},
+		"price": {Kind: "number", Required: true},
+	}}},
+}}
+
+var batchFields = fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
+	"contract":        {Kind: "name", Required: true},
+	"finish_by_hours": {Kind: "number", Required: true},
+	"share_percent":   {Kind: "count", Required: true, Min: 1, Max: 100},
+}}
+
+// compileContract turns a contract into its week. The path is for its faults.
+func compileContract(path string, doc gjson.Result) (*contract, []fault) {
+	c := &contract{Name: doc.Get("name").Str, OffsetMinutes: doc.Get("utc_offset_minutes").Int()}
+	var faults []fault
+	type listed struct {
+		priceSpan
+		at int
+	}
+	var list []listed
+	for i, h := range doc.Get("hours").Array() {
+		at := fmt.Sprintf("%s.hours.%d", path, i)
+		from, ok1 := minuteOfDay(h.Get("from").Str)
+		to, ok2 := minuteOfDay(h.Get("to").Str)
+		if !ok1 || from == minutesPerDay {
+			faults = append(faults, fault{at + ".from", "must be a time of day, 00:00 to 23:59"})
+		}
+		if !ok2 {
+			faults = append(faults, fault{at + ".to", "must be a time of day, 00:00 to 24:00"})
+		}
+		if ok1 && ok2 && from == to {
+			faults = append(faults, fault{at + ".to", "is the same as from: a whole day is 00:00 to 24:00"})
+		}
+		days := []int{0, 1, 2, 3, 4, 5, 6}
+		if given := h.Get("days"); given.Exists() {
+			days = nil
+			for k, d := range given.Array() {
+				day := slices.Index(weekdays, d.Str)
+				if day < 0 || slices.Contains(days, day) {
+					faults = append(faults, fault{fmt.Sprintf("%s.days.%d", at, k), "must be one of " + strings.Join(weekdays, ", ") + ", once"})
+				}
+				days = append(days, day)
+			}
+		}
+		length := to - from
+		if length < 0 { // over midnight, into the next day
+			length += minutesPerDay
+		}
+		for _, day := range days {
+			begin := int64(day)*minutesPerDay + from
+			end := begin + length
+			list = append(list, listed{priceSpan{begin, min(end, minutesPerWeek), h.Get("price").Num}, i})
+			if end > minutesPerWeek {
+				list = append(list, listed{priceSpan{0, end - minutesPerWeek, h.Get("price").Num}, i})
+			}
+		}
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	slices.SortStableFunc(list, func(a, b listed) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.at, b.at)) })
+	overlaps := map[int]bool{}
+	for i := 1; i < len(list); i++ {
+		if a, b := list[i-1], list[i]; b.From < a.To && !overlaps[max(a.at, b.at)] {
+			overlaps[max(a.at, b.at)] = true
+			faults = append(faults, fault{fmt.Sprintf("%s.hours.%d", path, max(a.at, b.at)), fmt.Sprintf("overlap hours.%d", min(a.at, b.at))})
+		}
+	}
+	usual, at := doc.Get("price").Num, int64(0)
+	add := func(s priceSpan) {
+		if last := len(c.spans) - 1; last >= 0 && c.spans[last].Price == s.Price {
+			c.spans[last].To = s.To
+		} else if s.From < s.To {
+			c.spans = append(c.spans, s)
+		}
+	}
+	for _, l := range list {
+		add(priceSpan{at, max(at, l.From), usual})
+		add(l.priceSpan)
+		at = max(at, l.To)
+	}
+	add(priceSpan{at, minutesPerWeek, usual})
+	c.Cheapest = math.Inf(1)
+	for _, s := range c.spans {
+		c.Cheapest = min(c.Cheapest, s.Price)
+	}
+	return c, faults
+}
+
+// minuteOfDay reads a time of day such as 22:00.
+func minuteOfDay(s string) (int64, bool) {
+	if s == "24:00" {
+		return minutesPerDay, true
+	}
+	t, err := time.Parse("15:04", s)
+	return int64(t.Hour()*60 + t.Minute()), err == nil && len(s) == 5
+}
+
+// compileBatch checks what a queue says of its batches.
+func (c *compiled) compileBatch(path string, doc gjson.Result) (*batchRules, []fault) {
+	r := &batchRules{Contract: c.Contracts[doc.Get("contract").Str], FinishByMs: int64(doc.Get("finish_by_hours").Num * msPerHour), SharePercent: doc.Get("share_percent").Int()}
+	var faults []fault
+	if r.Contract == nil {
+		faults = append(faults, fault{path + ".contract", "is not among the contracts"})
+	}
+	if r.FinishByMs < msPerMinute || r.FinishByMs > finishByMost*msPerHour {
+		faults = append(faults, fault{path + ".finish_by_hours", fmt.Sprintf("must be a minute to %d hours", finishByMost)})
+	}
+	return r, faults
+}
+
+// priceWindow is a stretch of one price, by the fleet's time.
+type priceWindow struct {
+	FromMs, ToMs int64
+	Price        float64
+}
+
+// windows gives the stretches of one price that lie between two times, in
+// order. The first may have opened before, the last may go on after.
+func (c *contract) windows(fromMs, toMs int64) (out []priceWindow) {
+	if len(c.spans) == 1 {
+		return []priceWindow{{math.MinInt64 / 2, math.MaxInt64 / 2, c.spans[0].Price}}
+	}
+	minute := fromMs/msPerMinute + c.OffsetMinutes + epochWeekday*minutesPerDay
+	week := (fromMs/msPerMinute - minute%minutesPerWeek) * msPerMinute // when this week began
+	last := len(c.spans) - 1
+	for at := range 2 * len(c.spans) * (finishByMost/(7*24) + 2) {
+		s := c.spans[at%len(c.spans)]
+		w := priceWindow{week + s.From*msPerMinute, week + s.To*msPerMinute, s.Price}
+		if at%len(c.spans) == last {
+			week += minutesPerWeek * msPerMinute
+		}
+		if k := len(out) - 1; k >= 0 && out[k].Price == w.Price { // over the week's end
+			out[k].ToMs = w.ToMs
+			continue
+		}
+		if w.FromMs > toMs {
+			return out
+		}
+		if at == 0 && c.spans[last].Price == s.Price {
+			w.FromMs -= (minutesPerWeek - c.spans[last].From) * msPerMinute
+		}
+		if w.ToMs > fromMs {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// batchPlan is when a job's tasks may start, by the fleet's time.
+type batchPlan struct {
+	StartMs    int64
+	CloseMs    int64 // the end of the window that it starts in
+	OpenMs     int64 // and its beginning
+	Price      float64
+	DeadlineMs int64
+	Must       bool // it starts at any price now, to be complete in time
+}
+
+// plan decides when a job may start that came, or was due, at some time and
+// needs some time. It takes the cheapest window that leaves that time before
+// the deadline, the first of several; starts are spread over the first half of
+// it, each job at a point of its own.
+func (r *batchRules) plan(id string, fromMs, nowMs, needMs int64) batchPlan {
+	p := batchPlan{DeadlineMs: fromMs + r.FinishByMs}
+	latest := p.DeadlineMs - needMs
+	if nowMs >= latest {
+		p.StartMs, p.OpenMs, p.CloseMs, p.Must = max(fromMs, latest), nowMs, p.DeadlineMs, true
+		p.Price = r.Contract.windows(nowMs, nowMs)[0].Price
+		return p
+	}
+	all := r.Contract.windows(max(nowMs, fromMs), max(latest, fromMs))
+	best := all[0]
+	for _, w := range all {
+		if w.Price < best.Price {
+			best = w
+		}
+	}
+	p.OpenMs, p.CloseMs, p.Price = max(best.FromMs, fromMs), best.ToMs, best.Price
+	p.StartMs = p.OpenMs
+	if spread := min((best.ToMs-p.OpenMs)/2, latest-p.OpenMs); best.FromMs >= fromMs && spread > 0 {
+		p.StartMs += int64(weight(id, "start") % uint64(spread))
+	}
+	return p
+}
+
+// mayStart tells whether a task that takes about so long may start now: within
+// the window, and not so late that most of it would lie behind its end.
+func (p *batchPlan) mayStart(wallMs, estMs int64) bool {
+	if p.Must {
+		return wallMs >= p.StartMs
+	}
+	return wallMs >= p.StartMs && wallMs < p.CloseMs && (wallMs+estMs <= p.CloseMs || estMs > p.CloseMs-p.OpenMs)
+}
+
+// batchOf gives the rules that a job is held by. Gangs and lasting tasks, which a
+// queue may have had before it took batches, run as they did.
+func (n *node) batchOf(j *job) *batchRules {
+	q := n.setup.cur.Queues[j.Queue]
+	if q == nil || q.Batch == nil || slices.ContainsFunc(j.Steps, func(s step) bool { return s.Gang || s.Lasting }) {
+		return nil
+	}
+	return q.Batch
+}
+
+// batchSpec gives the rules for a task at a worker, if it is a batch's.
+func (n *node) batchSpec(s *orderSpec) *batchRules {
+	if q := n.setup.cur.Queues[s.Queue]; q != nil && s.Class == classQueueable {
+		return q.Batch
+	}
+	return nil
+}
+
+// batchFrom is when the time that a job has to finish began.
+func (j *job) batchFrom() int64 {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; !t.settled() {
+			return max(j.SubmitMs, j.dueOf(t.Round))
+		}
+	}
+	return max(j.SubmitMs, j.DueMs)
+}
+
+func (n *node) tickBatches(sl *slice) {
+	sl.batchStarts, sl.batchTries, sl.batchLoads = 0, 0, map[queueAt]amount{}
+	n.planBatches(sl)
+}
+
+// planBatches plans all batch jobs of a slice anew, those that must finish first
+// first: each needs the time of its longest chain, and that of all the work that
+// must be done before it in the room that batches may have.
+func (n *node) planBatches(sl *slice) {
+	wall := n.poll.medianWall(n)
+	if wall == 0 || !n.setupFresh() || n.now < sl.batchAt && sl.batchVersion == n.setup.cur.Version {
+		return
+	}
+	sl.batchAt, sl.batchVersion = n.now+batchPlanMs, n.setup.cur.Version
+	type due struct {
+		js      *jobState
+		r       *batchRules
+		from, d int64
+	}
+	var list []due
+	for _, id := range sorted(sl.jobs) {
+		js := sl.jobs[id]
+		if r := n.batchOf(&js.job); r == nil || js.DoneMs != 0 {
+			js.batch = nil
+		} else {
+			from := js.batchFrom()
+			list = append(list, due{js, r, from, from + r.FinishByMs})
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b due) int { return cmp.Compare(a.d, b.d) })
+	room, ahead := map[string]amount{}, 0.0
+	for _, e := range list {
+		all, known := room[e.js.Queue]
+		if !known {
+			all = n.batchRoom(e.js.Queue, e.r)
+			room[e.js.Queue] = all
+		}
+		chain, work := n.batchNeed(e.js, all)
+		ahead += work * float64(max(1, len(n.core.Slices))) // the other slices hold as much
+		need := (int64(ahead)+chain)*batchSlack/100 + batchMarginMs
+		p := e.r.plan(e.js.ID, e.from, wall, need)
+		if p.Must && (e.js.batch == nil || !e.js.batch.Must) {
+			n.count("batches_at_any_price")
+			n.log("batch_at_any_price", "job", e.js.ID, "queue", e.js.Queue, "need_ms", need, "price", p.Price)
+		}
+		e.js.batch = &p
+	}
+}
+
+// batchRoom is all the room that a queue's batches may have at once.
+func (n *node) batchRoom(queue string, r *batchRules) (all amount) {
+	q := n.setup.cur.Queues[queue]
+	for _, w := range n.workers {
+		if n.allowed(w, q, nil, amount{}) {
+			all = all.plus(w.capacity.share(r.SharePercent))
+		}
+	}
+	return all
+}
+
+// batchNeed is what a job still needs, in ms: along its longest chain of steps, and
+// of all the room that batches may have.
+func (n *node) batchNeed(js *jobState, room amount) (chainMs int64, workMs float64) {
+	longest := make([]int64, len(js.Steps))
+	for i := range js.Tasks {
+		t := &js.Tasks[i]
+		if t.settled() {
+			continue
+		}
+		est := n.estimateMs(js, t)
+		longest[t.Step] = max(longest[t.Step], est)
+		part := 0.0
+		for _, d := range [][2]int64{{t.Room.CPU, room.CPU}, {t.Room.Memory, room.Memory}, {t.Room.GPU, room.GPU}} {
+			if d[1] > 0 {
+				part = max(part, float64(d[0])/float64(d[1]))
+			}
+		}
+		workMs += part * float64(est)
+	}
+	done := make([]int64, len(js.Steps)) // steps may stand in any order: as many passes as there are settle all
+	for range js.Steps {
+		for i, s := range js.Steps {
+			from := int64(0)
+			for _, a := range s.After {
+				from = max(from, done[a])
+			}
+			done[i] = from + longest[i]
+			chainMs = max(chainMs, done[i])
+		}
+	}
+	return chainMs, workMs
+}
+
+// batchMayStart tells whether a pending task of a batch job may start by its hours.
+func (n *node) batchMayStart(js *jobState, t *task, wall int64) bool {
+	return js.batch != nil && js.batch.mayStart(wall, n.estimateMs(js, t))
+}
+
+// shortOfRoom tells whether more urgent work waits: of this slice for a place, or
+// at many of the workers.
+func (n *node) shortOfRoom(sl *slice) bool {
+	if sl.starvedMs != 0 && n.now-sl.starvedMs < batchCalmMs {
+		return true
+	}
+	waits, all := 0, 0
+	for _, w := range n.workers {
+		if n.now-w.heardMs < contactMs {
+			all++
+			if w.waiting > 0 {
+				waits++
+			}
+		}
+	}
+	return waits > 0 && waits*batchCalmShare >= all
+}
+
+// queueAt names a queue's part of a worker.
+type queueAt struct{ queue, worker string }
+
+// batchLoad is the room that a queue's batches take at a worker, as far as known;
+// it is summed up once in a tick.
+func (n *node) batchLoad(sl *slice, queue, worker string) (sum amount) {
+	if sum, ok := sl.batchLoads[queueAt{queue, worker}]; ok {
+		return sum
+	}
+	defer func() {
+		if sl.batchLoads != nil {
+			sl.batchLoads[queueAt{queue, worker}] = sum
+		}
+	}()
+	for at, room := range sl.placed[worker] {
+		if js := sl.jobs[at.job]; js != nil && js.Queue == queue {
+			sum = sum.plus(room)
+		}
+	}
+	if w := n.workers[worker]; w != nil {
+		for _, b := range w.batch[sl.name] {
+			if b.Queue == queue {
+				sum = sum.plus(b.Room)
+			}
+		}
+	}
+	return sum
+}
+
+// selectBatchWorker is the local scheduler of batches: the allowed worker with the
+// least of them, by its size, where nothing more urgent waits and enough room for
+// that stays free. A job that must start now may take the last free room.
+func (n *node) selectBatchWorker(sl *slice, js *jobState, i int) string {
+	if sl.batchStarts >= batchStartsTick || sl.batchTries >= batchTriesTick {
+		return ""
+	}
+	sl.batchTries++
+	js.run[i].retryMs = n.now + batchAgainMs/2 + n.rand().Int64N(batchAgainMs)
+	if !js.batch.Must && n.shortOfRoom(sl) {
+		return ""
+	}
+	t := &js.Tasks[i]
+	st, q := &js.Steps[t.Step], n.setup.cur.Queues[js.Queue]
+	var used map[string]int32
+	if st.PerWorker > 0 {
+		used = js.usedBy(i)
+	}
+	best, least, bestWeight := "", 0.0, uint64(0)
+	for _, name := range sorted(n.workers) {
+		w := n.workers[name]
+		if !n.allowed(w, q, t.Needs, t.Room) || w.suspect || w.waiting > 0 || n.ranks.unsound[name] != 0 || st.PerWorker > 0 && used[name] >= st.PerWorker {
+			continue
+		}
+		kept := w.capacity.share(batchHeadroom)
+		if js.batch.Must {
+			kept = amount{}
+		}
+		if !t.Room.plus(kept).fits(n.freeAt(sl, name, w)) {
+			continue
+		}
+		load := n.batchLoad(sl, js.Queue, name)
+		if !load.plus(t.Room).fits(w.capacity.share(q.Batch.SharePercent)) {
+			continue
+		}
+		part := float64(load.CPU) / float64(max(w.capacity.CPU, 1))
+		if w.capacity.Memory > 0 {
+			part = max(part, float64(load.Memory)/float64(w.capacity.Memory))
+		}
+		if name == t.Last {
+			part++ // it failed there: anywhere else first
+		}
+		if own := weight(js.ID, name); best == "" || part < least || part == least && own > bestWeight {
+			best, least, bestWeight = name, part, own
+		}
+	}
+	if best != "" {
+		sl.batchStarts++
+		load := n.batchLoad(sl, js.Queue, best).plus(t.Room)
+		sl.batchLoads[queueAt{js.Queue, best}] = load
+	}
+	return best
+}
+
+// whyHeld tells why a task of a batch has not started, and until when.
+func (n *node) whyHeld(js *jobState, t *task) string {
+	r, p, wall := n.batchOf(&js.job), js.batch, n.poll.medianWall(n)
+	if r == nil {
+		return ""
+	}
+	if p == nil {
+		return "held: its hours are being planned"
+	}
+	by := "; it is to be complete by " + r.Contract.clock(p.DeadlineMs)
+	if !p.mayStart(wall, n.estimateMs(js, t)) {
+		if p.StartMs <= wall {
+			return "held until the next window: this one ends at " + r.Contract.clock(p.CloseMs) + by
+		}
+		what := "the cheapest contracted hours"
+		if p.Price > r.Contract.Cheapest {
+			what = "the cheapest contracted hours that leave it time"
+		}
+		return fmt.Sprintf("held until %s, %s: %s, %s a core hour%s", r.Contract.clock(p.StartMs), what, r.Contract.Name, priceText(p.Price), by)
+	}
+	if !p.Must && n.shortOfRoomAnywhere() {
+		return "held while more urgent work waits for room" + by
+	}
+	if !t.Room.fits(n.batchMost(js.Queue, r)) {
+		return fmt.Sprintf("no worker can hold it within the %d percent that batches of this queue may take", r.SharePercent)
+	}
+	return "waiting for its share of the workers' room" + by
+}
+
+// shortOfRoomAnywhere is shortOfRoom for any slice owned here.
+func (n *node) shortOfRoomAnywhere() bool {
+	for _, sl := range n.owned {
+		if n.shortOfRoom(sl) {
+			return true
+		}
+	}
+	return false
+}
+
+// batchMost is the largest share that one worker has for a queue's batches.
+func (n *node) batchMost(queue string, r *batchRules) (most amount) {
+	q := n.setup.cur.Queues[queue]
+	for _, w := range n.workers {
+		if s := w.capacity.share(r.SharePercent); n.allowed(w, q, nil, amount{}) {
+			most = amount{max(most.CPU, s.CPU), max(most.Memory, s.Memory), max(most.GPU, s.GPU)}
+		}
+	}
+	return most
+}
+
+// clock tells a time as the contract's clock shows it.
+func (c *contract) clock(ms int64) string {
+	return time.UnixMilli(ms).In(time.FixedZone("", int(c.OffsetMinutes)*60)).Format("Mon 2006-01-02 15:04 -07:00")
+}
+
+func priceText(p float64) string { return fmt.Sprintf("%g", p) }
+
+// batchBack lets a batch task that was pushed out wait before its next try.
+func (n *node) batchBack(js *jobState) int64 {
+	if n.batchOf(&js.job) == nil {
+		return 0
+	}
+	return n.now + batchBackMs + n.rand().Int64N(batchBackMs)
+}
+
+// meterKey names what core seconds are counted by.
+type meterKey struct {
+	Contract string
+	Price    float64
+}
+
+// meterBatch counts the core seconds of a run that just ended, at what each
+// part of it cost.
+func (n *node) meterBatch(js *jobState, t *task, ranMs int64) {
+	r, wall := n.batchOf(&js.job), n.poll.medianWall(n)
+	if r == nil || wall == 0 || ranMs <= 0 {
+		return
+	}
+	if n.batchMeter == nil {
+		n.batchMeter = map[meterKey]float64{}
+	}
+	for _, w := range r.Contract.windows(wall-ranMs, wall) {
+		if ms := min(w.ToMs, wall) - max(w.FromMs, wall-ranMs); ms > 0 {
+			n.batchMeter[meterKey{r.Contract.Name, w.Price}] += float64(ms) / 1000 * float64(t.Room.CPU)
+		}
+	}
+}
+
+// batchEnded notes a batch job that is complete, and whether it is late.
+func (n *node) batchEnded(js *jobState) {
+	if n.batchOf(&js.job) == nil || js.State != jobComplete || js.batch == nil {
+		return
+	}
+	n.count("batches_complete")
+	if js.DoneMs > js.batch.DeadlineMs {
+		n.count("batches_late")
+		n.log("batch_late", "job", js.ID, "queue", js.Queue, "late_ms", js.DoneMs-js.batch.DeadlineMs)
+	}
+}
+
+// batchGauges counts the batch jobs that are held, by their hours or for room,
+// and those that must finish at any price.
+func (n *node) batchGauges(out map[string]float64) {
+	for _, name := range []string{"batches_held", "batches_at_risk"} {
+		out[name] = 0
+	}
+	for _, sl := range n.owned {
+		for _, js := range sl.jobs {
+			if js.batch == nil || js.DoneMs != 0 {
+				continue
+			}
+			if js.brief() == "pending" {
+				out["batches_held"]++
+			}
+			if js.batch.Must {
+				out["batches_at_risk"]++
+			}
+		}
+	}
+}
+
+// batchHeld is the room that each queue's batches take at a worker.
+func (ag *agent) batchHeld(n *node, but string) (out []queueRoom) {
+	sum := map[string]amount{}
+	for _, h := range ag.held {
+		if h.state != heldEnded && (but == "" || h.spec.Slice != but) && n.batchSpec(&h.spec) != nil {
+			sum[h.spec.Queue] = sum[h.spec.Queue].plus(h.spec.Room)
+		}
+	}
+	for _, q := range sorted(sum) {
+		out = append(out, queueRoom{q, sum[q]})
+	}
+	return out
+}
+
+// urgentWaiting counts the unstarted tasks at a worker that are no batch's.
+func (ag *agent) urgentWaiting(n *node) (count int64) {
+	for _, h := range ag.held {
+		if h.state == heldQueued && n.batchSpec(&h.spec) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// mayStartBatch guards a worker's room once more when a batch task would start:
+// nothing more urgent waits there, and its queue stays within its share.
+func (n *node) mayStartBatch(ag *agent, h *held, r *batchRules) bool {
+	if ag.urgentWaiting(n) > 0 {
+		return false
+	}
+	sum := h.spec.Room
+	for _, o := range ag.held {
+		if o != h && o.spec.Queue == h.spec.Queue && (o.state == heldOrdered || o.state == heldRunning) && n.batchSpec(&o.spec) != nil {
+			sum = sum.plus(o.spec.Room)
+		}
+	}
+	return sum.fits(ag.capacity.share(r.SharePercent))
+}
+
+// returnBatches gives back batch tasks that could not start here at once, and
+// leaves the others in the queue: batches never wait at a worker.
+func (n *node) returnBatches(ag *agent, queue []*held) []*held {
+	some := false
+	queue = slices.DeleteFunc(queue, func(h *held) bool {
+		if n.batchSpec(&h.spec) == nil || n.now-h.queuedMs <= batchWaitMs {
+			return false
+		}
+		h.state, h.result, some = heldEnded, resultShed, true
+		n.count("batches_returned")
+		return true
+	})
+	if some {
+		n.syncAgent(ag)
+	}
+	return queue
+}
+
+// explainContracts tells an operator what the hours of a setup come to.
+func (c *compiled) explainContracts() (out []string) {
+	at := func(m int64) string {
+		day := weekdays[m/minutesPerDay%7]
+		return fmt.Sprintf("%s %02d:%02d", day, m%minutesPerDay/60, m%60)
+	}
+	for _, name := range sorted(c.Contracts) {
+		k := c.Contracts[name]
+		out = append(out, fmt.Sprintf("contract %s, clock %s all year:", name, time.UnixMilli(0).In(time.FixedZone("", int(k.OffsetMinutes)*60)).Format("UTC-07:00")))
+		for _, s := range k.spans {
+			mark := ""
+			if s.Price == k.Cheapest {
+				mark = ", the cheapest"
+			}
+			out = append(out, fmt.Sprintf("  %s to %s: %s a core hour%s", at(s.From), at(s.To), priceText(s.Price), mark))
+		}
+	}
+	for _, name := range sorted(c.Queues) {
+		if b := c.Queues[name].Batch; b != nil {
+			out = append(out, fmt.Sprintf("queue %s: batches by contract %s, complete within %g hours, at most %d percent of each worker",
+				name, b.Contract.Name, float64(b.FinishByMs)/msPerHour, b.SharePercent))
+		}
+	}
+	return out
+}
--- a/accord/central.go
+++ b/accord/central.go
@@ -417,6 +417,9 @@
 	}
 	sure := w.Capacity.minus(w.firm).minus(c.promised(w.Worker))
 	for _, h := range w.Held {
+		if q := n.setup.cur.Queues[h.Queue]; q != nil && q.Batch != nil {
+			continue // batches are never firm
+		}
 		if h.Class == classQueueable && h.State == heldRunning && h.RanMs > max(2*h.EstMs, n.ThresholdMs) && h.Room.fits(sure) {
 			sure = sure.minus(h.Room)
 			n.send(w.Agent, &promoteMsg{Worker: w.Worker, Epoch: w.Epoch, Key: h.Key})
--- a/accord/door.go
+++ b/accord/door.go
@@ -179,12 +179,15 @@
 // Collect reads the counts once.
 func (d *door) Collect(ch chan<- prometheus.Metric) {
 	got := make(chan struct{})
-	counts, gauges := map[string]int64{}, map[string]float64{}
+	counts, gauges, meter := map[string]int64{}, map[string]float64{}, map[meterKey]float64{}
 	d.loop.post(func(s *shell) {
 		for k, v := range s.n.counts {
 			counts[k] = v
 		}
 		s.n.gauges(gauges)
+		for k, v := range s.n.batchMeter {
+			meter[k] = v
+		}
 		close(got)
 	})
 	select {
@@ -200,9 +203,14 @@
 	for _, k := range sorted(gauges) {
 		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("accord_"+k, "Now: "+k+".", nil, nil), prometheus.GaugeValue, gauges[k])
 	}
+	for k, v := range meter { // the registry sorts them
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("accord_batch_core_seconds_total", "Processor room of ended batch runs, in the unit of the jobs' room, times seconds, by what it cost.",
+			[]string{"contract", "price"}, nil), prometheus.CounterValue, v, k.Contract, priceText(k.Price))
+	}
 }
 
 func (n *node) gauges(out map[string]float64) {
+	n.batchGauges(out)
 	for k, v := range map[string]int{"duties_held": len(n.duties), "siblings": len(n.siblings), "workers": len(n.workers), "asks_open": len(n.asks)} {
 		out[k] = float64(v)
 	}
--- a/accord/downstream.go
+++ b/accord/downstream.go
@@ -211,6 +211,9 @@
 		return exitFound
 	}
 	fmt.Printf("sound: %d queues, %d sites to empty\n", len(c.Queues), len(c.Empty))
+	for _, line := range c.explainContracts() {
+		fmt.Println(line)
+	}
 	return exitOK
 }
 
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -116,6 +116,24 @@
 	msPerHour = 3600_000
 )
 
+// Of batches.
+const (
+	finishByMost    = 720    // hours a batch may be given: a month, within what is kept of jobs
+	batchBelow      = 2000   // urgency that batch queues lie below all others: those have 0 to 1000
+	batchPlanMs     = 2000   // batches are planned anew at this pace; far below batchMarginMs
+	batchSlack      = 200    // percent of the time a batch needs that is kept for it: it is pushed out, runs off its guess, finds half the room
+	batchMarginMs   = 60_000 // and beside that: a lost worker, a takeover and another try
+	batchHeadroom   = 25     // percent of a worker that stays free when a batch task starts there
+	batchStartsTick = 4      // batch tasks a slice places in one tick
+	batchTriesTick  = 64     // and those it looks for a place for
+	batchAgainMs    = 400    // a task that found no place is looked at again after this, about
+	batchCalmMs     = 1500   // so long after a more urgent task found no place none is placed
+	batchCalmShare  = 4      // nor while something waits at one in so many workers
+	batchWaitMs     = 300    // a batch task that can't start at its worker by then goes back
+	batchBackMs     = 1500   // and one that was pushed out waits this long, up to twice
+	batchRecords    = 50     // percent of a slice's records that may be full when a batch is taken
+)
+
 // Of agents beside their workers, of gangs and of firm room.
 const (
 	holdSpanMs    = 4000   // a beat's answer holds its worker this long; a daemon that is killed is back before
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -289,10 +289,18 @@
 	Queued   int64
 	Oks      int64
 	Fails    int64
-	LagPct   int64 // run time against the estimate, in percent, smoothed
+	Waiting  int64       // unstarted tasks that are no batch's
+	Batch    []queueRoom // room of the batches it holds that are not this slice's
+	LagPct   int64       // run time against the estimate, in percent, smoothed
 	Held     []heldView
 }
 
+// queueRoom is room that tasks of a queue take.
+type queueRoom struct {
+	Queue string
+	Room  amount
+}
+
 type verdictView struct {
 	Key     attemptKey
 	Verdict int8
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -165,6 +165,8 @@
 	learned   map[string]*estimate
 	learnedAt int64
 
+	batchMeter map[meterKey]float64 // core seconds of batches
+
 	diskFailed string
 	syncMs     int64
 }
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -31,11 +31,13 @@
 		"trust_run_limit":  {Kind: "flag"},
 		"latency_ms":       {Kind: "count", Min: 0, Max: 1 << 40},
 		"stretch":          {Kind: "number"},
+		"batch":            batchFields,
 		"addresses": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
 			"host":   {Kind: "text", Required: true, Min: 1, Max: 256},
 			"prefix": {Kind: "text", Required: true, Min: 1, Max: 1024},
 		}}},
 	}}},
+	"contracts":   {Kind: "list", Max: 100, Elem: &contractFields},
 	"empty_sites": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "name"}},
 	"source":      {Kind: "any"},
 }}
@@ -73,6 +75,7 @@
 	Addresses  []address
 	LatencyMs  int64   // the target for a job's time
 	Stretch    float64 // the target for a job's time against its work alone
+	Batch      *batchRules
 }
 
 // address is where callers reach a queue: all paths of a host that begin so.
@@ -88,8 +91,11 @@
 	Version int64
 	Queues  map[string]*queueRules
 	Empty   map[string]bool
-	Lowest  int64
+	Lowest  int64 // urgency, of the queues that are no batches
 	Highest int64
+
+	Contracts map[string]*contract
+
 	emptied []string // of Empty, what the document itself says
 	hosts   map[string]*hostPrefixes
 }
@@ -165,7 +171,18 @@
 	}
 	var faults []fault
 	root := gjson.ParseBytes(doc)
-	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40, hosts: map[string]*hostPrefixes{}}
+	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40, hosts: map[string]*hostPrefixes{},
+		Contracts: map[string]*contract{}}
+	for i, doc := range root.Get("contracts").Array() {
+		k, bad := compileContract(fmt.Sprintf("contracts.%d", i), doc)
+		if faults = append(faults, bad...); len(bad) > 0 {
+			k = &contract{Name: doc.Get("name").Str} // its queues are checked all the same
+		}
+		if c.Contracts[k.Name] != nil {
+			faults = append(faults, fault{fmt.Sprintf("contracts.%d.name", i), "stands twice"})
+		}
+		c.Contracts[k.Name] = k
+	}
 	for i, doc := range root.Get("queues").Array() {
 		q := queueFields(doc.Map()) // one pass: there are thousands
 		name := q.Get("name").Str
@@ -203,6 +220,14 @@
 			r.Addresses = append(r.Addresses, at)
 		}
 		c.Queues[name] = r
+		if b := q.Get("batch"); b.Exists() {
+			var bad []fault
+			r.Batch, bad = c.compileBatch(fmt.Sprintf("queues.%d.batch", i), b)
+			faults = append(faults, bad...)
+			r.Urgency -= batchBelow
+			r.Rules = slices.Insert(r.Rules, 0, rule{"noGangs", 1})
+			continue
+		}
 		c.Lowest = min(c.Lowest, r.Urgency)
 		c.Highest = max(c.Highest, r.Urgency)
 	}
@@ -502,6 +527,7 @@
 	all   int // live jobs of the slice
 	bytes int // of their records, with this one
 	base  bool
+	batch bool
 }
 
 type bounceError struct {
@@ -546,12 +572,31 @@
 	"mostLimit": func(c *askContext, v int64) *bounceError {
 		return c.eachTask(func(t *task) bool { return v > 0 && t.LimitMs > v }, "limit_ms", "is above the queue's bound")
 	},
+	"noGangs": func(c *askContext, _ int64) *bounceError {
+		var out []fault
+		for i, s := range c.job.Steps {
+			if s.Gang {
+				out = append(out, fault{fmt.Sprintf("steps.%d.gang", i), "can't be in a batch queue: it needs a firm place"})
+			}
+			if s.Lasting {
+				out = append(out, fault{fmt.Sprintf("steps.%d.lasting", i), "can't be in a batch queue: it never finishes"})
+			}
+		}
+		if len(out) > 0 {
+			return &bounceError{status: 400, faults: out}
+		}
+		return nil
+	},
 	"grantEntry": func(c *askContext, v int64) *bounceError {
 		all := sliceJobsMax
 		if c.base { // queues of the lowest urgency leave the others their share
 			all = sliceJobsMax * (100 - urgentShare) / 100
 		}
-		if int64(c.live) >= v || c.all >= all || c.bytes > sliceBytes {
+		bytes := sliceBytes
+		if c.batch { // held jobs leave the others room in the records
+			all, bytes = sliceJobsMax*batchRecords/100, sliceBytes*batchRecords/100
+		}
+		if int64(c.live) >= v || c.all >= all || c.bytes > bytes {
 			return &bounceError{status: 429, retryMs: 2000, faults: []fault{{"queue", "has as many live jobs as it may"}}}
 		}
 		return nil
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -39,6 +39,13 @@
 	settled  []string                       // finished at a majority, not yet told to the members
 	toldMs   int64
 	wants    int // asks for firm places sent in this tick
+
+	batchAt      int64 // when batches are planned anew
+	batchVersion int64 // the setup that they were planned by
+	batchStarts  int   // in this tick
+	batchTries   int   // and tasks looked at
+	batchLoads   map[queueAt]amount
+	starvedMs    int64 // when a task that is no batch's last found no place
 }
 
 // placedAt names a task of a slice.
@@ -85,6 +92,7 @@
 	bytes     int // of its record when it entered
 	waiters   []waiter
 	run       []taskState
+	batch     *batchPlan // of a batch, once it is planned
 }
 
 // taskState is what an owner need not keep across a takeover.
@@ -142,7 +150,9 @@
 	fresh    bool
 	free     amount
 	capacity amount
-	others   map[string]amount // slice -> room there of what isn't this slice's
+	others   map[string]amount      // slice -> room there of what isn't this slice's
+	batch    map[string][]queueRoom // slice -> of that, the batches'
+	waiting  int64                  // unstarted tasks that are no batch's
 	rack     string
 	suspect  bool
 	pinned   bool
@@ -350,6 +360,7 @@
 			}
 		}
 		sl.wants = 0
+		n.tickBatches(sl)
 		for _, js := range n.inTurn(sl) {
 			n.advance(sl, js)
 		}
@@ -611,7 +622,7 @@
 		return
 	}
 	size := len(j.kept())
-	c := &askContext{job: j, queue: q, live: sl.liveBy[j.Queue], all: len(sl.jobs), bytes: sl.bytes + size, base: q.Urgency == n.setup.cur.Lowest && len(n.setup.cur.Queues) > 1}
+	c := &askContext{job: j, queue: q, live: sl.liveBy[j.Queue], all: len(sl.jobs), bytes: sl.bytes + size, base: q.Urgency <= n.setup.cur.Lowest && len(n.setup.cur.Queues) > 1, batch: q.Batch != nil}
 	if b := interpret(c); b != nil {
 		n.count("jobs_bounced")
 		for _, a := range f.asks {
@@ -745,7 +756,7 @@
 		return "not due yet"
 	case !js.readySteps(js.committed)[js.stepAt(t)]:
 		return "steps before it have not all ended well"
-	case n.now < rt.retryMs:
+	case n.now < rt.retryMs && (t.Failures > 0 || js.batch == nil):
 		return "backing off after a failure"
 	case n.setup.cur.Queues[js.Queue] == nil:
 		return "its queue is not in the setup"
@@ -753,6 +764,9 @@
 	if why := n.whyNoWorker(js, t); why != "" {
 		return why
 	}
+	if why := n.whyHeld(js, t); why != "" {
+		return why
+	}
 	return "waiting for room"
 }
 
@@ -861,12 +875,13 @@
 		n.touch(sl, js)
 		js.State, js.DoneMs = state, max(n.poll.medianWall(n), 1)
 		n.count("jobs_" + jobNames[state])
+		n.batchEnded(js)
 		return
 	}
 	n.turnRounds(sl, js)
 	wall := n.poll.medianWall(n)
 	q := n.setup.cur.Queues[js.Queue]
-	outstanding := 0
+	outstanding, batch := 0, n.batchOf(&js.job) != nil
 	for i := range js.Tasks {
 		if t := &js.Tasks[i]; t.State == taskPlaced && t.Class == classQueueable {
 			outstanding++
@@ -882,6 +897,9 @@
 			if due := js.dueOf(t.Round); due != 0 && wall < due+dueMarginMs {
 				continue
 			}
+			if batch && !n.batchMayStart(js, t, wall) {
+				continue
+			}
 			if ready == nil {
 				ready = js.readySteps(js.committed)
 			}
@@ -892,11 +910,20 @@
 				if int64(outstanding) >= q.Quota {
 					continue
 				}
-				if w := n.selectWorker(sl, js, i); w != "" {
+				w := ""
+				if batch {
+					w = n.selectBatchWorker(sl, js, i)
+				} else if w = n.selectWorker(sl, js, i); w == "" {
+					sl.starvedMs = n.now
+				}
+				if w != "" {
 					n.placeTask(sl, js, i, w, classQueueable)
 					outstanding++
 				}
 			} else if n.now-rt.wantMs >= wantMs && sl.wants < wantsTick {
+				if rt.wantMs != 0 { // not the first time
+					sl.starvedMs = n.now
+				}
 				sl.wants++
 				n.sendWant(sl, js, i)
 			}
@@ -1021,7 +1048,7 @@
 // classify is the paper's hybrid-GQ rule: a task known to be short may wait
 // or be stopped, all others get a firm place.
 func (n *node) classify(js *jobState, t *task) int8 {
-	if n.ThresholdMs < 0 { // only-queueable, for comparisons
+	if n.ThresholdMs < 0 || n.batchOf(&js.job) != nil { // only-queueable, for comparisons
 		return classQueueable
 	}
 	if js.Steps[t.Step].Gang || js.Steps[t.Step].Lasting || t.Preempts >= preemptMax {
@@ -1328,6 +1355,7 @@
 	st := &js.Steps[t.Step]
 	n.touch(sl, js)
 	t.SetVer, t.RanMs = js.Version, ranMs
+	n.meterBatch(js, t, ranMs)
 	n.count("ends_" + resultNames[result])
 	if rt.saved != "" {
 		t.Saved = rt.saved
@@ -1358,6 +1386,7 @@
 		}
 	case resultPreempted:
 		t.Preempts++
+		rt.retryMs = n.batchBack(js)
 	case resultStanding, resultLost:
 		t.Last = t.Worker
 	case resultShed, resultBounced:
@@ -1433,16 +1462,16 @@
 		return // an agent whose time is over
 	}
 	if m.Epoch > w.epoch || m.SentMs > w.echoMs {
-		others := w.others
+		others, batch := w.others, w.batch
 		if others == nil || m.Epoch > w.epoch {
-			others = map[string]amount{}
+			others, batch = map[string]amount{}, map[string][]queueRoom{}
 		}
 		*w = workerView{agent: from, epoch: m.Epoch, echoMs: m.SentMs, heardMs: n.now, site: m.Site, labels: m.Labels, leaving: m.Leaving,
 			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs, silentMs: m.SilentMs,
-			others: others, rack: m.Rack, suspect: m.Suspect, pinned: m.Pinned}
+			others: others, batch: batch, waiting: m.Waiting, rack: m.Rack, suspect: m.Suspect, pinned: m.Pinned}
 	}
 	if m.Epoch == w.epoch && m.Slice != "" {
-		w.others[m.Slice] = m.Others
+		w.others[m.Slice], w.batch[m.Slice] = m.Others, m.Batch
 	}
 	if m.Slice == "" {
 		n.syncCentral(from, m)
