--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -30,6 +30,7 @@
 	case "queue.cancel":
 		e = evAsk{Op: "job.cancel", Key: id}
 	case "setup.put":
+		e.Expect = c.expect
 		var doc map[string]any
 		_ = json.Unmarshal(c.body, &doc)
 		delete(doc, "source")
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -73,6 +73,9 @@
 	queues  []beatQueue
 	note    string
 	invalid bool
+	// contracts, and by queue what its batches follow, as they are sent.
+	contracts []map[string]any
+	batches   map[string]map[string]any
 }
 
 func (s *beatSetup) routes(q *beatQueue) bool {
@@ -92,7 +95,16 @@
 	if s.invalid {
 		queues = append(queues, queues[0]) // a name that stands twice
 	}
-	return jsonOf(map[string]any{"queues": queues, "source": map[string]any{"note": s.note}})
+	doc := map[string]any{"queues": queues, "source": map[string]any{"note": s.note}}
+	if len(s.contracts) > 0 {
+		doc["contracts"] = s.contracts
+		for _, q := range queues {
+			if b := s.batches[q["name"].(string)]; b != nil {
+				q["batch"] = b
+			}
+		}
+	}
+	return jsonOf(doc)
 }
 
 var beatSites = map[string]beatSite{
