--- a/accord/agents.go
+++ b/accord/agents.go
@@ -676,10 +676,14 @@
 	}
 }
 
-// rankOf is the paper's R = T_q + T_r + T_l.
-func (ag *agent) rankOf(now int64) (rank, queuedMs, queued int64) {
+// rankOf is the paper's R = T_q + T_r + T_l, without batches: all others push them out.
+func (ag *agent) rankOf(n *node) (rank, queuedMs, queued int64) {
 	var tq, tr int64
+	now := n.now
 	for _, h := range ag.held {
+		if n.batchSpec(&h.spec) != nil {
+			continue
+		}
 		switch h.state {
 		case heldQueued:
 			tq += h.spec.EstMs
@@ -697,9 +701,9 @@
 	if !n.tends(ag) && !ag.replaced {
 		return
 	}
-	rank, tq, queued := ag.rankOf(n.now)
-	waiting := ag.urgentWaiting(n)
-	base := syncMsg{Waiting: waiting, Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
+	rank, tq, queued := ag.rankOf(n)
+	waiting, spare := ag.besideBatches(n)
+	base := syncMsg{Waiting: waiting, Spare: spare, Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
 		SilentMs: n.now - ag.heardMs, Site: ag.site, Labels: ag.labels, Leaving: ag.leaving, Rack: ag.rack, Free: ag.free, Capacity: ag.capacity,
 		Suspect: n.now < ag.suspectMs, Pinned: ag.pinned,
 		RankMs: rank, QueuedMs: tq, Queued: queued, Oks: ag.oks, Fails: ag.fails, LagPct: ag.lagPct}
@@ -781,7 +785,7 @@
 // shed gives back unstarted queueable tasks, the last in line first, until the
 // rank meets the coordinator's target.
 func (n *node) shed(ag *agent, targetMs int64) {
-	rank, _, _ := ag.rankOf(n.now)
+	rank, _, _ := ag.rankOf(n)
 	queue := ag.waiting(n)
 	slices.Reverse(queue)
 	some := false
@@ -789,7 +793,7 @@
 		if rank <= targetMs {
 			break
 		}
-		if h.spec.Class != classQueueable {
+		if h.spec.Class != classQueueable || n.batchSpec(&h.spec) != nil {
 			continue
 		}
 		rank -= h.spec.EstMs
--- a/accord/batch.go
+++ b/accord/batch.go
@@ -377,10 +377,10 @@
 	return js.batch != nil && js.batch.mayStart(wall, n.estimateMs(js, t))
 }
 
-// shortOfRoom tells whether more urgent work waits: of this slice for a place, or
-// at many of the workers.
+// shortOfRoom tells whether more urgent work waits: of this slice for a place, of
+// any slice for a firm one, or at many of the workers.
 func (n *node) shortOfRoom(sl *slice) bool {
-	if sl.starvedMs != 0 && n.now-sl.starvedMs < batchCalmMs {
+	if sl.starvedMs != 0 && n.now-sl.starvedMs < batchCalmMs || n.ranks.short && n.now-n.ranks.heardMs < rankStaleMs {
 		return true
 	}
 	waits, all := 0, 0
@@ -398,8 +398,8 @@
 // queueAt names a queue's part of a worker.
 type queueAt struct{ queue, worker string }
 
-// batchLoad is the room that a queue's batches take at a worker, as far as known;
-// it is summed up once in a tick.
+// batchLoad is the room that a queue's batches, or all queues', take at a worker,
+// as far as known; it is summed up once in a tick.
 func (n *node) batchLoad(sl *slice, queue, worker string) (sum amount) {
 	if sum, ok := sl.batchLoads[queueAt{queue, worker}]; ok {
 		return sum
@@ -410,13 +410,13 @@
 		}
 	}()
 	for at, room := range sl.placed[worker] {
-		if js := sl.jobs[at.job]; js != nil && js.Queue == queue {
+		if js := sl.jobs[at.job]; js != nil && js.batch != nil && (js.Queue == queue || queue == "") {
 			sum = sum.plus(room)
 		}
 	}
 	if w := n.workers[worker]; w != nil {
 		for _, b := range w.batch[sl.name] {
-			if b.Queue == queue {
+			if b.Queue == queue || queue == "" {
 				sum = sum.plus(b.Room)
 			}
 		}
@@ -455,6 +455,9 @@
 		if !t.Room.plus(kept).fits(n.freeAt(sl, name, w)) {
 			continue
 		}
+		if !js.batch.Must && !n.batchLoad(sl, "", name).plus(t.Room).plus(kept).fits(w.low.least()) {
+			continue
+		}
 		load := n.batchLoad(sl, js.Queue, name)
 		if !load.plus(t.Room).fits(w.capacity.share(q.Batch.SharePercent)) {
 			continue
@@ -472,8 +475,10 @@
 	}
 	if best != "" {
 		sl.batchStarts++
-		load := n.batchLoad(sl, js.Queue, best).plus(t.Room)
-		sl.batchLoads[queueAt{js.Queue, best}] = load
+		for _, queue := range []string{js.Queue, ""} {
+			load := n.batchLoad(sl, queue, best).plus(t.Room)
+			sl.batchLoads[queueAt{queue, best}] = load
+		}
 	}
 	return best
 }
@@ -613,20 +618,59 @@
 	return out
 }
 
-// urgentWaiting counts the unstarted tasks at a worker that are no batch's.
-func (ag *agent) urgentWaiting(n *node) (count int64) {
+// besideBatches gives the unstarted tasks at a worker that are no batch's, and the
+// room that those and the running ones leave.
+func (ag *agent) besideBatches(n *node) (waiting int64, spare amount) {
+	spare = ag.capacity
 	for _, h := range ag.held {
-		if h.state == heldQueued && n.batchSpec(&h.spec) == nil {
-			count++
+		if h.state == heldEnded || n.batchSpec(&h.spec) != nil {
+			continue
+		}
+		spare = spare.minus(h.spec.Room)
+		if h.state == heldQueued {
+			waiting++
 		}
 	}
-	return count
+	return waiting, spare
+}
+
+// lowRoom keeps the least of some room over the last one to two spans of batchLowMs.
+type lowRoom struct {
+	now, past amount
+	known     int // spans seen
+	atMs      int64
+}
+
+func (l lowRoom) with(nowMs int64, room amount) lowRoom {
+	if l.known == 0 || nowMs-l.atMs >= batchLowMs {
+		l = lowRoom{now: room, past: l.now, known: l.known + 1, atMs: nowMs}
+	}
+	l.now = amount{min(l.now.CPU, room.CPU), min(l.now.Memory, room.Memory), min(l.now.GPU, room.GPU)}
+	return l
+}
+
+// least gives nothing until a whole span was seen.
+func (l lowRoom) least() amount {
+	if l.known < 2 {
+		return amount{}
+	}
+	return amount{min(l.now.CPU, l.past.CPU), min(l.now.Memory, l.past.Memory), min(l.now.GPU, l.past.GPU)}
+}
+
+// wantsWait tells whether firm work has waited for room some time.
+func (n *node) wantsWait(c *central) bool {
+	for _, ws := range c.wants {
+		if n.now-ws.firstMs > batchCalmMs && len(ws.open()) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // mayStartBatch guards a worker's room once more when a batch task would start:
 // nothing more urgent waits there, and its queue stays within its share.
 func (n *node) mayStartBatch(ag *agent, h *held, r *batchRules) bool {
-	if ag.urgentWaiting(n) > 0 {
+	if waiting, _ := ag.besideBatches(n); waiting > 0 {
 		return false
 	}
 	sum := h.spec.Room
--- a/accord/central.go
+++ b/accord/central.go
@@ -76,6 +76,7 @@
 	round    int64
 	heardMs  int64
 	targetMs int64
+	short    bool
 	ranks    map[string]int64
 	unsound  map[string]int8
 	added    map[string]int64 // estimates of what was placed from here since the round
@@ -454,7 +455,7 @@
 	c.roundAt += rankMs
 	c.round++
 	n.judgeSoundness(c)
-	m := &ranksMsg{Epoch: c.epoch, Round: c.round}
+	m := &ranksMsg{Epoch: c.epoch, Round: c.round, Short: n.wantsWait(c)}
 	var sum, sum2, count float64
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
@@ -516,7 +517,7 @@
 	if m.Epoch < r.epoch || m.Epoch == r.epoch && m.Round <= r.round {
 		return
 	}
-	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, ranks: map[string]int64{}, unsound: map[string]int8{}}
+	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, short: m.Short, ranks: map[string]int64{}, unsound: map[string]int8{}}
 	for _, v := range m.Ranks {
 		r.ranks[v.Worker] = v.RankMs
 		if v.Unsound != 0 {
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -124,6 +124,7 @@
 	batchSlack      = 200    // percent of the time a batch needs that is kept for it: it is pushed out, runs off its guess, finds half the room
 	batchMarginMs   = 60_000 // and beside that: a lost worker, a takeover and another try
 	batchHeadroom   = 25     // percent of a worker that stays free when a batch task starts there
+	batchLowMs      = 3000   // batches count on room that was left for so long at the least
 	batchStartsTick = 4      // batch tasks a slice places in one tick
 	batchTriesTick  = 64     // and those it looks for a place for
 	batchAgainMs    = 400    // a task that found no place is looked at again after this, about
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -289,6 +289,7 @@
 	Queued   int64
 	Oks      int64
 	Fails    int64
+	Spare    amount      // capacity without what is held and no batch's
 	Waiting  int64       // unstarted tasks that are no batch's
 	Batch    []queueRoom // room of the batches it holds that are not this slice's
 	LagPct   int64       // run time against the estimate, in percent, smoothed
@@ -367,6 +368,7 @@
 	Epoch    uint64
 	Round    int64
 	TargetMs int64
+	Short    bool // firm work waits for room
 	Ranks    []rankView
 }
 
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -153,6 +153,7 @@
 	others   map[string]amount      // slice -> room there of what isn't this slice's
 	batch    map[string][]queueRoom // slice -> of that, the batches'
 	waiting  int64                  // unstarted tasks that are no batch's
+	low      lowRoom                // the least room lately that batches didn't have to leave
 	rack     string
 	suspect  bool
 	pinned   bool
@@ -1206,6 +1207,9 @@
 		func(r ranked) bool { return n.ranks.unsound[r.name] != 0 || r.w.suspect },
 		func(r ranked) bool { return r.name == t.Last },
 		func(r ranked) bool { return pinned && !t.Room.fits(n.freeAt(sl, r.name, r.w)) },
+		func(r ranked) bool {
+			return pinned && !t.Room.fits(n.freeAt(sl, r.name, r.w).plus(n.batchLoad(sl, "", r.name)))
+		},
 		func(r ranked) bool { return st.Near != "" && r.w.rack != st.Near },
 	} {
 		if left := slices.DeleteFunc(slices.Clone(list), shun); len(left) > 0 {
@@ -1468,7 +1472,7 @@
 		}
 		*w = workerView{agent: from, epoch: m.Epoch, echoMs: m.SentMs, heardMs: n.now, site: m.Site, labels: m.Labels, leaving: m.Leaving,
 			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs, silentMs: m.SilentMs,
-			others: others, batch: batch, waiting: m.Waiting, rack: m.Rack, suspect: m.Suspect, pinned: m.Pinned}
+			others: others, batch: batch, waiting: m.Waiting, low: w.low.with(n.now, m.Spare), rack: m.Rack, suspect: m.Suspect, pinned: m.Pinned}
 	}
 	if m.Epoch == w.epoch && m.Slice != "" {
 		w.others[m.Slice], w.batch[m.Slice] = m.Others, m.Batch
