--- a/accord/batch_test.go
+++ b/accord/batch_test.go
@@ -155,3 +155,271 @@
 	must.Eq(t, came, there.plan("j1", came, came, msPerHour).StartMs) // 04:00 there
 	must.Eq(t, at(1, 8), there.plan("j1", at(0, 17), at(0, 17), msPerHour).OpenMs)
 }
+
+// batchNode gives a daemon by itself, at some time by the fleet's clock.
+func batchNode(t *testing.T, wallMs int64) *node {
+	t.Helper()
+	c, faults := compileSetup(1, []byte(`{"contracts":[`+nightContract+`],"queues":[{"name":"confirm","urgency":90},{"name":"import","urgency":0},
+		{"name":"refresh","urgency":95,"batch":{"contract":"night","finish_by_hours":20,"share_percent":30}}]}`))
+	must.SliceEmpty(t, faults)
+	n := newNode(place{Name: "d0"}, nil)
+	n.now = 1_000_000
+	n.setup.cur, n.setup.confirmedMs = c, n.now
+	n.core = coreSet{Members: []coreMember{{Name: "d0"}}, Slices: []string{"east"}}
+	n.poll.clocks = map[string]clockRead{"d0": {least: wallMs - n.now, most: wallMs - n.now}}
+	return n
+}
+
+func (n *node) batchSlice() *slice {
+	sl := &slice{name: "east", serving: true, jobs: map[string]*jobState{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}, batchLoads: map[queueAt]amount{}}
+	n.owned["east"] = sl
+	return sl
+}
+
+// batchJob puts a job into a slice that came some time before now.
+func (n *node) batchJob(t *testing.T, sl *slice, id, steps string, agoMs int64) *jobState {
+	t.Helper()
+	j, faults := parseJob(id, "", []byte(`{"queue":"refresh","steps":`+steps+`}`))
+	must.SliceEmpty(t, faults)
+	for i := range j.Tasks {
+		j.Tasks[i].LimitMs = 600_000
+	}
+	j.SubmitMs = n.poll.medianWall(n) - agoMs
+	js := &jobState{job: *j, run: make([]taskState, len(j.Tasks)), committed: 1}
+	sl.jobs[id] = js
+	return js
+}
+
+func oneBatch(room, estimateMs int64) string {
+	return fmt.Sprintf(`[{"name":"a","tasks":[{"name":"t","room":%d,"estimate_ms":%d}]}]`, room, estimateMs)
+}
+
+// The agent guards a worker's room once more: the share, what waits there, and
+// that urgent work pushes batches out at once, and nothing else sooner.
+func TestBatchAtTheAgent(t *testing.T) {
+	n := batchNode(t, aMonday)
+	ag := &agent{worker: "w", pinned: true, rebuilt: true, tokenMs: n.now, heardMs: n.now, lastOK: n.now, capacity: amount{CPU: 100}, free: amount{CPU: 100}, held: map[attemptKey]*held{},
+		tombs: map[attemptKey]int64{}, owners: map[string]uint64{}, ownerMs: map[string]int64{}, ends: map[int64]attemptKey{}}
+	n.agents["w"] = ag
+	queued := func(id, queue string, class int8, room int64) *held {
+		h := &held{spec: orderSpec{Key: attemptKey{Job: id, Attempt: 1}, Slice: "east", Queue: queue, Class: class, Room: amount{CPU: room}}, confirmedMs: n.now, queuedMs: n.now}
+		ag.held[h.spec.Key] = h
+		return h
+	}
+	pump := func() {
+		ag.beating = true
+		n.pump(ag)
+		ag.beating = false
+	}
+	running := func(h *held) { h.state, h.startedMs = heldRunning, n.now }
+
+	one, two := queued("b1", "refresh", classQueueable, 20), queued("b2", "refresh", classQueueable, 20)
+	pump()
+	must.Eq(t, []int8{heldOrdered, heldQueued}, []int8{one.state, two.state}) // a second would be above 30 percent
+	must.Eq(t, []queueRoom{{"refresh", amount{CPU: 40}}}, ag.batchHeld(n, ""))
+	must.SliceEmpty(t, ag.batchHeld(n, "east"))
+	n.now += batchWaitMs + 1
+	ag.tokenMs, n.setup.confirmedMs = n.now, n.now
+	pump()
+	must.Eq(t, resultShed, two.result) // it goes back, and never waits here
+
+	running(one)
+	other := queued("i1", "import", classQueueable, 60)
+	pump()
+	must.Eq(t, heldOrdered, other.state)
+	running(other)
+	urgent := queued("c1", "confirm", classQueueable, 40) // 20 are free
+	pump()
+	must.Eq(t, heldQueued, urgent.state)
+	must.Eq(t, resultPreempted, one.stopWhy) // the batch makes room at once
+	must.Zero(t, other.stopMs)
+	three := queued("b3", "refresh", classQueueable, 1)
+	pump()
+	must.Eq(t, heldQueued, three.state) // something more urgent waits
+	one.state = heldEnded
+	pump()
+	must.Eq(t, heldOrdered, urgent.state)
+	running(urgent)
+
+	// what is no batch's is still left its time before it is pushed out
+	ag.held = map[attemptKey]*held{}
+	low := queued("i2", "import", classQueueable, 90)
+	pump()
+	running(low)
+	urgent = queued("c2", "confirm", classQueueable, 40)
+	pump()
+	must.Zero(t, low.stopMs)
+	n.now += urgentWaitMs + 1
+	urgent.confirmedMs, ag.tokenMs, n.setup.confirmedMs = n.now, n.now, n.now
+	pump()
+	must.Positive(t, low.stopMs)
+
+	// a batch's run never becomes firm, and weighs nothing in the worker's rank
+	ag.held = map[attemptKey]*held{}
+	batch := queued("b4", "refresh", classQueueable, 10)
+	batch.spec.EstMs = 50_000
+	running(batch)
+	n.onPromote("", &promoteMsg{Worker: "w", Key: batch.spec.Key})
+	must.Eq(t, classQueueable, batch.spec.Class)
+	rank, _, _ := ag.rankOf(n)
+	must.Less(t, 50_000, rank)
+}
+
+// The owner's choice: the least batches, with room that was left over lately.
+func TestBatchChoosesAWorker(t *testing.T) {
+	n := batchNode(t, aMonday)
+	sl := n.batchSlice()
+	roomy := lowRoom{}.with(0, amount{CPU: 100}).with(batchLowMs, amount{CPU: 100})
+	for _, name := range []string{"w1", "w2", "w3"} {
+		n.workers[name] = &workerView{heardMs: n.now, rebuilt: true, fresh: true, capacity: amount{CPU: 100}, low: roomy, others: map[string]amount{}, batch: map[string][]queueRoom{}}
+	}
+	js := n.batchJob(t, sl, "b1", oneBatch(10, 1000), 0)
+	js.batch = &batchPlan{}
+	choose := func() string {
+		sl.batchStarts, sl.batchTries, sl.batchLoads = 0, 0, map[queueAt]amount{}
+		return n.selectBatchWorker(sl, js, 0)
+	}
+	n.workers["w1"].batch["east"] = []queueRoom{{"refresh", amount{CPU: 10}}}
+	n.workers["w2"].batch["east"] = []queueRoom{{"refresh", amount{CPU: 5}}}
+	must.Eq(t, "w3", choose())
+	must.Greater(t, n.now, js.run[0].retryMs)
+	n.workers["w3"].waiting = 1 // something more urgent waits there
+	must.Eq(t, "", choose())    // and at one worker of three that is a sign for all
+	js.batch.Must = true        // but a job that must start takes the emptiest of the others
+	n.workers["w2"].others["east"] = amount{CPU: 90}
+	must.Eq(t, "w1", choose())
+	n.workers["w1"].others["east"] = amount{CPU: 91}
+	must.Eq(t, "w2", choose())
+	js.batch.Must, n.workers["w1"].others, n.workers["w2"].others = false, map[string]amount{}, map[string]amount{}
+	n.workers["w3"].waiting = 0
+	n.workers["w3"].low = lowRoom{}.with(0, amount{CPU: 100}) // not seen long enough
+	must.Eq(t, "w2", choose())
+	n.workers["w2"].others["east"] = amount{CPU: 70} // less than headroom would be left
+	must.Eq(t, "w1", choose())
+	n.workers["w1"].batch["east"] = []queueRoom{{"refresh", amount{CPU: 21}}} // above its share
+	must.Eq(t, "", choose())
+	n.workers["w2"].others["east"] = amount{}
+	sl.starvedMs = n.now - batchCalmMs + 1
+	must.Eq(t, "", choose())
+	sl.starvedMs = 0
+	must.Eq(t, "w2", choose())
+	n.ranks.short, n.ranks.heardMs = true, n.now
+	must.Eq(t, "", choose())
+	n.ranks.heardMs = n.now - rankStaleMs
+	must.Eq(t, "w2", choose())
+	sl.batchStarts = batchStartsTick
+	must.Eq(t, "", n.selectBatchWorker(sl, js, 0))
+
+	low := lowRoom{}.with(0, amount{CPU: 9}).with(100, amount{CPU: 4}).with(batchLowMs, amount{CPU: 7})
+	must.Eq(t, int64(4), low.least().CPU)
+	must.Eq(t, int64(7), low.with(2*batchLowMs, amount{CPU: 8}).least().CPU)
+}
+
+// Work that many jobs need together before a deadline makes each start earlier
+// than it would have to by itself.
+func TestBatchDemand(t *testing.T) {
+	at := func(day, hour int64) int64 { return aMonday + (day*24+hour-2)*msPerHour }
+	n := batchNode(t, at(0, 14))
+	sl := n.batchSlice()
+	for i := range 4 {
+		n.workers[fmt.Sprint("w", i)] = &workerView{heardMs: n.now, rebuilt: true, fresh: true, capacity: amount{CPU: 100}}
+	}
+	// 120 units at once are batches'; 60 jobs of 30 units and an hour need 15 hours of that
+	var all []*jobState
+	for i := range 60 {
+		all = append(all, n.batchJob(t, sl, fmt.Sprintf("b%02d", i), oneBatch(30, msPerHour), int64(60-i)*1000))
+	}
+	n.planBatches(sl)
+	held, now := 0, 0
+	for _, js := range all {
+		if js.batch.Price == 0.04 {
+			held++
+			must.GreaterEq(t, at(0, 22), js.batch.StartMs)
+		} else {
+			now++
+			must.True(t, js.batch.mayStart(at(0, 14), msPerHour))
+		}
+	}
+	must.Positive(t, held)
+	must.Positive(t, now) // twice 15 hours don't fit between 22:00 and 10:00
+	must.Eq(t, 0.04, all[0].batch.Price)
+	must.Eq(t, 0.12, all[59].batch.Price)
+	late := n.batchJob(t, sl, "late", oneBatch(1, 4000), 20*msPerHour-30_000)
+	n.now += batchPlanMs
+	n.setup.confirmedMs = n.now
+	for _, w := range n.workers {
+		w.heardMs = n.now
+	}
+	n.planBatches(sl)
+	must.True(t, late.batch.Must)
+	delete(sl.jobs, "late")
+	must.StrContains(t, n.whyHeld(all[0], &all[0].Tasks[0]), "held until Mon 2027-01-04 2")
+	must.StrContains(t, n.whyHeld(all[0], &all[0].Tasks[0]), "the cheapest contracted hours: night, 0.04 a core hour; it is to be complete by Tue 2027-01-05 09:59 +02:00")
+	gauges := map[string]float64{}
+	n.batchGauges(gauges)
+	must.Eq(t, 60.0, gauges["batches_held"])
+	must.Between(t, 1, gauges["batches_at_risk"], float64(now))
+
+	// a new owner, with nothing but the records, plans the same
+	other := batchNode(t, at(0, 14))
+	other.now, other.setup.confirmedMs = n.now, n.now
+	other.workers = n.workers
+	osl := other.batchSlice()
+	for _, js := range all {
+		osl.jobs[js.ID] = &jobState{job: js.job, run: make([]taskState, 1), committed: 1}
+	}
+	other.planBatches(osl)
+	for _, js := range all {
+		must.Eq(t, js.batch, osl.jobs[js.ID].batch)
+	}
+
+	// a queue that takes no batches any more lets its jobs go at once
+	c, _ := compileSetup(2, []byte(`{"queues":[{"name":"refresh"}]}`))
+	n.setup.cur = c
+	n.planBatches(sl)
+	must.Nil(t, all[0].batch)
+	must.Eq(t, "", n.whyHeld(all[0], &all[0].Tasks[0]))
+}
+
+// Core seconds are counted at the price of the hours that they were run in, and a
+// job that is complete too late is told of.
+func TestBatchMeter(t *testing.T) {
+	at := func(day, hour int64) int64 { return aMonday + (day*24+hour-2)*msPerHour }
+	n := batchNode(t, at(1, 7))
+	sl := n.batchSlice()
+	js := n.batchJob(t, sl, "b1", oneBatch(2, 1000), 0)
+	n.meterBatch(js, &js.Tasks[0], 3*msPerHour) // from 04:00 to 07:00
+	must.Eq(t, map[meterKey]float64{{"night", 0.04}: 2 * 2 * 3600, {"night", 0.08}: 2 * 3600}, n.batchMeter)
+	js.batch, js.State = &batchPlan{DeadlineMs: 10}, jobComplete
+	js.DoneMs = 10
+	n.batchEnded(js)
+	must.Zero(t, n.counts["batches_late"])
+	js.DoneMs = 11
+	n.batchEnded(js)
+	must.Eq(t, int64(1), n.counts["batches_late"])
+	must.Eq(t, int64(2), n.counts["batches_complete"])
+}
+
+// What can't wait, or can't be pushed out, is refused by its path; and held jobs
+// leave room in the records.
+func TestBatchEntry(t *testing.T) {
+	n := batchNode(t, aMonday)
+	q := n.setup.cur.Queues["refresh"]
+	j, faults := parseJob("j", "refresh", []byte(`{"steps":[{"name":"a","count":2,"room":1,"gang":true},{"name":"b","count":1,"room":1,"lasting":true}]}`))
+	must.SliceEmpty(t, faults)
+	b := interpret(&askContext{job: j, queue: q})
+	must.Eq(t, []fault{{"steps.0.gang", "can't be in a batch queue: it needs a firm place"}, {"steps.1.lasting", "can't be in a batch queue: it never finishes"}}, b.faults)
+	must.Eq(t, 400, b.status)
+	j, _ = parseJob("j", "refresh", []byte(`{"steps":[{"name":"a","count":2,"room":1}]}`))
+	must.Nil(t, interpret(&askContext{job: j, queue: q, base: true, batch: true, all: sliceJobsMax*batchRecords/100 - 1}))
+	must.Eq(t, 429, interpret(&askContext{job: j, queue: q, base: true, batch: true, all: sliceJobsMax * batchRecords / 100}).status)
+	must.Eq(t, 429, interpret(&askContext{job: j, queue: q, base: true, batch: true, bytes: sliceBytes*batchRecords/100 + 1}).status)
+}
+
+func TestBatchExplained(t *testing.T) {
+	c, faults := compileSetup(1, []byte(batchSetup(`{"name":"night","utc_offset_minutes":-210,"price":0.12,"hours":[{"from":"22:00","to":"06:00","days":["sat"],"price":0.04}]}`,
+		`{"contract":"night","finish_by_hours":20.5,"share_percent":30}`)))
+	must.SliceEmpty(t, faults)
+	must.Eq(t, []string{"contract night, clock UTC-03:30 all year:", "  mon 00:00 to sat 22:00: 0.12 a core hour", "  sat 22:00 to sun 06:00: 0.04 a core hour, the cheapest",
+		"  sun 06:00 to mon 00:00: 0.12 a core hour", "queue refresh: batches by contract night, complete within 20.5 hours, at most 30 percent of each worker"}, c.explainContracts())
+}
--- a/guards.sh
+++ b/guards.sh
@@ -45,6 +45,12 @@
 clock read at writing|world_test.go|if n.steadyMs() > e.NotAfterMs|if false
 takeover merges a majority|slices.go|if len(sl.sealed) < n.core.majority() {|if len(sl.sealed) < 1 {
 a resend finds the finished job|slices.go|if old == nil && f.job != nil|if f.job != nil
+batches wait for their hours|batch.go|return wallMs >= p.StartMs && wallMs < p.CloseMs|return wallMs > 0
+batches keep to their share|batch.go|return sum.fits(ag.capacity.share(r.SharePercent))|return true
+batches are below all others|setup.go|r.Urgency -= batchBelow|r.Urgency -= 0
+batches make room at once|agents.go|n.now-wants.queuedMs <= urgentWaitMs && n.batchSpec(&h.spec) == nil|n.now-wants.queuedMs <= urgentWaitMs
+batches are never firm|agents.go|h.spec.Class != classQueueable \|\| n.batchSpec(&h.spec) != nil {\n\t\treturn|h.spec.Class != classQueueable {\n\t\treturn
+batches leave urgent work its room|batch.go|if waiting, _ := ag.besideBatches(n); waiting > 0 {|if false {
 G
 }
 
@@ -63,7 +69,7 @@
 P
   then echo "STALE     $name: its text is no longer in $file"; continue; fi
   out=$(cd "$copy" && go test -c -vet=off -o accord/t ./accord && cd accord && a=0 &&
-    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered' 2>&1 || a=1; } &&
+    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered|Batch[A-M]' 2>&1 || a=1; } &&
     { timeout 240 ./t -test.timeout 200s -test.run Campaign -seeds "${SEEDS:-12}" 2>&1 || a=1; } && exit $a)
   if [ $? -eq 0 ]; then echo "UNNOTICED $name"; else
     rules=$(echo "$out" | grep -oE '(twice_at_once|again_after_well|over_room|before_its_steps|before_due|lacks_label|outside_group|past_failures|after_cancel|runs_on_after_cancel|leaving_worker|emptied_site|job_forgotten|failed_without_cause|complete_too_early|setup_lost|setup_acked_twice|run_not_sent) at|jobs (still )?open|[0-9] of [0-9]+ jobs|panic|build failed|core is not whole' | sed -E 's/ at//; s/^[0-9].*/jobs open/; s/jobs still open/jobs open/' | sort | uniq -c | sort -rn | head -4 | awk '{c=$1; $1=""; printf "%s x%s,", $0, c}')
