--- a/accord/batchnight_test.go
+++ b/accord/batchnight_test.go
@@ -339,7 +339,14 @@
 						late++
 					}
 				}
-				t.Logf("%d batches late", late)
+				began, out := 0, 0
+				for _, e := range with.events {
+					if j := with.jobs[e.job]; j != nil && j.queue.prefix == "/a/" && e.atMs < p.untilMs {
+						began += map[bool]int{true: 1}[e.kind == bStarted]
+						out += map[bool]int{true: 1}[e.kind == bEnded && e.text == "stopped"]
+					}
+				}
+				t.Logf("%d batches late; while traffic came %d of their runs began, %d were pushed out", late, began, out)
 				for _, k := range with.site.kinds {
 					t.Logf("%s: %s with batches, %s without", k.queue.name, with.aims(k.queue.name), without.aims(k.queue.name))
 				}
