The stand-in for the callers can mix batches into live traffic

guise downstream -setup -batches N declares a contract whose cheapest two minutes come soon, sends a batch beside every N jobs, and tells how many were held, began early, were late or open, or had a task that ended well twice.

--- a/guise/downstream.go
+++ b/guise/downstream.go
@@ -29,7 +29,7 @@
 	rate                                 float64
 	seed                                 uint64
 	setup                                bool
-	wave, cancel                         int
+	wave, cancel, batches                int
 }
 
 func (*downstreamCommand) Name() string { return "downstream" }
@@ -50,6 +50,7 @@
 	fs.Uint64Var(&c.seed, "seed", 1, "of the mix")
 	fs.BoolVar(&c.setup, "setup", false, "first declare the deployment's setup as version 1")
 	fs.IntVar(&c.cancel, "cancel", 0, "every so many jobs one is cancelled soon; 0 for none")
+	fs.IntVar(&c.batches, "batches", 0, "with -setup: beside every so many jobs one is a batch, held for two cheap minutes from 30 to 90 s ahead; 0 for none")
 	fs.IntVar(&c.wave, "wave", 0, "jobs sent at once half way")
 }
 
@@ -63,6 +64,7 @@
 	states  map[string]string
 	bounced map[int]int
 	doneMs  []int64
+	night   *night
 }
 
 func (c *downstreamCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -74,6 +76,12 @@
 		dep.JobsPerSec = c.rate
 	}
 	r := &downstreamRun{downstreamCommand: c, dep: dep, daemons: strings.Split(c.daemons, ","), http: newHTTP(), states: map[string]string{}, bounced: map[int]int{}}
+	if c.batches > 0 {
+		if !c.setup {
+			return fail(2, fmt.Errorf("-batches needs -setup"))
+		}
+		r.night = newNight(time.Now())
+	}
 	if c.setup {
 		if err := r.declare(); err != nil {
 			return fail(1, err)
@@ -95,6 +103,18 @@
 			defer all.Done()
 			r.follow(id, job, limit, cancel)
 		}()
+		if r.night == nil || n%c.batches != 0 {
+			return
+		}
+		n++
+		id, batch := fmt.Sprintf("%s-%d", prefix, n), dep.Draw(rng)
+		batch.Queue = nightQueue
+		r.night.send(id)
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r.follow(id, batch, time.Now().Add(r.night.finishBy()+10*time.Second), false)
+		}()
 	}
 	for time.Now().Before(end) {
 		send()
@@ -121,6 +141,9 @@
 
 func (r *downstreamRun) declare() error {
 	setup := r.dep.SetupOf()
+	if r.night != nil {
+		setup = r.night.with(setup)
+	}
 	r.note(verdict.Event{Kind: verdict.SetupSent, Version: 1, Setup: &setup})
 	for range 60 {
 		status, _, b := ask(r.http, "PUT", "http://"+r.any()+"/v1/setups/1", mustJSON(setup))
@@ -177,6 +200,9 @@
 		}
 		r.note(verdict.Event{Kind: verdict.JobState, Job: id, Text: state, AskedMs: asked})
 		r.state(id, state)
+		if r.night != nil {
+			r.night.shown(id, state, string(b))
+		}
 		if state == "complete" || state == "failed" || state == "cancelled" {
 			r.mu.Lock()
 			r.doneMs = append(r.doneMs, time.Since(sent).Milliseconds())
@@ -262,6 +288,10 @@
 		starting[class] = map[string]int64{"jobs": int64(len(first[class])), "median": quantile(first[class], 0.5), "p99": quantile(first[class], 0.99)}
 	}
 	out["to_first_start_ms"] = starting
+	wrong := 0
+	if r.night != nil {
+		out["batches"], wrong = r.night.judge(history)
+	}
 	b, _ := json.MarshalIndent(out, "", "  ")
 	fmt.Println(string(b))
 	for i, x := range breaches {
@@ -269,7 +299,7 @@
 			fmt.Println("breach:", x)
 		}
 	}
-	if len(breaches) > 0 || unended > 0 {
+	if len(breaches) > 0 || unended > 0 || wrong > 0 {
 		return 1
 	}
 	return 0
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -81,9 +81,32 @@
 
 // Setup is the part of an operator's setup that bears on the rules.
 type Setup struct {
-	Queues     []Queue  `json:"queues"`
-	EmptySites []string `json:"empty_sites,omitempty"`
-	Note       string   `json:"note,omitempty"`
+	Queues     []Queue    `json:"queues"`
+	Contracts  []Contract `json:"contracts,omitempty"`
+	EmptySites []string   `json:"empty_sites,omitempty"`
+	Note       string     `json:"note,omitempty"`
+}
+
+// Contract is what an hour of a core costs.
+type Contract struct {
+	Name          string  `json:"name"`
+	OffsetMinutes int64   `json:"utc_offset_minutes"`
+	Price         float64 `json:"price"`
+	Hours         []Hours `json:"hours,omitempty"`
+}
+
+// Hours are a part of each day with a price of its own.
+type Hours struct {
+	From  string  `json:"from"`
+	To    string  `json:"to"`
+	Price float64 `json:"price"`
+}
+
+// Batch is what a queue's batches follow.
+type Batch struct {
+	Contract      string  `json:"contract"`
+	FinishByHours float64 `json:"finish_by_hours"`
+	SharePercent  int64   `json:"share_percent"`
 }
 
 // Queue ties a name to a group of workers.
@@ -92,6 +115,7 @@
 	Selector map[string][]string `json:"selector,omitempty"`
 	Urgency  int64               `json:"urgency"`
 	Trust    bool                `json:"trust_run_limit,omitempty"`
+	Batch    Batch               `json:"batch,omitzero"`
 }
 
 // Breach is one broken rule.
