--- a/accord/asks.go
+++ b/accord/asks.go
@@ -328,7 +328,7 @@
 	}
 	best := ""
 	for _, m := range memberNames(n.core) {
-		if n.live(m) && n.now-n.poll.heardMs[m] < 2*pollMs && (best == "" || n.siteOf(m) == n.Site && n.siteOf(best) != n.Site) {
+		if n.live(m) && n.now-n.poll.heardMs[m] < 2*pollAsideMs && (best == "" || n.siteOf(m) == n.Site && n.siteOf(best) != n.Site) {
 			best = m
 		}
 	}
--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,52 +10,13 @@
 
 // placeBeatNode gives a daemon of the users' platform its place.
 func placeBeatNode(p *place, site beatSite, side bool) {
-	p.HoldMostMs = site.holdMaxMs
+	p.Beside, p.HoldMostMs, p.GangWaitMs = side, site.holdMaxMs, site.gangWaitMs
+	p.SaveMs, p.RestoreMs, p.SpreadFactor = int64(site.saveMs), site.restoreMs, site.spread
 }
 
-// eventOf is a call as a daemon gets it; in terms of the calls under /v1 as
-// long as the others aren't there.
+// eventOf is a call as a daemon gets it.
 func eventOf(c beatCall) evAsk {
-	e := evAsk{Op: c.op, Key: c.key, Body: c.body}
-	id := c.path[strings.LastIndex(c.path, "/")+1:]
-	switch c.op {
-	case "queue.submit":
-		var doc map[string]any
-		_ = json.Unmarshal(c.body, &doc)
-		doc["queue"] = c.queue
-		e = evAsk{Op: "job.put", Key: id, Body: jsonOf(doc)}
-	case "queue.state":
-		e = evAsk{Op: "job.state", Key: id}
-	case "queue.cancel":
-		e = evAsk{Op: "job.cancel", Key: id}
-	case "setup.put":
-		e.Expect = c.expect
-		var doc map[string]any
-		_ = json.Unmarshal(c.body, &doc)
-		delete(doc, "source")
-		doc["note"] = fmt.Sprint(doc["note"], len(c.body))
-		for _, q := range doc["queues"].([]any) {
-			q := q.(map[string]any)
-			delete(q, "addresses")
-			delete(q, "latency_ms")
-			delete(q, "stretch")
-		}
-		e.Body = jsonOf(doc)
-	case "ready":
-		e = evAsk{Op: "setup.get"}
-	}
-	return e
-}
-
-// statusOf is the status that the users' calls would give.
-func statusOf(c beatCall, status int, body []byte) int {
-	switch {
-	case c.op == "queue.submit" && status == 400 && strings.Contains(string(body), "not in the setup"):
-		return 404
-	case (c.op == "queue.state" || c.op == "queue.cancel") && status == 404:
-		return 410
-	}
-	return status
+	return evAsk{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Expect: c.expect, Body: c.body}
 }
 
 // formBeats gives a world whose daemons have formed a fleet, with its setup
@@ -68,6 +28,9 @@
 	must.True(t, b.until(20_000, func() bool { return b.holderOf("central") != nil }), must.Sprint("the fleet never formed"))
 	b.putSetup(b.usualSetup(), 1, 0, nil)
 	must.True(t, b.until(5000, func() bool { return b.version == 1 }), must.Sprint("the first setup was not taken"))
+	for _, n := range b.nodes { // from here on they start into a fleet
+		n.place.FirstStart = false
+	}
 	b.run(max(0, 10_000-b.nowMs()))
 	return b
 }
@@ -391,6 +354,41 @@
 		}
 		b.run(10_000)
 	},
+	"side daemons killed while ends wait that were given up": func(t *testing.T, b *beatWorld) {
+		b.day(6000)
+		for i := range 90 { // each task fails once
+			j := b.simple(i%3, 1, amounts{b.site.capacity[0] / 16, b.site.capacity[1] / 16}, 500+1000*b.rng.Float64())
+			j.fates[taskName{}].fails = []float64{b.rng.Float64()}
+			b.submit(j)
+			b.run(20)
+		}
+		hosts := b.spots[:6]
+		heal := b.cut(hosts...)
+		b.run(7000)
+		heal()
+		for i, host := range hosts {
+			b.after(int64(i)*400_000+50_000, func() { b.after(200_000, b.kill(host, false)) })
+		}
+		b.run(12_000)
+	},
+	"small jobs beside a gang that waits for room": func(t *testing.T, b *beatWorld) {
+		whole := amounts{b.site.capacity[0] * 3 / 4, b.site.capacity[1] * 3 / 4}
+		for range 4 {
+			b.submit(b.simple(0, 1, whole, 45_000))
+		}
+		b.run(2000)
+		gang := b.simple(0, 8, whole, 3000)
+		gang.steps[0].gang = true
+		b.submit(gang)
+		b.run(6000)
+		for range 3 {
+			j := b.submit(b.simple(1, 1, amounts{b.site.capacity[0] / 5, b.site.capacity[1] / 5}, 3000)) // long, so it gets a firm place
+			b.run(8000)
+			must.Eq(t, "complete", j.state)
+		}
+		b.run(25_000)
+		must.MapNotEmpty(t, gang.okTasks)
+	},
 	"guarding workers": func(t *testing.T, b *beatWorld) {
 		for _, host := range b.spots {
 			b.byHost[host].guards = true
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -88,6 +88,9 @@
 		return
 	}
 	n.poll.nextMs, n.poll.lastMs = n.now+pollMs, n.now
+	if n.Beside {
+		n.poll.nextMs = n.now + pollAsideMs
+	}
 	n.poll.seq++
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
 	for _, name := range sorted(n.duties) {
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -4,8 +4,9 @@
 // the reason for its size.
 const (
 	tickMs        = 100            // the reducer's heartbeat; every wait below is a multiple
-	pollMs        = 300            // lease renewals; five tries fit in one lease
-	leaseMs       = 1500           // long enough for five renewals, short enough that urgent work hardly misses its aim
+	pollMs        = 200            // lease renewals; five tries fit in one lease
+	pollAsideMs   = 400            // daemons beside workers hold no lease; the setup they go by is confirmed this often
+	leaseMs       = 1000           // long enough for five renewals, short enough that urgent work hardly misses its aim
 	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
 	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
@@ -145,13 +146,18 @@
 	driftPercent  = 2      // a worker's clock may run this much slow
 	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
-	urgentWaitMs  = 150    // a queueable task of a more urgent queue waits this long before it pushes others out
+	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
+	lastPercent   = 99     // a worker tells no more of work that has not ended
 	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
+	busyPercent   = 55     // of all room in use: below it no reservation holds, for a job must not wait beside idle workers
+	backfillMs    = 1500   // against anything that waited this long
+	lateEndsMax   = 100    // ends that wait behind a late one before the hold is let run out
+	endsPage      = 500    // ends that one beat tells of at most
 	openAheadMs   = 400    // a round is written down this long before it is due
 	goneMs        = 500    // a worker that said it goes has ended this long after
 	leaveStopMs   = 800    // so long before its worker leaves, work that saves is stopped, to go on elsewhere
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -372,7 +372,7 @@
 		}
 		return
 	}
-	if len(r.acks) == len(n.core.Members) || n.now-n.setup.confirmedMs > pollMs*2 {
+	if len(r.acks) == len(n.core.Members) || n.now-n.setup.confirmedMs > pollAsideMs*2 {
 		// The members differ: somebody's change stopped half way. Any daemon
 		// may finish it; core members do, at random, so that few compete.
 		if n.inCore() && n.now >= n.setup.repairMs {
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1432,6 +1432,7 @@
 	t := &js.Tasks[i]
 	if !js.Steps[t.Step].Gang {
 		t.Failures++
+		t.FailedRun = t.Attempt
 		return true
 	}
 	if t.FailedRun == t.Attempt {
@@ -1542,6 +1543,12 @@
 	n.send(from, ack)
 }
 
+// counted tells whether an end is the one that stands for its task, or a failure
+// that was counted.
+func (t *task) counted(h heldView) bool {
+	return h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskEnded || h.Result == resultFailed && h.Key.Attempt == t.FailedRun
+}
+
 // judge gives the owner's verdict on one attempt an agent holds.
 func (n *node) judge(sl *slice, m *syncMsg, h heldView) int8 {
 	js := sl.jobs[h.Key.Job]
@@ -1555,6 +1562,11 @@
 		return n.judgeLate(sl, h.Key)
 	}
 	if js == nil {
+		if j := sl.finished[h.Key.Job]; j != nil && h.State == heldEnded {
+			if i, _, ok := j.position(h.Key.Task); ok && j.Tasks[i].counted(h) {
+				return verdictCounted
+			}
+		}
 		return over()
 	}
 	i, _, ok := js.position(h.Key.Task)
@@ -1572,7 +1584,8 @@
 		n.log("attempt_unknown", "job", js.ID, "task", h.Key.Task, "attempt", h.Key.Attempt, "known", t.Attempt)
 		return verdictDrop
 	}
-	late := h.State == heldEnded && h.Result == resultOK && h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
+	late := h.State == heldEnded && (h.Result == resultOK || h.Result == resultFailed && t.FailedRun != t.Attempt) &&
+		h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
 	if (h.Key.Attempt < t.Attempt || t.State != taskPlaced) && !late {
 		if h.State != heldEnded {
 			return verdictDrop
@@ -1580,7 +1593,7 @@
 		if t.SetVer > js.committed {
 			return 0
 		}
-		if js.gaveUpOn(h.Key) {
+		if !t.counted(h) && js.gaveUpOn(h.Key) {
 			return verdictAcked
 		}
 		return verdictCounted
@@ -1593,6 +1606,9 @@
 		rt.saved = h.Saved
 	}
 	if h.State == heldEnded {
+		if late { // given up, but nothing was started since: it counts
+			js.GaveUp = slices.DeleteFunc(js.GaveUp, func(g gaveUp) bool { return g == gaveUp{h.Key.Task, h.Key.Attempt} })
+		}
 		n.settle(sl, js, i, h.Result, h.RanMs)
 		return 0 // acknowledged once it is committed
 	}
@@ -1620,7 +1636,7 @@
 // its place: the job's record tells, which is read first where it isn't at hand.
 func (n *node) judgeLate(sl *slice, k attemptKey) int8 {
 	switch j := sl.finished[k.Job]; {
-	case j != nil && j.gaveUpOn(k):
+	case j != nil && j.gaveUpOn(k): // unless it was taken after all, before anything else was started
 		return verdictAcked
 	case j != nil || sl.absent[k.Job]:
 		return verdictCounted
