--- a/accord/batchnight_test.go
+++ b/accord/batchnight_test.go
@@ -234,7 +234,7 @@
 // The urgent queues must fare as in the same night without batches: of their jobs
 // at most this share fewer in aim, and the 95th percentile of their times at most
 // so much longer. Two nights differ by chance alone, since each message's way is
-// drawn anew: by up to 0.3 percent and 4 percent in the pairs measured at this pace.
+// drawn anew: by up to 0.2 percent and 5 percent in the pairs measured at this pace.
 const (
 	nightShareBound   = 0.01
 	nightPercentBound = 8
