--- a/guise/downstream.go
+++ b/guise/downstream.go
@@ -103,17 +103,17 @@
 			defer all.Done()
 			r.follow(id, job, limit, cancel)
 		}()
-		if r.night == nil || n%c.batches != 0 {
+		if r.night == nil || n%c.batches != 0 || !r.night.takes(time.Now()) {
 			return
 		}
 		n++
-		id, batch := fmt.Sprintf("%s-%d", prefix, n), dep.Draw(rng)
+		batchID, batch := fmt.Sprintf("%s-%d", prefix, n), dep.Draw(rng)
 		batch.Queue = nightQueue
-		r.night.send(id)
+		r.night.send(batchID)
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			r.follow(id, batch, time.Now().Add(r.night.finishBy()+10*time.Second), false)
+			r.follow(batchID, batch, time.Now().Add(r.night.finishBy()+10*time.Second), false)
 		}()
 	}
 	for time.Now().Before(end) {
--- a/guise/night.go
+++ b/guise/night.go
@@ -43,6 +43,9 @@
 	return s
 }
 
+// takes tells whether a batch sent now still has half a minute of the window.
+func (n *night) takes(now time.Time) bool { return now.Before(n.closes.Add(-30 * time.Second)) }
+
 func (n *night) send(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/guise/night_test.go
+++ b/guise/night_test.go
@@ -16,6 +16,8 @@
 	s := n.with(verdict.Setup{Queues: []verdict.Queue{{Name: "confirm"}}})
 	must.Eq(t, "00:01", s.Contracts[0].Hours[0].To)
 	must.Len(t, 2, s.Queues)
+	must.True(t, n.takes(n.opens.Add(89*time.Second)))
+	must.False(t, n.takes(n.opens.Add(91*time.Second)))
 	opens := n.opens.UnixMilli()
 	for _, id := range []string{"a", "b", "c"} {
 		n.sentMs[id] = opens - 10_000
