--- a/accord/central.go
+++ b/accord/central.go
@@ -395,14 +395,13 @@
 }
 
 // may tells whether a worker's sure room holds one more. Queues below the most
-// urgent ones leave a part of each worker to those, where they can do without it
-// and have not waited long: large tasks would waste the rest of each worker.
+// urgent ones leave a part of each worker to those, where they can do without it.
 func (f *fitting) may(r *firmRoom) bool {
 	if f.reserved[r.name] || f.ws.PerWorker > 0 && f.used[r.name] >= f.ws.PerWorker {
 		return false
 	}
 	sure, kept := r.sure, r.w.Capacity.share(urgentRoom)
-	if waits := f.n.now - f.ws.firstMs; !f.urgent && waits < urgentRoomMs && f.ws.Room.fits(r.w.Capacity.minus(kept)) {
+	if !f.urgent && f.ws.Room.fits(r.w.Capacity.minus(kept)) {
 		sure = sure.minus(kept)
 	}
 	return f.ws.Room.fits(sure)
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -151,7 +151,6 @@
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
-	urgentRoomMs  = 1000   // firm work of lesser queues that waited this long takes all sure room
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	lastPercent   = 99     // a worker tells no more of work that has not ended
