--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -265,7 +265,7 @@
 			for i := range 3 {
 				s := b.usualSetup()
 				if i == 1 {
-					s.queues[1].attempts++
+					s.queues[1].latencyMs += 500
 				}
 				b.putSetup(s, version+1+int64(i), base, nil)
 			}
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -284,6 +284,7 @@
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
+	b.holdUpMs = unackedMs
 	for i, host := range sorted(b.nodes) {
 		placeBeatNode(&b.nodes[host].place, site, i >= site.edges)
 		if i < site.edges {
@@ -1410,6 +1411,7 @@
 			}
 		}
 	}
+	b.release()
 }
 
 // stopNicely is what the platform does around planned work.
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -127,7 +127,7 @@
 	driftPercent  = 2      // a worker's clock may run this much slow
 	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
-	urgentWaitMs  = 350  // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
+	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -603,6 +603,10 @@
 			n.poll.nextMs = 0
 			return
 		}
+		if a.queue != "" { // whoever resolved its address had another setup: soon it has this one
+			n.bounce(a, "the queue is not in the newest setup")
+			return
+		}
 		n.answerFaults(a, 400, 0, []fault{{"queue", "is not in the setup"}})
 		return
 	}
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -35,6 +35,8 @@
 	jobs         map[string]*simJob
 	jobSeq       int
 	syncUs       map[string]int64
+	holdUpMs     int64 // what was sent into a cut arrives after it, if it ends so soon; 0 for never
+	heldUp       []heldUp
 	stray        int // one message in so many is held back for seconds; 0 for none
 	doneAt       []int64
 	msgs         map[string]int
@@ -143,10 +145,12 @@
 }
 
 // carry moves something from one host to another: in order on one
-// connection, lost if the way is cut when it leaves or when it would arrive.
+// connection, lost if the way is cut when it leaves or when it would arrive,
+// or held up for as long as connections wait.
 func (w *world) carryTo(from, to string, do func()) {
 	way := [2]string{from, to}
 	if w.cuts[way] {
+		w.holdUp(way, do)
 		return
 	}
 	at := w.nowUs + 150 + w.rng.Int64N(400) + w.hold[way]
@@ -162,10 +166,41 @@
 	w.after(at-w.nowUs, func() {
 		if !w.cuts[way] {
 			do()
+		} else {
+			w.holdUp(way, do)
 		}
 	})
 }
 
+type heldUp struct {
+	way  [2]string
+	atUs int64
+	do   func()
+}
+
+func (w *world) holdUp(way [2]string, do func()) {
+	if w.holdUpMs > 0 {
+		w.heldUp = append(w.heldUp, heldUp{way, w.nowUs, do})
+	}
+}
+
+// release brings what a cut held up, where the way is open again, soon enough.
+func (w *world) release() {
+	var kept []heldUp
+	for _, h := range w.heldUp {
+		switch {
+		case w.nowUs-h.atUs > w.holdUpMs*1000:
+		case w.cuts[h.way]:
+			kept = append(kept, h)
+		default:
+			at := max(w.nowUs+w.rng.Int64N(200_000), w.lastUs[h.way]+1)
+			w.lastUs[h.way] = at
+			w.after(at-w.nowUs, h.do)
+		}
+	}
+	w.heldUp = kept
+}
+
 func (w *world) hosts() []string { return append(sorted(w.nodes), sorted(w.workers)...) }
 
 func (w *world) siteOf(host string) string {
