Run times that nobody saw are not learned

Ruled out: runs of jobs that fail (only good ends are learned), workers' own clocks (no part in it). Change: a run's time is told as unknown where its start or end fell into a gap of frozenMs without beats, or before this daemon; an owner learns nothing from it. A run that was over before the next beat counts from its order.

--- a/accord/agents.go
+++ b/accord/agents.go
@@ -100,6 +100,7 @@
 	orderedMs   int64
 	answeredMs  int64
 	startedMs   int64
+	vague       bool // nobody here saw when it began, or when it ended
 	listed      bool // the last report shows it running
 	stopMs      int64
 	stopSentMs  int64
@@ -273,7 +274,7 @@
 		h.ordered = true
 		if h.state != heldEnded {
 			changed = true
-			n.endRun(ag, h, e.Get("outcome").Str, e.Get("ran_ms").Int())
+			n.endRun(ag, h, e.Get("outcome").Str, max(e.Get("ran_ms").Int(), 1))
 		}
 	}
 	for _, key := range ag.keys() {
@@ -339,6 +340,9 @@
 // endRun takes a worker's word on how a run ended.
 func (n *node) endRun(ag *agent, h *held, outcome string, ranMs int64) {
 	h.state, h.ranMs = heldEnded, ranMs
+	if h.vague {
+		h.ranMs = 0 // nothing is learned from it
+	}
 	switch outcome {
 	case "ok":
 		h.result = resultOK
@@ -346,7 +350,7 @@
 		if h.spec.Class == classQueueable {
 			ag.lastOK = n.now
 		}
-		if h.spec.EstMs > 0 {
+		if h.spec.EstMs > 0 && !h.vague {
 			ag.lagPct += (min(100*ranMs/h.spec.EstMs, 2000) - ag.lagPct) / 8
 		}
 	case "failed":
@@ -467,7 +471,7 @@
 	if h.stopMs == 0 {
 		h.stopMs, h.stopWhy = n.now, why
 		n.log("run_stopped", "attempt", h.spec.Key.String(), "worker", ag.worker, "why", resultNames[why], "queue", h.spec.Queue, "class", classNames[h.spec.Class],
-			"ran_ms", n.now-h.startedMs, "percent", h.percent, "cpu", h.spec.Room.CPU, "gang", h.spec.Gang)
+			"ran_ms", n.now-max(h.startedMs, h.orderedMs), "percent", h.percent, "cpu", h.spec.Room.CPU, "gang", h.spec.Gang)
 	}
 	if n.now-h.stopSentMs < 1000 && h.stopSentMs != 0 || ag.addr == "" || ag.pinned {
 		return // a pinned agent says it in the answer to each beat
--- a/accord/beats.go
+++ b/accord/beats.go
@@ -83,7 +83,7 @@
 		n.answer(a, 200, 0, jsonOf(beatAnswer{AgainMs: beatMs, Start: []orderView{}, Stop: []orderView{}}))
 		return
 	}
-	changed := !ag.rebuilt
+	changed, missed := !ag.rebuilt, n.now-ag.heardMs > frozenMs
 	ag.repSeq, ag.heardMs, ag.tokenMs = seq, n.now, n.now
 	ag.site, ag.rack, ag.labels = r.Get("site").Str, r.Get("rack").Str, labelsOf(r.Get("labels"))
 	ag.capacity = amountOf(r.Get("capacity"))
@@ -95,7 +95,7 @@
 	if left := r.Get("leaves_ms"); left.Exists() && ag.leaving {
 		ag.leavesAt = n.now + left.Int()
 	}
-	changed = n.takeLists(ag, r) || changed
+	changed = n.takeLists(ag, r, missed) || changed
 	if !ag.rebuilt { // what a former agent here ordered is listed, or never starts
 		ag.rebuilt, ag.adoptedMs = true, n.now
 		ag.holdUntil = n.now + holdSpanMs*(100+driftPercent)/100
@@ -147,8 +147,9 @@
 	return some
 }
 
-// takeLists brings what is held in line with what the worker lists.
-func (n *node) takeLists(ag *agent, r gjson.Result) (changed bool) {
+// takeLists brings what is held in line with what the worker lists; missed says
+// that no beat was heard for so long that nobody knows when it came about.
+func (n *node) takeLists(ag *agent, r gjson.Result, missed bool) (changed bool) {
 	running, ended := map[attemptKey]bool{}, map[attemptKey]bool{}
 	r.Get("running").ForEach(func(_, e gjson.Result) bool {
 		key, ok := runOf(e)
@@ -158,7 +159,7 @@
 		running[key] = true
 		h := ag.held[key]
 		if h == nil {
-			h = &held{state: heldOrdered, unknown: true, ordered: true, orderedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
+			h = &held{state: heldOrdered, unknown: true, ordered: true, vague: true, orderedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
 			ag.held[key] = h
 			changed = true
 		}
@@ -168,6 +169,7 @@
 			}
 			changed = changed || h.spec.Gang
 			h.state, h.ordered, h.startedMs, h.movedMs = heldRunning, true, n.now, n.now
+			h.vague = h.vague || missed
 		}
 		if p := e.Get("percent").Int(); p != h.percent {
 			h.percent, h.movedMs = p, n.now
@@ -198,7 +200,7 @@
 		}
 		h := ag.held[key]
 		if h == nil { // of a former agent, that may have been cut off for long
-			h = &held{state: heldOrdered, unknown: true, ordered: true, startedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
+			h = &held{state: heldOrdered, unknown: true, ordered: true, vague: true, startedMs: n.now, adoptedMs: n.now, spec: orderSpec{Key: key}, confirmedMs: -1 << 40}
 			h.late = standing[outcome]
 			ag.held[key] = h
 		}
@@ -209,7 +211,8 @@
 			// A run given up as lost that ended by itself after all: its owner says whether it still counts.
 			h.late = (h.late || lost) && !h.void
 			changed = true
-			n.endRun(ag, h, outcome, max(n.now-h.startedMs, 1))
+			h.vague = h.vague || missed
+			n.endRun(ag, h, outcome, max(n.now-max(h.startedMs, h.orderedMs), 1))
 		}
 		return true
 	})
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1073,6 +1073,9 @@
 // learnRun takes one run's time: into its name's mean, or into how far the guesses
 // of its queue are off, in percent.
 func (n *node) learnRun(js *jobState, t *task, ranMs int64) {
+	if ranMs <= 0 {
+		return // nobody saw how long it took
+	}
 	if js.Steps[t.Step].Alike && t.HintMs > 0 {
 		n.learn(js.Queue, "%", min(100*ranMs/t.HintMs, 1000))
 		return
