--- a/accord/central.go
+++ b/accord/central.go
@@ -408,13 +408,13 @@
 }
 
 // score prefers a worker that is free without a stop, then one near the data,
-// then the fullest; one that just failed the task comes last.
+// then the emptiest; one that just failed the task comes last.
 func (f *fitting) score(r *firmRoom) int64 {
 	s := r.free.CPU * 1000 / max(r.w.Capacity.CPU, 1)
 	if r.w.Capacity.Memory > 0 {
 		s = min(s, r.free.Memory*1000/r.w.Capacity.Memory)
 	}
-	s = 1000 - s // the fullest that still holds it: large tasks need whole workers
+	s += 1000 * 1000
 	if f.ws.Room.fits(r.free) {
 		s += 1 << 40
 	}
