--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -24,6 +24,7 @@
 type beatSite struct {
 	name         string
 	edges, sides int
+	disks        int // machines with one; 0 for coreSize
 	capacity     amounts
 	speeds       []float64 // how much longer work takes there, by turns
 	holdMaxMs    int64
@@ -280,12 +281,20 @@
 // newBeatWorld builds a deployment: edge daemons, of which three have disks,
 // and a side daemon beside each worker.
 func newBeatWorld(seed uint64, name string) *beatWorld {
-	site := beatSites[name]
+	site, ok := beatSites[name]
+	if !ok {
+		site = grownBeatSites[name]
+	}
+	site.disks = max(site.disks, coreSize)
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
 	for i, host := range sorted(b.nodes) {
-		placeBeatNode(&b.nodes[host].place, site, i >= site.edges)
+		p := &b.nodes[host].place
+		placeBeatNode(p, site, i >= site.edges)
+		if p.CoreSize = site.disks; i < site.disks && !p.Disk {
+			p.Disk, p.DiskID = true, b.rng.Uint64()|1
+		}
 		if i < site.edges {
 			continue
 		}
@@ -1352,7 +1361,7 @@
 			stands++
 		}
 	}
-	if lost := stands < 2; lost != b.coreLost {
+	if lost := 2*stands <= b.site.disks; lost != b.coreLost {
 		b.coreLost = lost
 		kind := bCalm
 		if lost {
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -46,7 +46,7 @@
 	finishedMs    = 600_000        // finished jobs answered from the owner's memory this long
 	dueMarginMs   = 50             // starts wait this much past the due time, for what sound clocks differ by
 	clockOldMs    = 10_000         // a clock reading older than this is replaced by a later one, or has no say
-	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
+	rebuildMs     = 500            // a new central scheduler listens this long before it grants: agents speak each 300 ms
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
 	formStableMs  = 700            // so long the same empty disks must be seen before a core is formed of them
 	quietMs       = 1600           // a new empty disk takes the place of a member that missed four polls
@@ -127,7 +127,7 @@
 	driftPercent  = 2      // a worker's clock may run this much slow
 	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
-	urgentWaitMs  = 350  // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
+	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
