A daemon that stood still says so in its log

Cause: in the incidents' logs a freeze could be told from a cut only by when duty_lost was written; side daemons, which hold no duty, showed neither. Ruled out: silence of siblings as an event, since a cut would be told some thousand times on a grown site. Change: event=stood_still with the time, where the reducer finds that no event came for frozenMs. TestIncidentFreezeIsLogged.

--- a/accord/incident_test.go
+++ b/accord/incident_test.go
@@ -55,6 +55,21 @@
 	must.Eq(t, 120.0, n.learned["q/%"].meanMs)
 }
 
+// A daemon that stood still says so and for how long: the logs of the incidents
+// told a freeze from a cut only by when a lease was seen to be over.
+func TestIncidentFreezeIsLogged(t *testing.T) {
+	n := newNode(place{Name: "edge-1", Inc: 1, Site: "east"}, nil)
+	var told []effLog
+	for _, ms := range []int64{5_000_000, 5_000_100, 5_001_100, 5_006_000, 5_006_100} {
+		for _, e := range reduce(n, event{NowMs: ms, WallMs: ms, Seed: 1, Body: evTick{}}) {
+			if l, ok := e.(effLog); ok && l.Event == "stood_still" {
+				told = append(told, l)
+			}
+		}
+	}
+	must.Eq(t, []effLog{{Event: "stood_still", Pairs: []any{"ms", int64(4900)}}}, told)
+}
+
 // After the daemon with the central scheduler dies, firm work starts as soon as the
 // agents have spoken to its successor: in each incident gangs stood still for a
 // second more, and queueable work that had begun meanwhile was stopped for them.
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -182,11 +182,15 @@
 //
 // Example: effects := reduce(n, event{NowMs: 100, WallMs: wall, Body: evTick{}})
 func reduce(n *node, ev event) []effect {
-	if ev.NowMs-n.now > frozenMs {
+	stoodMs, began := ev.NowMs-n.now, n.now == 0
+	if stoodMs > frozenMs {
 		n.wokeMs = ev.NowMs
 	}
 	n.now = max(n.now, ev.NowMs)
 	n.wall, n.seed, n.rng, n.out = ev.WallMs, ev.Seed, nil, nil
+	if stoodMs > frozenMs && !began {
+		n.log("stood_still", "ms", stoodMs)
+	}
 	if h, ok := eventHandlers[reflect.TypeOf(ev.Body)]; ok {
 		h(n, ev.Body)
 	}
