--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"testing"
@@ -74,6 +75,9 @@
 	queues  []beatQueue
 	note    string
 	invalid bool
+	// contracts, and by queue what its batches follow, as they are sent.
+	contracts []map[string]any
+	batches   map[string]map[string]any
 }
 
 func (s *beatSetup) routes(q *beatQueue) bool {
@@ -93,7 +97,16 @@
 	if s.invalid {
 		queues = append(queues, queues[0]) // a name that stands twice
 	}
-	return jsonOf(map[string]any{"queues": queues, "source": map[string]any{"note": s.note}})
+	doc := map[string]any{"queues": queues, "source": map[string]any{"note": s.note}}
+	if len(s.contracts) > 0 {
+		doc["contracts"] = s.contracts
+		for _, q := range queues {
+			if b := s.batches[q["name"].(string)]; b != nil {
+				q["batch"] = b
+			}
+		}
+	}
+	return jsonOf(doc)
 }
 
 var beatSites = map[string]beatSite{
@@ -256,6 +269,7 @@
 	waste   map[string]float64 // core-seconds by how a run ended
 	turned  int
 	pace    float64        // of traffic
+	jobRng  *rand.Rand     // what is sent is drawn from it, if any, so that it stays the same whatever else moves
 	in      map[string]int // ready misses of each edge daemon
 	answers map[string]int
 	faults  []string
@@ -289,6 +303,7 @@
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
+	b.holdUpMs = unackedMs
 	for i, host := range sorted(b.nodes) {
 		p := &b.nodes[host].place
 		placeBeatNode(p, site, i >= site.edges)
@@ -1217,14 +1232,24 @@
 	return j
 }
 
+// drawing lets what is sent be drawn, and whom a fault strikes.
+func (b *beatWorld) drawing(do func()) {
+	if b.jobRng != nil {
+		b.rng, b.jobRng = b.jobRng, b.rng
+		defer func() { b.rng, b.jobRng = b.jobRng, b.rng }()
+	}
+	do()
+}
+
 // traffic sends the site's mix until callers are told to stop.
 func (b *beatWorld) traffic() {
 	sum := 0.0
 	for i := range b.site.kinds {
 		sum += b.site.kinds[i].weight
 	}
-	var next func()
-	next = func() {
+	var next, one func()
+	next = func() { b.drawing(one) }
+	one = func() {
 		if b.closed {
 			return
 		}
@@ -1419,6 +1444,7 @@
 			}
 		}
 	}
+	b.release()
 }
 
 // stopNicely is what the platform does around planned work.
--- a/accord/incident_test.go
+++ b/accord/incident_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -125,8 +126,9 @@
 		sum += b.site.kinds[i].weight
 	}
 	perSec, end := (x-1)*b.site.perSec*b.pace*b.site.kinds[kind].weight/sum, b.nowMs()+ms
-	var next func()
-	next = func() {
+	var next, one func()
+	next = func() { b.drawing(one) }
+	one = func() {
 		if b.nowMs() >= end {
 			return
 		}
@@ -174,9 +176,11 @@
 // someWorkers draws a share of all workers, at least one.
 func (b *beatWorld) someWorkers(share float64) []*beatWorker {
 	var out []*beatWorker
-	for _, i := range b.rng.Perm(len(b.spots))[:max(1, int(share*float64(len(b.spots))+0.5))] {
-		out = append(out, b.worker(i))
-	}
+	b.drawing(func() {
+		for _, i := range b.rng.Perm(len(b.spots))[:max(1, int(share*float64(len(b.spots))+0.5))] {
+			out = append(out, b.worker(i))
+		}
+	})
 	return out
 }
 
@@ -307,6 +311,7 @@
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				b := formBeats(t, seed, incidents[name].site)
+				b.jobRng = rand.New(rand.NewPCG(seed, 11)) // the day is the same whatever changes in the product
 				incidents[name].play(b)
 				b.finish(120_000)
 				verdictOfBeats(t, b)
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -118,6 +118,26 @@
 	msPerHour = 3600_000
 )
 
+// Of batches.
+const (
+	finishByMost    = 720    // hours a batch may be given: a month, within what is kept of jobs
+	batchBelow      = 2000   // urgency that batch queues lie below all others: those have 0 to 1000
+	batchPlanMs     = 2000   // batches are planned anew at this pace; far below batchMarginMs
+	batchLearnMs    = 2500   // a new owner hears all agents first, or the room would look small and all jobs late
+	batchSlack      = 200    // percent of the time a batch needs that is kept for it: it is pushed out, runs off its guess, finds half the room
+	batchMarginMs   = 60_000 // and beside that: a lost worker, a takeover and another try
+	batchHeadroom   = 25     // percent of a worker that stays free when a batch task starts there
+	batchLowMs      = 3000   // batches count on room that was left for so long at the least
+	batchStartsTick = 4      // batch tasks a slice places in one tick
+	batchTriesTick  = 64     // and those it looks for a place for
+	batchAgainMs    = 400    // a task that found no place is looked at again after this, about
+	batchCalmMs     = 1500   // so long after a more urgent task found no place none is placed
+	batchCalmShare  = 4      // nor while something waits at one in so many workers
+	batchWaitMs     = 300    // a batch task that can't start at its worker by then goes back
+	batchBackMs     = 1500   // and one that was pushed out waits this long, up to twice
+	batchRecords    = 50     // percent of a slice's records that may be full when a batch is taken
+)
+
 // Of agents beside their workers, of gangs and of firm room.
 const (
 	holdSpanMs    = 4000   // a beat's answer holds its worker this long; a daemon that is killed is back before
@@ -136,7 +156,7 @@
 	lastPercent   = 99     // a worker tells no more of work that has not ended
 	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
 	busyPercent   = 55     // of all room in use: below it no reservation holds, for a job must not wait beside idle workers
-	backfillMs    = 1500   // against anything that waited this long
+	backfillMs    = 2000   // against anything that waited this long
 	lateEndsMax   = 100    // ends that wait behind a late one before the hold is let run out
 	endsPage      = 500    // ends that one beat tells of at most
 	openAheadMs   = 400    // a round is written down this long before it is due
