--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"testing"
@@ -24,6 +25,7 @@
 type beatSite struct {
 	name         string
 	edges, sides int
+	disks        int // machines with one; 0 for coreSize
 	capacity     amounts
 	speeds       []float64 // how much longer work takes there, by turns
 	holdMaxMs    int64
@@ -267,6 +269,7 @@
 	waste   map[string]float64 // core-seconds by how a run ended
 	turned  int
 	pace    float64        // of traffic
+	jobRng  *rand.Rand     // what is sent is drawn from it, if any, so that it stays the same whatever else moves
 	in      map[string]int // ready misses of each edge daemon
 	answers map[string]int
 	faults  []string
@@ -292,13 +295,21 @@
 // newBeatWorld builds a deployment: edge daemons, of which three have disks,
 // and a side daemon beside each worker.
 func newBeatWorld(seed uint64, name string) *beatWorld {
-	site := beatSites[name]
+	site, ok := beatSites[name]
+	if !ok {
+		site = grownBeatSites[name]
+	}
+	site.disks = max(site.disks, coreSize)
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
 	b.holdUpMs = unackedMs
 	for i, host := range sorted(b.nodes) {
-		placeBeatNode(&b.nodes[host].place, site, i >= site.edges)
+		p := &b.nodes[host].place
+		placeBeatNode(p, site, i >= site.edges)
+		if p.CoreSize = site.disks; i < site.disks && !p.Disk {
+			p.Disk, p.DiskID = true, b.rng.Uint64()|1
+		}
 		if i < site.edges {
 			continue
 		}
@@ -1221,14 +1232,24 @@
 	return j
 }
 
+// drawing lets what is sent be drawn, and whom a fault strikes.
+func (b *beatWorld) drawing(do func()) {
+	if b.jobRng != nil {
+		b.rng, b.jobRng = b.jobRng, b.rng
+		defer func() { b.rng, b.jobRng = b.jobRng, b.rng }()
+	}
+	do()
+}
+
 // traffic sends the site's mix until callers are told to stop.
 func (b *beatWorld) traffic() {
 	sum := 0.0
 	for i := range b.site.kinds {
 		sum += b.site.kinds[i].weight
 	}
-	var next func()
-	next = func() {
+	var next, one func()
+	next = func() { b.drawing(one) }
+	one = func() {
 		if b.closed {
 			return
 		}
@@ -1365,7 +1386,7 @@
 			stands++
 		}
 	}
-	if lost := stands < 2; lost != b.coreLost {
+	if lost := 2*stands <= b.site.disks; lost != b.coreLost {
 		b.coreLost = lost
 		kind := bCalm
 		if lost {
