--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 // placeBeatNode gives a daemon of the users' platform its place.
 func placeBeatNode(p *place, site beatSite, side bool) {
 	p.Beside, p.HoldMostMs, p.GangWaitMs = side, site.holdMaxMs, site.gangWaitMs
+	p.CoreSize = site.coreSize
 	p.SaveMs, p.RestoreMs, p.SpreadFactor = int64(site.saveMs), site.restoreMs, site.spread
 }
 
@@ -432,9 +434,18 @@
 	},
 }
 
+var grownFlag = flag.Bool("grown", false, "run the users' platform at its grown sizes")
+
+func chosenSites() []string {
+	if *grownFlag {
+		return sorted(grownBeatSites)
+	}
+	return sorted(beatSites)
+}
+
 // verdictOfBeats judges a run and tells all that is needed to find the cause.
 func verdictOfBeats(t *testing.T, b *beatWorld) {
-	for i, x := range judgeBeats(b.events, usualBeatBounds) {
+	for i, x := range judgeBeats(b.events, b.site.bounds) {
 		if i < 8 {
 			t.Error(x)
 		}
@@ -466,7 +477,7 @@
 		from, count = *fromFlag, *seedsFlag
 	}
 	for _, name := range sorted(beatScenarios) {
-		for _, site := range sorted(beatSites) {
+		for _, site := range chosenSites() {
 			for i := range count {
 				seed := from + uint64(i)
 				t.Run(fmt.Sprintf("%s/%s-%d", name, site, seed), func(t *testing.T) {
@@ -506,7 +517,7 @@
 	},
 	"wipe": func(b *beatWorld) {
 		if b.coreWhole() != nil {
-			b.wipe(b.some(b.edges()[:3]), b.share(0.5), 300+b.rng.Int64N(3000))
+			b.wipe(b.some(b.disks()), b.share(0.5), 300+b.rng.Int64N(3000))
 		}
 	},
 	"power all": func(b *beatWorld) {
@@ -553,7 +564,7 @@
 	},
 	"stop": func(b *beatWorld) { b.stopNicely(b.some(sorted(b.nodes)), b.rng.Int64N(2000)) },
 	"slow disk": func(b *beatWorld) {
-		d := b.some(b.edges()[:3])
+		d := b.some(b.disks())
 		b.syncUs[d] = 20_000 + b.rng.Int64N(400_000)
 		b.trouble("slow disk", d)
 		b.after(5_500_000, func() {
@@ -586,7 +597,7 @@
 	}
 	for i := range count {
 		seed := *fromFlag + uint64(i)
-		site := sorted(beatSites)[seed%2]
+		site := chosenSites()[seed%2]
 		t.Run(fmt.Sprintf("%s-%d", site, seed), func(t *testing.T) {
 			t.Parallel()
 			b := formBeats(t, seed, site)
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -40,6 +40,9 @@
 	callerMs     int64 // a caller waits so long for an answer
 	againMs      int64
 	stopMs       int64
+	disks        int // edge daemons that have one
+	coreSize     int
+	bounds       beatBounds
 }
 
 // beatKind is one kind of job, with the users' own figures: mean and most.
@@ -132,6 +135,44 @@
 		}},
 }
 
+// grownBeatSites are the same users, some years on.
+var grownBeatSites = map[string]beatSite{
+	"hakata-grown": grownSite("hakata", 19, 74, amounts{64000, 262144}, 53.6, func(s *beatSite) {
+		s.speeds, s.saveMs, s.restoreMs = []float64{1}, 500, 600
+		s.kinds[0].width, s.kinds[0].mem, s.kinds[0].estOff, s.kinds[0].queue.attempts = [2]float64{20, 120}, [2]float64{42_000, 130_000}, 0.2, 3
+		s.kinds[1].width, s.kinds[1].mem, s.kinds[1].workMs = [2]float64{25, 150}, [2]float64{9200, 28_000}, [2]float64{1800, 4500}
+		s.kinds[2].width, s.kinds[2].mem, s.kinds[2].workMs, s.kinds[2].fails, s.kinds[2].queue.attempts = [2]float64{3.2, 19}, [2]float64{9400, 28_000}, [2]float64{640, 1600}, 0.05, 3
+		s.kinds[0].weight, s.kinds[1].weight, s.kinds[2].weight = 0.959, 4.15, 48.5
+	}),
+	"ikenna-grown": grownSite("ikenna", 14, 58, amounts{16000, 65536}, 27.7, func(s *beatSite) {
+		s.spread = 3
+		s.kinds[0].width, s.kinds[0].queue.latencyMs = [2]float64{20, 120}, 1500
+		s.kinds[1].width = [2]float64{25, 150}
+		s.kinds[2].width, s.kinds[2].queue.latencyMs = [2]float64{3.2, 19}, 800
+		s.kinds[0].weight, s.kinds[1].weight, s.kinds[2].weight = 0.915, 3.17, 23.6
+	}),
+}
+
+func grownSite(of string, edges, sides int, capacity amounts, perSec float64, edit func(*beatSite)) beatSite {
+	s := beatSites[of]
+	s.name, s.edges, s.sides, s.capacity, s.perSec, s.rackSize, s.gangWaitMs = of+"-grown", edges, sides, capacity, perSec, 9, 4000
+	s.disks, s.coreSize = map[string]int{"hakata": 8, "ikenna": 6}[of], 5
+	s.bounds = usualBeatBounds
+	s.bounds.contact, s.bounds.drain, s.bounds.config, s.bounds.cancel = 4000, 2500, 2500, 4000
+	s.kinds = slices.Clone(s.kinds)
+	edit(&s)
+	return s
+}
+
+func beatSiteOf(name string) beatSite {
+	if s, ok := grownBeatSites[name]; ok {
+		return s
+	}
+	s := beatSites[name]
+	s.disks, s.coreSize, s.bounds = 3, 3, usualBeatBounds
+	return s
+}
+
 // beatJob is a job as its caller knows it.
 type beatJob struct {
 	id               string
@@ -292,12 +333,15 @@
 // newBeatWorld builds a deployment: edge daemons, of which three have disks,
 // and a side daemon beside each worker.
 func newBeatWorld(seed uint64, name string) *beatWorld {
-	site := beatSites[name]
+	site := beatSiteOf(name)
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
 	b.holdUpMs = unackedMs
 	for i, host := range sorted(b.nodes) {
+		if p := &b.nodes[host].place; i < site.disks && !p.Disk {
+			p.Disk, p.DiskID = true, b.rng.Uint64()|1
+		}
 		placeBeatNode(&b.nodes[host].place, site, i >= site.edges)
 		if i < site.edges {
 			continue
@@ -314,6 +358,8 @@
 
 func (b *beatWorld) edges() []string { return sorted(b.nodes)[:b.site.edges] }
 
+func (b *beatWorld) disks() []string { return sorted(b.nodes)[:b.site.disks] }
+
 // see notes one line of the history.
 func (b *beatWorld) see(e beatEvent) {
 	e.atMs = b.nowMs()
@@ -1180,7 +1226,7 @@
 		for round := range max(j.rounds, 1) {
 			for t := range s.count {
 				f := &beatFate{workMs: max(20, mean*(0.7+0.6*b.rng.Float64()))}
-				if b.share(k.fails) {
+				if b.share(k.fails) && (!gang || t < 3) { // a gang is one piece of work
 					f.fails = []float64{b.rng.Float64()}
 				}
 				j.fates[taskName{round, i, t}] = f
@@ -1314,8 +1360,12 @@
 }
 
 func (j *beatJob) hopeless() bool {
-	for _, f := range j.fates {
-		if len(f.fails) >= j.queue.attempts {
+	sum := map[taskName]int{}
+	for n, f := range j.fates {
+		if j.steps[n.step].gang {
+			n.index = 0
+		}
+		if sum[n] += len(f.fails); sum[n] >= j.queue.attempts && !j.lasting() {
 			return true
 		}
 	}
@@ -1360,12 +1410,12 @@
 	}
 	b.see(beatEvent{kind: bCore, host: host})
 	stands := 0
-	for _, h := range b.edges() {
-		if n := b.nodes[h]; n.Disk && n.up && b.nowUs >= n.frozenTo && !b.cutOff[h] {
+	for _, h := range b.disks() {
+		if n := b.nodes[h]; n.up && b.nowUs >= n.frozenTo && !b.cutOff[h] {
 			stands++
 		}
 	}
-	if lost := stands < 2; lost != b.coreLost {
+	if lost := 2*stands <= b.site.disks; lost != b.coreLost {
 		b.coreLost = lost
 		kind := bCalm
 		if lost {
@@ -1650,6 +1700,11 @@
 		a := aims[q]
 		out += fmt.Sprintf("%s %d of %d in aim (%.2f), %d done; ", q, a[1], a[0], float64(a[1])/float64(max(1, a[0])), a[2])
 	}
+	for _, id := range sorted(b.jobs) {
+		if j := b.jobs[id]; !j.lasting() && !j.cancelled && j.state != "complete" && !(j.state == "failed" && j.hopeless()) {
+			out += fmt.Sprintf("%s of %s: %s, accepted %v; ", id, j.queue.name, j.state, j.acked)
+		}
+	}
 	for _, how := range sorted(b.waste) {
 		out += fmt.Sprintf("%s %.0f core-s; ", how, b.waste[how])
 	}
