--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -572,6 +572,79 @@
 			b.calm("slow disk", d)
 		})
 	},
+	"after ack wipe": func(b *beatWorld) { // a daemon loses its disk, or power, right after it has acknowledged something
+		kind, wipe, armed := b.some([]string{bJobTried, bSetupAcked, bCancelAcked, bSeen, bEmptied}), b.share(0.6), true
+		b.onSee = func(e beatEvent) {
+			if !armed || e.kind != kind || kind == bJobTried && e.n >= 300 {
+				return
+			}
+			armed, b.onSee = false, nil
+			b.after(b.rng.Int64N(3000), func() {
+				core := b.coreWhole()
+				if core == nil {
+					return
+				}
+				host := core[b.rng.IntN(len(core))].Name
+				if wipe {
+					b.wipe(host, false, 300+b.rng.Int64N(2500))
+				} else {
+					b.after(300_000+b.rng.Int64N(2_500_000), b.kill(host, true))
+				}
+			})
+		}
+		if kind == bSetupAcked {
+			b.change(nil)
+		}
+	},
+	"flap": func(b *beatWorld) {
+		s := b.someBeatWorker()
+		for i := range int64(4) {
+			b.after(i*1_400_000, func() { b.crashFor(s, 700) })
+		}
+	},
+	"herd kill": func(b *beatWorld) {
+		var undo []func()
+		for _, host := range sorted(b.nodes) {
+			if b.share(0.45) {
+				undo = append(undo, b.kill(host, b.share(0.5)))
+			}
+		}
+		b.after(1_400_000, allOf(undo))
+	},
+	"storm": func(b *beatWorld) {
+		for i := range int64(6) {
+			b.after(i*80_000, func() { b.change(nil) })
+		}
+	},
+	"quick cuts": func(b *beatWorld) { // a side machine comes and goes
+		host := b.some(b.spots)
+		for i := range int64(3) {
+			b.after(i*1_500_000, func() { b.after(200_000+b.rng.Int64N(1_200_000), b.cut(host)) })
+		}
+	},
+	"cut and killed": func(b *beatWorld) { // and started into the cut
+		host := b.some(b.spots)
+		heal := b.cut(host)
+		b.after(100_000+b.rng.Int64N(7_000_000), func() { b.after(100_000+b.rng.Int64N(500_000), b.kill(host, false)) })
+		b.after(2_000_000+b.rng.Int64N(8_000_000), heal)
+	},
+	"replaced": func(b *beatWorld) { // its worker crashes while the daemon is away
+		host := b.some(b.spots)
+		b.after(500_000+b.rng.Int64N(3_000_000), b.cut(host))
+		b.crashFor(b.byHost[host], 100+b.rng.Int64N(2000))
+	},
+	"failing": func(b *beatWorld) { // many tasks fail, some while their agent is cut off
+		for range 20 {
+			j := b.simple(b.rng.IntN(3), 1+b.rng.IntN(4), amounts{b.site.capacity[0] / 32, b.site.capacity[1] / 32}, 300+1500*b.rng.Float64())
+			for n := range j.names() {
+				for range b.rng.IntN(3) {
+					j.fates[n].fails = append(j.fates[n].fails, b.rng.Float64())
+				}
+			}
+			b.submit(j)
+		}
+		b.after(1_000_000+b.rng.Int64N(8_000_000), b.cut(b.some(b.spots)))
+	},
 	"clock": func(b *beatWorld) {
 		n := b.nodes[b.some(sorted(b.nodes))]
 		undo := b.jumpOf(n)
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -316,6 +316,7 @@
 	// cutTogether: machines cut off in one site still reach each other.
 	cutTogether bool
 	coreLost    bool
+	onSee       func(beatEvent)
 }
 
 type gangName struct {
@@ -364,6 +365,9 @@
 func (b *beatWorld) see(e beatEvent) {
 	e.atMs = b.nowMs()
 	b.events = append(b.events, e)
+	if b.onSee != nil {
+		b.onSee(e)
+	}
 }
 
 // beatRun is one run at a worker.
