--- a/accord/incident_test.go
+++ b/accord/incident_test.go
@@ -94,7 +94,7 @@
 }
 
 // The users' grown deployments at a third of their size, with as much work for each worker.
-var grownBeatSites = map[string]beatSite{
+var thirdOfGrownSites = map[string]beatSite{
 	"hakata grown": {name: "hakata grown", edges: 8, sides: 24, disks: 5, capacity: amounts{64000, 262144}, speeds: []float64{0.8, 1, 1.25}, holdMaxMs: 10_000, gangWaitMs: 4000, saveMs: 500,
 		restoreMs: 600, spread: 1.5, perSec: 17.4, rackSize: 9, service: "resale-engine", beatMs: 1500, tries: 5, callerMs: 1200, againMs: 150, stopMs: 200, kinds: []beatKind{
 			{queue: beatQueue{"promoter-verify", "nony24.example", "/lohu930/", 60, 4, 2000, 2.2, "resale-engine"}, weight: 0.959, steps: [2]float64{1.2, 3}, width: [2]float64{20, 40},
