A daemon starts at once: Prometheus asked a control thread that had not begun

Cause: to register the door as a collector, Prometheus had it describe itself, which asks the control thread for its counts. That thread begins only later, so each start waited replyMs (4 s) before anything else happened. Change: the door describes nothing beforehand, which the collector allows. TestStartAtOnce fails with the old door and passes with this one.

--- a/accord/door.go
+++ b/accord/door.go
@@ -137,9 +137,9 @@
 	c.JSON(200, gin.H{"tasks": tasks})
 }
 
-// Describe and Collect make the door a Prometheus collector over the counts
-// of the control thread.
-func (d *door) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(d, ch) }
+// Describe names nothing beforehand: to do so it would have to ask a control
+// thread that has not begun. The collector lets such counts come and go.
+func (d *door) Describe(chan<- *prometheus.Desc) {}
 
 // Collect reads the counts once.
 func (d *door) Collect(ch chan<- prometheus.Metric) {
--- /dev/null
+++ b/accord/start_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/fx"
+)
+
+// A daemon's parts are put together without waiting for each other: the counts
+// for Prometheus once asked a control thread that had not begun, for 4 s.
+func TestStartAtOnce(t *testing.T) {
+	ports := freePorts(t, 2)
+	s := defaultSettings()
+	s.Name, s.Site, s.Addr, s.HTTP, s.Seeds = "a", "z", ports[0], ports[1], []string{"127.0.0.1:1"}
+	began := time.Now()
+	app := fx.New(daemonModules(s))
+	must.NoError(t, app.Err())
+	must.Less(t, replyMs/2*time.Millisecond, time.Since(began))
+	must.NoError(t, app.Start(t.Context()))
+	must.NoError(t, app.Stop(t.Context()))
+}
