Experiments on hollow fleets: accord experiment

Cause: what a daemon costs by the number of workers, daemons, tasks and changes was known from single runs of today's sizes alone. Change: a declared experiment runs many whole daemons in one process, each with the product's own parts and sockets, with hollow workers and callers. A meter at the wire and the shell, nil in the product, counts messages and bytes by kind and the control thread's time by role; ticks are told by parts. Tables as CSV and text, straight lines by least squares with their errors, plots as SVG (gonum plot), waits in HDR histograms.

--- a/accord/downstream.go
+++ b/accord/downstream.go
@@ -154,6 +154,7 @@
 			}}),
 		doctorCommand(),
 		importCommand(),
+		experimentCommand(),
 	}
 }
 
--- a/accord/errors.go
+++ b/accord/errors.go
@@ -12,6 +12,7 @@
 	errOrder      = errors.New("order")
 	errDraft      = errors.New("import")
 	errDownstream = errors.New("downstream")
+	errExperiment = errors.New("experiment")
 )
 
 // fault is one thing wrong in a document, with the path of its field.
--- /dev/null
+++ b/accord/experiment_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A small experiment as CI runs it: real daemons in this process, over sockets.
+func TestExperiment(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes some seconds")
+	}
+	e, faults := readExperiment("small", []byte(`{"daemons": 4, "workers": 3, "running": 6, "starts": 10, "tasks": 2, "task_ms": 100, "changes": 60, "warm_s": 0, "seconds": 2, "port": 24000}`))
+	must.SliceEmpty(t, faults)
+	began := time.Now()
+	rows, kinds, err := runExperiment(t.Context(), e, io.Discard)
+	must.NoError(t, err)
+	must.Less(t, 20*time.Second, time.Since(began))
+	value := func(role, measure string) float64 {
+		_, y := series(rows, role, measure)
+		must.Len(t, 1, y, must.Sprint(role, measure))
+		return y[0]
+	}
+	must.Eq(t, 3, value(roleCore, "holders"))
+	must.Eq(t, 3, value(roleAgent, "holders"))
+	must.GreaterEq(t, 6, value(roleProcess, "running"))
+	must.Greater(t, 1, value(roleProcess, "starts_s"))
+	must.Greater(t, 0, value(roleProcess, "force_max_ms"))
+	must.Greater(t, 0, value(roleCore, "syncs_s"))
+	for _, role := range []string{roleEvery, roleCore, roleOwner, roleAgent} {
+		for _, m := range []string{"in_msgs_s", "out_bytes_s", "cpu_pct", "state_bytes"} {
+			must.Greater(t, 0, value(role, m), must.Sprint(role, m))
+		}
+	}
+	for _, k := range kinds {
+		must.NotEq(t, "", k.Flow.Role, must.Sprint(k.Flow.Kind))
+	}
+	folder := t.TempDir()
+	must.NoError(t, report(e, rows, kinds, folder, io.Discard))
+	b, err := os.ReadFile(filepath.Join(folder, "small-cpu_pct.svg"))
+	must.NoError(t, err)
+	must.StrContains(t, string(b), "<svg")
+	b, err = os.ReadFile(filepath.Join(folder, "small.csv"))
+	must.NoError(t, err)
+	must.Eq(t, len(rows)+1, strings.Count(string(b), "\n"))
+}
+
+// Every kind of message has a role that sends it and one that takes it.
+func TestKindRoles(t *testing.T) {
+	for _, typ := range messageTypes {
+		roles := kindRoles[typ.Name()]
+		must.NotEq(t, "", roles[0], must.Sprint(typ.Name()))
+		must.NotEq(t, "", takerOf(reflect.New(typ).Interface()), must.Sprint(typ.Name()))
+	}
+}
+
+func TestExperimentFile(t *testing.T) {
+	for _, c := range []struct{ doc, path string }{
+		{`{"daemons": 2}`, "daemons"},
+		{`{"colour": 2}`, "colour"},
+		{`{"sweep": {"of": "colour", "sizes": [1]}}`, "sweep.of"},
+		{`{"sweep": {"of": "workers", "sizes": [1, 100000]}}`, "sweep.sizes.1"},
+		{`{"faults": [{"at_s": 1, "do": "smash", "daemon": 0, "for_s": 1}]}`, "faults.0.do"},
+		{`{"faults": [{"at_s": 1, "do": "kill", "daemon": 99, "for_s": 1}], "sweep": {"of": "workers", "sizes": [1]}}`, "faults.0.daemon"},
+	} {
+		_, faults := readExperiment("x", []byte(c.doc))
+		must.Len(t, 1, faults, must.Sprint(c.doc))
+		must.Eq(t, c.path, faults[0].Path)
+	}
+	files, err := filepath.Glob("../experiments/*.json")
+	must.NoError(t, err)
+	for _, path := range files {
+		doc, err := os.ReadFile(path)
+		must.NoError(t, err)
+		_, faults := readExperiment("x", doc)
+		must.SliceEmpty(t, faults, must.Sprint(path, faults))
+	}
+}
+
+func TestLeastSquares(t *testing.T) {
+	f := leastSquares([]float64{1, 2, 3, 4}, []float64{3, 5, 7, 9})
+	must.InDelta(t, 2, f.Slope, 1e-9)
+	must.InDelta(t, 1, f.Base, 1e-9)
+	must.InDelta(t, 0, f.StdErr, 1e-9)
+	must.InDelta(t, 1, f.R2, 1e-9)
+	f = leastSquares([]float64{1, 2, 3}, []float64{1, 3, 2}) // residuals -0.5, 1, -0.5
+	must.InDelta(t, 0.5, f.Slope, 1e-9)
+	must.InDelta(t, 1.2247448, f.Spread, 1e-6)
+	must.InDelta(t, 0.8660254, f.StdErr, 1e-6)
+}
+
+func TestDeepSize(t *testing.T) {
+	type part struct {
+		Name string
+		List []int64
+		Next *part
+	}
+	p := &part{Name: "12345", List: make([]int64, 2, 4)}
+	p.Next = p // counted once
+	must.Eq(t, 8+16+24+8+5+4*8, deepSize(reflect.ValueOf(p), map[uintptr]bool{}))
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -98,3 +98,8 @@
 
 	msPerHour = 3600_000
 )
+
+// Of experiments (experiment.go).
+const (
+	settleMaxS = 240 // s until a hollow fleet stands with its load; a few hundred daemons take half a minute
+)
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -117,6 +117,7 @@
 	rng       *rand.Rand
 	out       []effect
 	counts    map[string]int64
+	lap       func(role string) // told of each part of a tick; only in experiments
 
 	beat     uint64
 	gossipAt int64
@@ -233,21 +234,28 @@
 	message(onMessage((*node).onReg))
 }
 
+// tickParts are what a tick does, each part with the role whose work it is.
+var tickParts []tickPart
+
+type tickPart struct {
+	role string
+	do   func(*node)
+}
+
+func init() {
+	tickParts = []tickPart{{roleEvery, (*node).tickSiblings}, {roleCore, (*node).tickFormation}, {roleCore, (*node).tickJoining},
+		{roleEvery, (*node).tickOps}, {roleEvery, (*node).tickPoll}, {roleEvery, (*node).tickDuties}, {roleEvery, (*node).tickSetup},
+		{roleOwner, (*node).tickSlices}, {roleOwner, (*node).tickLearned}, {roleAgent, (*node).tickAgents},
+		{roleCentral, (*node).tickCentral}, {roleFront, (*node).tickAsks}, {roleCore, (*node).tickStore}, {roleEvery, (*node).tickLeaving}}
+}
+
 func (n *node) onTick(evTick) {
-	n.tickSiblings()
-	n.tickFormation()
-	n.tickJoining()
-	n.tickOps()
-	n.tickPoll()
-	n.tickDuties()
-	n.tickSetup()
-	n.tickSlices()
-	n.tickLearned()
-	n.tickAgents()
-	n.tickCentral()
-	n.tickAsks()
-	n.tickStore()
-	n.tickLeaving()
+	for _, p := range tickParts {
+		p.do(n)
+		if n.lap != nil {
+			n.lap(p.role)
+		}
+	}
 }
 
 func (n *node) onMsg(e evMsg) {
--- a/accord/shell.go
+++ b/accord/shell.go
@@ -1,6 +1,9 @@
 package main
 
-import "reflect"
+import (
+	"reflect"
+	"time"
+)
 
 // ports are what the shell carries effects out with. The product and the
 // simulator each bring their own; the reducer and the shell are the same.
@@ -19,12 +22,16 @@
 // shell runs one daemon: it feeds events to the reducer and carries out what
 // comes back. Only one goroutine may use it.
 type shell struct {
-	n *node
-	p ports
+	n     *node
+	p     ports
+	meter *meter // only in experiments
 }
 
 func (s *shell) step(ev event) {
-	for _, e := range reduce(s.n, ev) {
+	s.meter.begin()
+	effects := reduce(s.n, ev)
+	s.meter.reduced(ev.Body)
+	for _, e := range effects {
 		s.carry(e)
 	}
 }
@@ -54,6 +61,9 @@
 }
 
 func (s *shell) carry(e effect) {
+	if s.meter != nil {
+		defer s.meter.carried(e, time.Now())
+	}
 	if h, ok := effectHandlers[reflect.TypeOf(e)]; ok {
 		h(s, e)
 	}
--- a/accord/wire.go
+++ b/accord/wire.go
@@ -20,6 +20,7 @@
 	lines map[string]*line
 	open  map[net.Conn]bool
 	stop  bool
+	meter *meter // only in experiments
 }
 
 type line struct {
@@ -48,6 +49,7 @@
 	}
 	select {
 	case l.frames <- frame:
+		w.meter.sent(frame)
 	default: // all that matters is sent again by who needs it
 	}
 }
@@ -149,6 +151,7 @@
 			w.log("frame_bounced", "from", conn.RemoteAddr().String(), "reason", err.Error())
 			return
 		}
+		w.meter.heard(msg, len(frame))
 		ready := readySetup(msg)
 		w.post(func(s *shell) { s.event(evMsg{Head: h, Msg: msg, Ready: ready}) })
 	}
