--- a/accord/experiment.go
+++ b/accord/experiment.go
@@ -35,13 +35,14 @@
 // in it can be swept.
 type experiment struct {
 	Name    string
-	Daemons int64 // the first three have disks
+	Daemons int64 // that callers call; the first three have disks
 	Sites   int64
-	Workers int64
+	Workers int64 // each with a daemon beside it
 	Room    int64 // of each worker
 	Running int64 // tasks that run all the time
 	Starts  int64 // tasks started a second, beside them
 	Tasks   int64 // of each such job
+	Gang    int64 // 1: they work only together
 	TaskMs  int64
 	Queues  int64
 	Changes int64 // of the setup, a minute
@@ -69,10 +70,11 @@
 	"daemons": {3, siblingsMax, 8, func(e *experiment) *int64 { return &e.Daemons }},
 	"sites":   {1, 12, 3, func(e *experiment) *int64 { return &e.Sites }},
 	"workers": {0, siblingsMax, 0, func(e *experiment) *int64 { return &e.Workers }},
-	"room":    {1, 1 << 20, 64, func(e *experiment) *int64 { return &e.Room }},
+	"room":    {1, 1 << 20, 16, func(e *experiment) *int64 { return &e.Room }},
 	"running": {0, 20_000, 0, func(e *experiment) *int64 { return &e.Running }},
 	"starts":  {0, 1000, 0, func(e *experiment) *int64 { return &e.Starts }},
 	"tasks":   {1, tasksMax, 4, func(e *experiment) *int64 { return &e.Tasks }},
+	"gang":    {0, 1, 0, func(e *experiment) *int64 { return &e.Gang }},
 	"task_ms": {1, msPerHour, 300, func(e *experiment) *int64 { return &e.TaskMs }},
 	"queues":  {1, 5000, 10, func(e *experiment) *int64 { return &e.Queues }},
 	"changes": {0, 600, 0, func(e *experiment) *int64 { return &e.Changes }},
@@ -231,18 +233,22 @@
 	return told{resp.StatusCode, b}
 }
 
+func (c *callers) fail() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counted {
+		c.failed++
+	}
+}
+
 // insist calls one daemon after the other until one answers for good.
 func (c *callers) insist(ctx context.Context, first int, method, path string, body []byte) told {
 	for i := first; ctx.Err() == nil; i++ {
-		t := call(ctx, &c.calls, method, "http://"+c.fleet.daemons[i%len(c.fleet.daemons)].settings.HTTP+path, body)
+		t := call(ctx, &c.calls, method, "http://"+c.fleet.daemons[i%c.fleet.edges].settings.HTTP+path, body)
 		if t.status != 0 && t.status != 503 && t.status != 429 {
 			return t
 		}
-		c.mu.Lock()
-		if c.counted {
-			c.failed++
-		}
-		c.mu.Unlock()
+		c.fail()
 		time.Sleep(200 * time.Millisecond)
 	}
 	return told{}
@@ -267,16 +273,16 @@
 	return ctx.Err()
 }
 
-func (c *callers) submit(ctx context.Context, id string, tasks, ms int64, first int) {
-	list := make([]map[string]any, tasks)
-	for i := range list {
-		list[i] = map[string]any{"name": fmt.Sprintf("t%d", i), "room": 1, "limit_ms": max(4*ms, 60_000), "estimate_ms": ms, "allowed_failures": 3, "payload": map[string]any{"ms": ms}}
-	}
-	body := jsonOf(map[string]any{"queue": fmt.Sprintf("q%04d", first%int(c.e.Queues)), "steps": []any{map[string]any{"name": "a", "tasks": list}}})
+func (c *callers) submit(ctx context.Context, id string, tasks, ms int64, gang bool, first int) error {
+	body := jsonOf(map[string]any{"queue": fmt.Sprintf("q%04d", first%int(c.e.Queues)), "payload": map[string]any{"ms": ms},
+		"steps": []any{map[string]any{"name": "a", "count": tasks, "room": 1, "limit_ms": max(4*ms, 60_000), "estimate_ms": ms, "allowed_failures": 3, "gang": gang}}})
 	c.mu.Lock()
 	c.sent[id] = time.Now()
 	c.mu.Unlock()
-	c.insist(ctx, first, "PUT", "/v1/jobs/"+id, body)
+	if t := c.insist(ctx, first, "PUT", "/v1/jobs/"+id, body); t.status != 200 && t.status != 201 && ctx.Err() == nil {
+		return errors.Wrapf(errExperiment, "job %s was answered %d %s", id, t.status, t.body)
+	}
+	return nil
 }
 
 // settle brings the fleet to its declared load before anything is counted.
@@ -286,7 +292,9 @@
 	}
 	for left, i := c.e.Running, 0; left > 0; i++ {
 		n := min(left, 50)
-		c.submit(ctx, fmt.Sprintf("long-%d", i), n, msPerHour, i)
+		if err := c.submit(ctx, fmt.Sprintf("long-%d", i), n, msPerHour, false, i); err != nil {
+			return err
+		}
 		left -= n
 	}
 	for c.fleet.workers.running() < int(c.e.Running) {
@@ -310,7 +318,11 @@
 					return
 				case <-time.After(time.Duration(c.rng.ExpFloat64() * gap * float64(time.Second))):
 				}
-				wait.Go(func() { c.submit(ctx, fmt.Sprintf("short-%d", i), c.e.Tasks, c.e.TaskMs, i) })
+				wait.Go(func() {
+					if c.submit(ctx, fmt.Sprintf("short-%d", i), c.e.Tasks, c.e.TaskMs, c.e.Gang > 0, i) != nil {
+						c.fail()
+					}
+				})
 			}
 		})
 	}
@@ -407,6 +419,19 @@
 	put := func(role, measure string, v float64) { out = append(out, row{s.size, s.seed, role, measure, v}) }
 	flows, control, messages := map[flow]tally{}, time.Duration(0), int64(0)
 	spent, state, holders := map[string]time.Duration{}, map[string]int64{}, map[string]float64{}
+	type total struct{ in, out tally }
+	whole := func(role string, n float64, t total, spent time.Duration) {
+		if n == 0 {
+			return
+		}
+		for m, v := range map[string]int64{"in_msgs_s": t.in.N, "in_bytes_s": t.in.Bytes, "out_msgs_s": t.out.N, "out_bytes_s": t.out.Bytes} {
+			put(role, m, float64(v)/n/s.seconds)
+		}
+		put(role, "cpu_pct", 100*spent.Seconds()/n/s.seconds)
+	}
+	totals, times := map[string]total{}, map[string]time.Duration{}
+	var most total
+	var longest time.Duration
 	count := func(name string) (sum float64) {
 		for i := range s.after {
 			sum += float64(max(0, s.after[i].counts[name]-s.before[i].counts[name]))
@@ -418,15 +443,30 @@
 		if !a.live || !b.live || a.counts["messages_in"] < b.counts["messages_in"] {
 			continue // it was killed meanwhile: its counts began anew
 		}
+		kind, own, ownTime := wholeEdge, total{}, time.Duration(0)
+		if i >= int(s.e.Daemons) {
+			kind = wholeSide
+		}
 		for k, t := range a.flows {
 			d := tally{t.N - b.flows[k].N, t.Bytes - b.flows[k].Bytes}
-			flows[k] = tally{flows[k].N + d.N, flows[k].Bytes + d.Bytes}
+			flows[k] = flows[k].plus(d)
 			messages += d.N
+			if k.Out {
+				own.out = own.out.plus(d)
+			} else {
+				own.in = own.in.plus(d)
+			}
 		}
 		for role, d := range a.spent {
 			spent[role] += d - b.spent[role]
-			control += d - b.spent[role]
+			ownTime += d - b.spent[role]
 		}
+		control += ownTime
+		holders[kind]++
+		totals[kind] = total{totals[kind].in.plus(own.in), totals[kind].out.plus(own.out)}
+		times[kind] += ownTime
+		most = total{most.in.most(own.in), most.out.most(own.out)}
+		longest = max(longest, ownTime)
 		for role, held := range a.roles {
 			if held {
 				holders[role]++
@@ -434,7 +474,11 @@
 			}
 		}
 	}
-	for _, role := range allRoles {
+	whole(busiest, 1, most, longest)
+	for _, role := range []string{wholeEdge, wholeSide} {
+		whole(role, holders[role], totals[role], times[role])
+	}
+	for _, role := range allRoles[:slices.Index(allRoles, wholeEdge)] {
 		n := holders[role]
 		put(role, "holders", n)
 		if n == 0 {
--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -15,6 +14,8 @@
 	"sync"
 	"time"
 
+	"otterchute/platform"
+
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/tidwall/gjson"
@@ -30,9 +31,13 @@
 	roleCentral = "central scheduler"
 	roleAgent   = "agent"
 	roleFront   = "front"
+
+	wholeEdge = "edge daemon"    // all that one costs, whatever its roles
+	wholeSide = "side daemon"    // one beside a worker
+	busiest   = "busiest daemon" // by each measure the highest of all
 )
 
-var allRoles = []string{roleEvery, roleCore, roleOwner, roleLocal, roleCentral, roleAgent, roleFront}
+var allRoles = []string{roleEvery, roleCore, roleOwner, roleLocal, roleCentral, roleAgent, roleFront, wholeEdge, wholeSide, busiest}
 
 // kindRoles names, for each kind of message, the role that sends it and the one
 // whose work it is to take it.
@@ -79,6 +84,9 @@
 // tally is a count and what it sums up.
 type tally struct{ N, Bytes int64 }
 
+func (t tally) plus(o tally) tally { return tally{t.N + o.N, t.Bytes + o.Bytes} }
+func (t tally) most(o tally) tally { return tally{max(t.N, o.N), max(t.Bytes, o.Bytes)} }
+
 // flow is a role's traffic in one kind of message.
 type flow struct {
 	Role, Kind string
@@ -91,7 +99,6 @@
 	mu    sync.Mutex
 	flows map[flow]tally
 	spent map[string]time.Duration // by role: reducer and shell
-	read  time.Duration            // taking frames apart, on the wire's threads
 	mark  time.Time
 }
 
@@ -191,6 +198,7 @@
 	app      *fx.App
 	loop     *loop
 	shell    *shell
+	door     *door
 	meter    *meter
 	up       bool
 	note     func(daemon, event string, kv []any)
@@ -212,7 +220,7 @@
 	var w *wire
 	h.meter = newMeter()
 	h.app = fx.New(daemonModules(h.settings), fx.Decorate(func(logr.Logger) logr.Logger { return logr.New(hollowLog{h}) }),
-		fx.Populate(&h.loop, &h.shell, &w))
+		fx.Populate(&h.loop, &h.shell, &h.door, &w))
 	if err := h.app.Err(); err != nil {
 		return errors.Wrap(errExperiment, err.Error())
 	}
@@ -271,7 +279,7 @@
 
 func (n *node) rolesHeld() map[string]bool {
 	return map[string]bool{roleEvery: true, roleCore: n.inCore(), roleOwner: len(n.owned) > 0, roleLocal: len(n.owned) > 0,
-		roleCentral: n.central != nil, roleAgent: len(n.agents) > 0, roleFront: n.counts["asks_in"] > 0}
+		roleCentral: n.central != nil, roleAgent: len(n.agents) > 0, roleFront: n.HTTP != "" && n.counts["asks_in"] > 0}
 }
 
 // stateOf gives about how many bytes each role's part of the state takes.
@@ -326,156 +334,115 @@
 
 func plain(k reflect.Kind) bool { return k >= reflect.Bool && k <= reflect.Complex128 }
 
-// hollowWorkers are all workers of an experiment: they report, take orders and
-// run nothing.
+// hollowWorkers are all workers of an experiment: they take orders and run nothing.
 type hollowWorkers struct {
-	at      string
-	server  *http.Server
-	calls   http.Client
 	list    []*hollowWorker
 	started func(job string, at time.Time)
 }
 
+// hollowWorker beats to the daemon beside it, as the platform's worker does.
 type hollowWorker struct {
 	all     *hollowWorkers
 	name    string
 	site    string
-	daemon  string // HTTP
+	beside  *hollow
 	room    int64
 	mu      sync.Mutex
 	seq     int64
-	token   string
+	endings int64 // numbers its ends
 	running map[string]*hollowRun
-	ended   map[string]*hollowRun
-	wake    chan struct{}
+	ended   []*hollowRun
 }
 
+// hollowRun is one run as a beat tells it.
 type hollowRun struct {
-	ID      string `json:"id"`
-	Tag     string `json:"tag"`
-	Room    int64  `json:"room"`
-	RanMs   int64  `json:"ran_ms"`
+	Job     string `json:"job"`
+	Round   int32  `json:"round"`
+	Step    int32  `json:"step"`
+	Index   int32  `json:"index"`
+	Run     int32  `json:"run"`
+	Percent int64  `json:"percent"`
+	N       int64  `json:"n,omitempty"`
 	Outcome string `json:"outcome,omitempty"`
 	began   time.Time
+	lasts   time.Duration
 	alarm   *time.Timer
 }
 
-func newHollowWorkers(addr string, started func(string, time.Time)) (*hollowWorkers, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(errExperiment, err.Error())
-	}
-	ws := &hollowWorkers{at: addr, started: started,
-		calls: http.Client{Timeout: replyMs * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /{worker}/run", ws.take)
-	mux.HandleFunc("POST /{worker}/stop", ws.end)
-	ws.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = ws.server.Serve(ln) }()
-	return ws, nil
-}
-
-func (ws *hollowWorkers) add(ctx context.Context, name, site, daemon string, room int64) {
-	w := &hollowWorker{all: ws, name: name, site: site, daemon: daemon, room: room, running: map[string]*hollowRun{}, ended: map[string]*hollowRun{}, wake: make(chan struct{}, 1)}
-	ws.list = append(ws.list, w)
-	go w.reports(ctx)
-}
-
-func (ws *hollowWorkers) named(name string) *hollowWorker {
-	for _, w := range ws.list {
-		if w.name == name {
-			return w
-		}
-	}
-	return nil
+func (r *hollowRun) key() string {
+	return fmt.Sprint(r.Job, "#", r.Round, "#", r.Step, "#", r.Index, "#", r.Run)
 }
 
-func (ws *hollowWorkers) take(rw http.ResponseWriter, r *http.Request) {
-	w := ws.named(r.PathValue("worker"))
-	var o struct {
-		ID, Tag string
-		Job     string
-		Room    int64
-		Payload struct{ Ms int64 }
-	}
-	if w == nil || json.NewDecoder(r.Body).Decode(&o) != nil {
-		http.Error(rw, "no such worker, or no order", 400)
-		return
-	}
-	w.begin(&hollowRun{ID: o.ID, Tag: o.Tag, Room: o.Room, began: time.Now()}, o.Job, o.Payload.Ms)
-}
-
-func (w *hollowWorker) begin(run *hollowRun, job string, ms int64) {
-	w.mu.Lock()
-	w.running[run.ID] = run
-	run.alarm = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { w.finish(run.ID, "ok") })
-	w.mu.Unlock()
-	w.all.started(job, run.began)
-}
-
-func (ws *hollowWorkers) end(_ http.ResponseWriter, r *http.Request) {
-	var o struct{ ID string }
-	if w := ws.named(r.PathValue("worker")); w != nil && json.NewDecoder(r.Body).Decode(&o) == nil {
-		w.finish(o.ID, "stopped")
-	}
-}
-
-func (w *hollowWorker) finish(id, outcome string) {
-	w.mu.Lock()
-	if r := w.running[id]; r != nil {
-		delete(w.running, id)
-		r.Outcome, r.RanMs = outcome, time.Since(r.began).Milliseconds()
-		w.ended[id] = r
-	}
-	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+func (ws *hollowWorkers) add(ctx context.Context, name, site string, beside *hollow, room int64) {
+	w := &hollowWorker{all: ws, name: name, site: site, beside: beside, room: room, running: map[string]*hollowRun{}, ended: []*hollowRun{}}
+	ws.list = append(ws.list, w)
+	go w.beats(ctx)
 }
 
-func (w *hollowWorker) reports(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.report(ctx)
+func (w *hollowWorker) beats(ctx context.Context) {
+	for again := int64(beatMs); ctx.Err() == nil; {
+		if a := w.beat(ctx); a.AgainMs > 0 {
+			again = a.AgainMs
+		}
 		select {
-		case <-w.wake:
-			time.Sleep(2 * time.Millisecond) // ends that come together go together
-		case <-time.After(syncMs * time.Millisecond):
+		case <-time.After(time.Duration(again) * time.Millisecond):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (w *hollowWorker) report(ctx context.Context) {
+// beat tells all that runs and has ended, and does what the answer says.
+func (w *hollowWorker) beat(ctx context.Context) (a beatAnswer) {
 	w.mu.Lock()
 	w.seq++
-	free, running, ended := w.room, []hollowRun{}, []hollowRun{}
-	for _, id := range sorted(w.running) {
-		r := *w.running[id]
-		r.RanMs = time.Since(r.began).Milliseconds()
-		free -= r.Room
+	running, now := make([]*hollowRun, 0, len(w.running)), time.Now()
+	for _, key := range sorted(w.running) {
+		r := w.running[key]
+		r.Percent = min(99, int64(100*now.Sub(r.began)/r.lasts))
 		running = append(running, r)
 	}
-	for _, id := range sorted(w.ended) {
-		ended = append(ended, *w.ended[id])
-	}
-	body := jsonOf(map[string]any{"incarnation": "one", "seq": w.seq, "address": w.all.at + "/" + w.name, "site": w.site, "free": max(free, 0), "token": w.token,
-		"running": running, "ended": ended})
+	body := jsonOf(map[string]any{"seq": w.seq, "site": w.site, "rack": w.site, "labels": map[string]string{}, "capacity": w.room, "running": running, "ended": w.ended})
 	w.mu.Unlock()
-	t := call(ctx, &w.all.calls, "POST", "http://"+w.daemon+"/v1/workers/"+w.name+"/report", body)
-	if t.status != 200 {
-		return
+	t := w.beside.door.product(ctx, platform.Call{Op: "worker.beat", Key: w.name, Expect: -1, Body: body})
+	if t.Status != 200 || json.Unmarshal(t.Body, &a) != nil {
+		return beatAnswer{}
+	}
+	for _, o := range a.Start {
+		w.begin(o)
+	}
+	for _, o := range a.Stop {
+		w.finish((&hollowRun{Job: o.Job, Round: o.Round, Step: o.Step, Index: o.Index, Run: o.Run}).key(), "stopped")
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.token = gjson.GetBytes(t.body, "token").Str
-	for _, id := range gjson.GetBytes(t.body, "acked").Array() {
-		delete(w.ended, id.Str)
+	w.ended = slices.DeleteFunc(w.ended, func(r *hollowRun) bool { return r.N <= a.Seen })
+	return a
+}
+
+func (w *hollowWorker) begin(o orderView) {
+	r := &hollowRun{Job: o.Job, Round: o.Round, Step: o.Step, Index: o.Index, Run: o.Run, began: time.Now(),
+		lasts: time.Duration(max(1, gjson.GetBytes(o.Payload, "ms").Int())) * time.Millisecond}
+	key := r.key()
+	w.mu.Lock()
+	w.running[key] = r
+	r.alarm = time.AfterFunc(r.lasts, func() { w.finish(key, "ok") })
+	w.mu.Unlock()
+	w.all.started(o.Job, r.began)
+}
+
+func (w *hollowWorker) finish(key, outcome string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.running[key]; r != nil {
+		delete(w.running, key)
+		r.alarm.Stop()
+		w.endings++
+		r.N, r.Outcome = w.endings, outcome
+		w.ended = append(w.ended, r)
 	}
 }
 
-func (ws *hollowWorkers) running() int {
-	sum := 0
+func (ws *hollowWorkers) running() (sum int) {
 	for _, w := range ws.list {
 		w.mu.Lock()
 		sum += len(w.running)
@@ -484,9 +451,21 @@
 	return sum
 }
 
+// close ends all runs.
+func (ws *hollowWorkers) close() {
+	for _, w := range ws.list {
+		w.mu.Lock()
+		for _, r := range w.running {
+			r.alarm.Stop()
+		}
+		w.mu.Unlock()
+	}
+}
+
 // hollowFleet is all that one experiment runs.
 type hollowFleet struct {
-	daemons []*hollow
+	daemons []*hollow // those that callers call, then those beside a worker
+	edges   int
 	workers *hollowWorkers
 	folder  string
 	mu      sync.Mutex
@@ -515,36 +494,38 @@
 		return nil, errors.Wrap(errExperiment, err.Error())
 	}
 	f := &hollowFleet{folder: folder, logged: map[string]int{}}
-	addrs, err := freeAddrs(int(e.Port), int(2*e.Daemons+1))
+	addrs, err := freeAddrs(int(e.Port), int(2*e.Daemons+e.Workers))
 	if err != nil {
 		return f, err
 	}
+	f.edges, f.workers = int(e.Daemons), &hollowWorkers{started: started}
 	note := func(_, event string, _ []any) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.logged[event]++
 	}
-	for i := range int(e.Daemons) {
+	for i := range int(e.Daemons + e.Workers) {
 		s := defaultSettings()
-		s.Name, s.Addr, s.HTTP, s.Site = fmt.Sprintf("d%03d", i), addrs[2*i], addrs[2*i+1], siteName(i, e)
-		s.Seeds = []string{addrs[0], addrs[2], addrs[4]}
+		s.Addr, s.Seeds = addrs[i], addrs[:coreSize]
+		if i < f.edges {
+			s.Name, s.HTTP, s.Site = fmt.Sprintf("d%03d", i), addrs[int(e.Daemons+e.Workers)+i], siteName(i, e)
+		} else {
+			s.Name, s.Site = fmt.Sprintf("s%03d", i-f.edges), siteName(i-f.edges, e)
+		}
 		if i < coreSize {
 			s.Data = filepath.Join(folder, s.Name)
-		}
-		if err := s.check(); err != nil {
-			return f, err
+			if err := os.Mkdir(s.Data, 0o755); err != nil {
+				return f, errors.Wrap(errExperiment, err.Error())
+			}
 		}
 		h := &hollow{settings: s, note: note}
+		f.daemons = append(f.daemons, h)
 		if err := h.start(ctx); err != nil {
 			return f, err
 		}
-		f.daemons = append(f.daemons, h)
-	}
-	if f.workers, err = newHollowWorkers(addrs[2*e.Daemons], started); err != nil {
-		return f, err
-	}
-	for i := range int(e.Workers) {
-		f.workers.add(ctx, fmt.Sprintf("w%03d", i), siteName(i, e), f.daemons[i%len(f.daemons)].settings.HTTP, e.Room)
+		if i >= f.edges {
+			f.workers.add(ctx, fmt.Sprintf("w%03d", i-f.edges), s.Site, h, e.Room)
+		}
 	}
 	return f, nil
 }
@@ -553,14 +534,7 @@
 
 func (f *hollowFleet) close() {
 	if f.workers != nil {
-		_ = f.workers.server.Close()
-		for _, w := range f.workers.list {
-			w.mu.Lock()
-			for _, r := range w.running {
-				r.alarm.Stop()
-			}
-			w.mu.Unlock()
-		}
+		f.workers.close()
 	}
 	var wait sync.WaitGroup
 	for _, h := range f.daemons {
