--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -42,7 +42,7 @@
 // kindRoles names, for each kind of message, the role that sends it and the one
 // whose work it is to take it.
 var kindRoles = map[string][2]string{
-	"gossipMsg": {roleEvery, roleEvery}, "pollMsg": {roleEvery, roleCore}, "pollAck": {roleCore, roleEvery},
+	"gossipMsg": {roleEvery, roleEvery}, "digestMsg": {roleEvery, roleEvery}, "digestAck": {roleEvery, roleEvery}, "pollMsg": {roleEvery, roleCore}, "pollAck": {roleCore, roleEvery},
 	"prepareMsg": {roleEvery, roleCore}, "promiseMsg": {roleCore, roleEvery}, "acceptMsg": {roleEvery, roleCore}, "acceptedMsg": {roleCore, roleEvery},
 	"readRegMsg": {roleEvery, roleCore}, "regMsg": {roleCore, roleEvery},
 	"sealMsg": {roleOwner, roleCore}, "sealedMsg": {roleCore, roleOwner}, "writeMsg": {roleOwner, roleCore}, "wroteMsg": {roleCore, roleOwner},
@@ -54,7 +54,7 @@
 
 // stateRoles names the parts of a daemon's state by the role that needs them.
 var stateRoles = map[string]string{
-	"siblings": roleEvery, "core": roleEvery, "duties": roleEvery, "views": roleEvery, "ops": roleEvery, "poll": roleEvery, "setup": roleEvery,
+	"siblings": roleEvery, "byHash": roleEvery, "core": roleEvery, "duties": roleEvery, "views": roleEvery, "ops": roleEvery, "poll": roleEvery, "setup": roleEvery,
 	"store": roleCore, "forming": roleCore, "joining": roleCore, "owned": roleOwner, "workers": roleOwner, "learned": roleLocal, "ranks": roleLocal,
 	"agents": roleAgent, "central": roleCentral, "asks": roleFront, "reads": roleFront,
 }
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -13,7 +13,8 @@
 	19: reflect.TypeFor[wantMsg](), 20: reflect.TypeFor[grantMsg](), 21: reflect.TypeFor[ranksMsg](),
 	22: reflect.TypeFor[promoteMsg](), 23: reflect.TypeFor[formMsg](), 24: reflect.TypeFor[formedMsg](),
 	25: reflect.TypeFor[copyMsg](), 26: reflect.TypeFor[copiedMsg](), 27: reflect.TypeFor[readRegMsg](),
-	28: reflect.TypeFor[regMsg](), 29: reflect.TypeFor[learnedMsg](),
+	28: reflect.TypeFor[regMsg](), 29: reflect.TypeFor[learnedMsg](), 30: reflect.TypeFor[digestMsg](),
+	31: reflect.TypeFor[digestAck](),
 }
 
 var messageKinds = func() map[reflect.Type]int32 {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -117,6 +117,7 @@
 type siblingState struct {
 	sibling
 	heardMs int64 // when its beat last moved, by our clock
+	hash    uint64
 }
 
 // node is the whole state of a daemon. Only reduce changes it.
@@ -133,6 +134,7 @@
 	beat     uint64
 	gossipAt int64
 	siblings map[string]*siblingState
+	byHash   map[uint64]string // siblings by what is said of them, see gossip.go
 	core     coreSet
 	leaving  int64
 
@@ -218,6 +220,8 @@
 	messageHandlers = map[reflect.Type]func(*node, string, any){}
 	message := func(t reflect.Type, f func(*node, string, any)) { messageHandlers[t] = f }
 	message(onMessage((*node).onGossip))
+	message(onMessage((*node).onDigest))
+	message(onMessage((*node).onDigestAck))
 	message(onMessage((*node).onPoll))
 	message(onMessage((*node).onPollAck))
 	message(onMessage((*node).onPrepare))
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -172,7 +172,7 @@
 		n.learnCore(set)
 		for _, name := range n.liveNames() {
 			if name != n.Name {
-				n.send(name, n.gossip(false))
+				n.send(name, n.coreWord())
 			}
 		}
 	}
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -68,8 +68,9 @@
 			delete(n.workers, name)
 		}
 	}
+	round := n.round()
 	for _, name := range n.watched() {
-		n.send(name, n.gossip(true))
+		n.send(name, round)
 	}
 	// Seeds and long-gone siblings are tried too, one of each a round with
 	// jitter, so that a fleet joined through seeds that were all replaced,
@@ -140,6 +141,7 @@
 		n.log("sibling_new", "sibling", s.Name, "site", s.Site, "addr", s.Addr)
 	}
 	n.siblings[s.Name] = &siblingState{sibling: s, heardMs: n.now}
+	n.index(n.siblings[s.Name])
 }
 
 func (n *node) siteOf(name string) string {
