--- a/accord/beats.go
+++ b/accord/beats.go
@@ -266,7 +266,7 @@
 		}
 		until = min(until, h.confirmedMs+ownerSpanMs)
 	}
-	if n.now < ag.lapseTill {
+	if ag.lapseTill != 0 {
 		until = 0
 	}
 	if until > n.now {
@@ -357,7 +357,7 @@
 		switch {
 		case h.state == heldQueued && (n.now-ag.heardMs > contactMs || ag.goneAt != 0):
 			h.state, h.result, changed = heldEnded, resultShed, true
-		case (h.state == heldRunning || h.state == heldOrdered) && h.stopMs == 0 && n.now > max(h.confirmedMs+ownerSpanMs, h.adoptedMs+ownerSpanMs/2)-staleStopMs:
+		case (h.state == heldRunning || h.state == heldOrdered) && h.stopMs == 0 && n.now > max(h.confirmedMs+ownerSpanMs, h.adoptedMs+ownerSpanMs)-staleStopMs:
 			n.count("stale_stops")
 			n.stopRun(ag, h, resultLost)
 		}
@@ -374,7 +374,8 @@
 			ag.suspects = max(0, ag.suspects-1)
 		}
 	}
-	if changed || n.now >= ag.syncAt {
+	waits := slices.ContainsFunc(ag.keys(), func(k attemptKey) bool { h := ag.held[k]; return h.state == heldQueued && n.now-h.queuedMs > recallMs })
+	if changed || n.now >= ag.syncAt || waits && n.now >= ag.syncAt-syncMs/2 {
 		n.syncAgent(ag)
 	}
 	if over := ag.replaced || ag.goneAt != 0; over && n.now-ag.heardMs > workerKeepMs || over && !slices.ContainsFunc(ag.keys(), func(k attemptKey) bool { return !ag.held[k].acked }) && n.now-ag.heardMs > contactMs {
--- a/accord/jobs.go
+++ b/accord/jobs.go
@@ -53,6 +53,7 @@
 	Class      int8
 	Attempt    int32
 	Worker     string
+	Agent      string // the daemon that tends the worker
 	AgentEpoch uint64
 	Failures   int32
 	Preempts   int32
@@ -476,7 +477,7 @@
 		}
 		all = all && j.Tasks[i].State == taskEnded
 	}
-	if all {
+	if all && j.Opened >= j.roundsAll() {
 		return jobComplete, true
 	}
 	return j.State, true
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -4,8 +4,9 @@
 // the reason for its size.
 const (
 	tickMs        = 100            // the reducer's heartbeat; every wait below is a multiple
-	pollMs        = 400            // lease renewals; six tries fit in one lease
-	leaseMs       = 2500           // long enough for six renewals, short enough for a 12 s recovery
+	pollMs        = 300            // lease renewals; five tries fit in one lease
+	leaseMs       = 1500           // long enough for five renewals, short enough that urgent work hardly misses its aim
+	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
 	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
 	contactMs     = 1500           // an order needs the owner's word this fresh; a cancel must bite in 3 s
@@ -46,6 +47,7 @@
 	rebuildMs     = 1000           // a new central scheduler listens this long before it grants
 	reserveMs     = 4000           // the longest-waiting firm task holds a worker back after this
 	formStableMs  = 700            // so long the same empty disks must be seen before a core is formed of them
+	quietMs       = 1600           // a new empty disk takes the place of a member that missed four polls
 	formTurnMs    = 1500           // each later member waits this much longer before it brings a formation to its end
 	formAgainMs   = 300            // votes that did not come are asked for again
 	greetMs       = 200            // a disk without a core gossips at this pace
@@ -121,6 +123,7 @@
 	staleStopMs   = 900    // before that it stops the run, in time for the stop to be listed
 	lapseMarginMs = 300    // past the longest a hold may last, for what clocks and messages differ by
 	driftPercent  = 2      // a worker's clock may run this much slow
+	recallMs      = 150    // a task that waits this long at its worker is called back where another has room now
 	beatMs        = 50     // a worker beats again after this; an order waits half of it in the mean
 	urgentWaitMs  = 150    // a queueable task of a more urgent queue waits this long before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -922,23 +922,8 @@
 		n.touch(sl, js)
 		for i := len(js.Tasks) - int(js.roundSize()); i < len(js.Tasks); i++ {
 			js.Tasks[i].SetVer = js.Version
-			if js.Tasks[i].Allowed < 0 {
-				js.Tasks[i].Allowed = int32(n.allowedIn(js.Queue))
-			}
-		}
-	}
-}
-
-// allowedIn is how often tasks of a queue may fail where they don't say.
-func (n *node) allowedIn(queue string) int64 {
-	if q := n.setup.cur.Queues[queue]; q != nil {
-		for _, r := range q.Rules {
-			if r.Op == "defaultFailures" {
-				return r.N
-			}
 		}
 	}
-	return 0
 }
 
 func (n *node) retire(sl *slice, js *jobState) {
@@ -1217,7 +1202,7 @@
 func (n *node) placeTask(sl *slice, js *jobState, i int, worker string, class int8) {
 	t := &js.Tasks[i]
 	n.touch(sl, js)
-	t.State, t.Class, t.Worker, t.AgentEpoch, t.SetVer = taskPlaced, class, worker, n.workers[worker].epoch, js.Version
+	t.State, t.Class, t.Worker, t.Agent, t.AgentEpoch, t.SetVer = taskPlaced, class, worker, n.workers[worker].agent, n.workers[worker].epoch, js.Version
 	t.Attempt++
 	sl.note(js, i)
 	n.workers[worker].queued++ // until its agent's next word
@@ -1507,6 +1492,7 @@
 			n.sendPlace(sl, js, i)
 		}
 	}
+	n.loseReplaced(sl, m)
 	n.send(from, ack)
 }
 
@@ -1522,11 +1508,8 @@
 	if js == nil {
 		return over()
 	}
-	i, past, ok := js.position(h.Key.Task)
-	if !ok {
-		if past && h.State == heldEnded {
-			return verdictCounted // its round ended well, and the runs that counted were taken note of
-		}
+	i, _, ok := js.position(h.Key.Task)
+	if !ok { // no such task, or its round is over: nobody knows any more which of its runs counted
 		return over()
 	}
 	t, rt := &js.Tasks[i], &js.run[i]
@@ -1570,5 +1553,51 @@
 	if t.SetVer > js.committed {
 		return 0
 	}
+	if m.Pinned && h.State == heldQueued && h.Class == classQueueable && n.now-rt.sentMs > recallMs && n.roomElsewhere(sl, js, i) {
+		return verdictRecall
+	}
 	return verdictKeep
 }
+
+// roomElsewhere tells whether another worker than its own could start a waiting
+// task at once.
+func (n *node) roomElsewhere(sl *slice, js *jobState, i int) bool {
+	t := &js.Tasks[i]
+	q := n.setup.cur.Queues[js.Queue]
+	if q == nil || js.Steps[t.Step].PerWorker > 0 {
+		return false
+	}
+	for name, w := range n.workers {
+		if name != t.Worker && !w.suspect && n.ranks.unsound[name] == 0 && n.allowed(w, q, t.Needs, t.Room) && t.Room.fits(n.freeAt(sl, name, w)) {
+			return true
+		}
+	}
+	return false
+}
+
+// loseReplaced settles what stood at workers whose place another worker has taken
+// since: its beats come from the same machine, to a later life of the same agent.
+func (n *node) loseReplaced(sl *slice, m *syncMsg) {
+	if !m.Pinned || !m.Rebuilt {
+		return
+	}
+	for _, worker := range sorted(sl.placed) {
+		if worker == m.Worker {
+			continue
+		}
+		for _, at := range sl.placedOn(worker) {
+			js := sl.jobs[at.job]
+			if js == nil {
+				continue
+			}
+			i, _, ok := js.position(at.task)
+			if !ok || js.Tasks[i].State != taskPlaced || js.Tasks[i].Agent != m.Agent || js.Tasks[i].AgentEpoch >= m.Epoch {
+				break
+			}
+			if js.Tasks[i].SetVer <= js.committed {
+				n.count("replaced_settled")
+				n.settle(sl, js, i, resultLost, 0)
+			}
+		}
+	}
+}
