--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/tidwall/gjson"
 	"go.uber.org/fx"
+	"golang.org/x/sys/unix"
 )
 
 // The roles that an experiment counts by. A daemon has one or several of them.
@@ -99,7 +100,29 @@
 	mu    sync.Mutex
 	flows map[flow]tally
 	spent map[string]time.Duration // by role: reducer and shell
-	mark  time.Time
+	mark  instant
+}
+
+// instant is a time by the thread's processor time and by the wall. A step that
+// was moved to another thread shows in the first as nonsense, and is then taken
+// by the second: on a machine that is busy otherwise the first is the true one.
+type instant struct {
+	thread int64 // ns
+	wall   time.Time
+}
+
+func now() instant {
+	var ts unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts)
+	return instant{ts.Nano(), time.Now()}
+}
+
+func (i instant) since(from instant) time.Duration {
+	wall := i.wall.Sub(from.wall)
+	if d := time.Duration(i.thread - from.thread); d >= 0 && d <= wall {
+		return d
+	}
+	return wall
 }
 
 func newMeter() *meter { return &meter{flows: map[flow]tally{}, spent: map[string]time.Duration{}} }
@@ -128,17 +151,17 @@
 
 func (m *meter) begin() {
 	if m != nil {
-		m.mark = time.Now()
+		m.mark = now()
 	}
 }
 
 // lap gives the time since the last one to a role.
 func (m *meter) lap(role string) {
-	now := time.Now()
+	at := now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.spent[role] += now.Sub(m.mark)
-	m.mark = now
+	m.spent[role] += at.since(m.mark)
+	m.mark = at
 }
 
 func (m *meter) reduced(body any) {
@@ -162,7 +185,7 @@
 	m.lap(role)
 }
 
-func (m *meter) carried(e effect, began time.Time) {
+func (m *meter) carried(e effect, began instant) {
 	role := roleEvery
 	switch x := e.(type) {
 	case effSend:
@@ -179,7 +202,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.spent[role] += time.Since(began)
+	m.spent[role] += now().since(began)
 }
 
 // reading is what one daemon's meters show at a time.
@@ -395,10 +418,10 @@
 func (w *hollowWorker) beat(ctx context.Context) (a beatAnswer) {
 	w.mu.Lock()
 	w.seq++
-	running, now := make([]*hollowRun, 0, len(w.running)), time.Now()
+	running := make([]*hollowRun, 0, len(w.running))
 	for _, key := range sorted(w.running) {
 		r := w.running[key]
-		r.Percent = min(99, int64(100*now.Sub(r.began)/r.lasts))
+		r.Percent = min(99, int64(100*time.Since(r.began)/r.lasts))
 		running = append(running, r)
 	}
 	body := jsonOf(map[string]any{"seq": w.seq, "site": w.site, "rack": w.site, "labels": map[string]string{}, "capacity": w.room, "running": running, "ended": w.ended})
--- a/accord/shell.go
+++ b/accord/shell.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"reflect"
-	"time"
-)
+import "reflect"
 
 // ports are what the shell carries effects out with. The product and the
 // simulator each bring their own; the reducer and the shell are the same.
@@ -62,7 +59,7 @@
 
 func (s *shell) carry(e effect) {
 	if s.meter != nil {
-		defer s.meter.carried(e, time.Now())
+		defer s.meter.carried(e, now())
 	}
 	if h, ok := effectHandlers[reflect.TypeOf(e)]; ok {
 		h(s, e)
