--- a/accord/central.go
+++ b/accord/central.go
@@ -469,8 +469,19 @@
 		mean := sum / count
 		m.TargetMs = int64(mean + n.TargetSigma*math.Sqrt(max(0, sum2/count-mean*mean)))
 	}
+	// Ranks are for those that place tasks; agents need the target alone.
+	brief := &ranksMsg{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs}
+	owners := map[string]bool{n.Name: true}
+	for _, s := range n.core.Slices {
+		to, _ := n.holder("slice/" + s)
+		owners[to] = true
+	}
 	for _, name := range n.liveNames() {
-		n.send(name, m)
+		if owners[name] {
+			n.send(name, m)
+		} else {
+			n.send(name, brief)
+		}
 	}
 }
 
--- a/accord/experiment.go
+++ b/accord/experiment.go
@@ -449,6 +449,7 @@
 		}
 		for k, t := range a.flows {
 			d := tally{t.N - b.flows[k].N, t.Bytes - b.flows[k].Bytes}
+			k.Role = heldOr(a, k.Role)
 			flows[k] = flows[k].plus(d)
 			messages += d.N
 			if k.Out {
@@ -458,7 +459,7 @@
 			}
 		}
 		for role, d := range a.spent {
-			spent[role] += d - b.spent[role]
+			spent[heldOr(a, role)] += d - b.spent[role]
 			ownTime += d - b.spent[role]
 		}
 		control += ownTime
@@ -530,6 +531,15 @@
 	return out, kinds
 }
 
+// heldOr gives a role if its daemon has it: what others do of it, such as to look
+// whether there is work, is part of what every daemon costs.
+func heldOr(r reading, role string) string {
+	if r.roles[role] {
+		return role
+	}
+	return roleEvery
+}
+
 // fit is a straight line through a measure's values at the sizes of a sweep.
 type fit struct {
 	Role, Measure  string
--- a/accord/gossip.go
+++ b/accord/gossip.go
@@ -38,9 +38,9 @@
 	return h.Sum64()
 }
 
-// detail finds a daemon by its hash, this one too.
-func (n *node) detail(hash uint64) (name string, known bool) {
-	if hash == n.selfHash() {
+// detail finds a daemon by its hash, this one too, whose own hash is given.
+func (n *node) detail(hash, own uint64) (name string, known bool) {
+	if hash == own {
 		return n.Name, true
 	}
 	name, known = n.byHash[hash]
@@ -96,10 +96,10 @@
 
 func (n *node) onDigest(from string, m *digestMsg) {
 	n.learnSibling(m.Self)
-	a := &digestAck{CoreVer: n.core.Version}
+	a, own := &digestAck{CoreVer: n.core.Version}, n.selfHash()
 	told := map[string]int32{from: int32(m.Self.Beat)}
 	for _, b := range m.Beats {
-		name, known := n.detail(b.Hash)
+		name, known := n.detail(b.Hash, own)
 		if !known {
 			a.Lacks = append(a.Lacks, b.Hash)
 			continue
@@ -119,7 +119,7 @@
 		}
 	}
 	if _, ok := told[n.Name]; ok {
-		a.Beats = append(a.Beats, beatView{n.selfHash(), int32(n.beat)})
+		a.Beats = append(a.Beats, beatView{own, int32(n.beat)})
 	} else {
 		a.Table = append(a.Table, n.self())
 	}
@@ -130,17 +130,18 @@
 }
 
 func (n *node) onDigestAck(from string, m *digestAck) {
+	own := n.selfHash()
 	for _, s := range m.Table {
 		n.learnSibling(s)
 	}
 	for _, b := range m.Beats {
-		if name, known := n.detail(b.Hash); known {
+		if name, known := n.detail(b.Hash, own); known {
 			n.hear(b, name)
 		} // else it is new here, and comes in full with a digest
 	}
 	more := &gossipMsg{Self: n.self(), Core: coreSet{}}
 	for _, hash := range m.Lacks {
-		if name, known := n.detail(hash); known && name != n.Name {
+		if name, known := n.detail(hash, own); known && name != n.Name {
 			more.Table = append(more.Table, n.siblings[name].sibling)
 		}
 	}
--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -101,6 +101,7 @@
 	flows map[flow]tally
 	spent map[string]work // by role: reducer and shell
 	mark  instant
+	role  string // whose the event being reduced is
 }
 
 // instant is a time by the thread's processor time and by the wall.
@@ -193,6 +194,7 @@
 	case evTick: // its parts were told apart; what is left is the owners' writes
 		role = roleOwner
 	}
+	m.role = role
 	m.lap(role)
 }
 
@@ -207,7 +209,7 @@
 	case effAppend, effSnapshot, effWipe:
 		role = roleCore
 	case effReply:
-		role = roleFront
+		role = m.role
 	case effOrder:
 		role = roleAgent
 	}
