--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -387,6 +387,7 @@
 	mu      sync.Mutex
 	seq     int64
 	endings int64 // numbers its ends
+	held    time.Time
 	running map[string]*hollowRun
 	ended   []*hollowRun
 }
@@ -442,8 +443,12 @@
 	w.mu.Unlock()
 	t := w.beside.door.product(ctx, platform.Call{Op: "worker.beat", Key: w.name, Expect: -1, Body: body})
 	if t.Status != 200 || json.Unmarshal(t.Body, &a) != nil {
+		if time.Now().After(w.held) {
+			w.lapse()
+		}
 		return beatAnswer{}
 	}
+	w.held = time.Now().Add(time.Duration(a.HoldMs) * time.Millisecond)
 	for _, o := range a.Start {
 		w.begin(o)
 	}
@@ -479,6 +484,16 @@
 	}
 }
 
+// lapse ends all that runs: no daemon held the worker.
+func (w *hollowWorker) lapse() {
+	w.mu.Lock()
+	keys := sorted(w.running)
+	w.mu.Unlock()
+	for _, key := range keys {
+		w.finish(key, "lapsed")
+	}
+}
+
 func (ws *hollowWorkers) running() (sum int) {
 	for _, w := range ws.list {
 		w.mu.Lock()
@@ -570,6 +585,13 @@
 	return f, nil
 }
 
+// logCount is how often the daemons logged an event.
+func (f *hollowFleet) logCount(event string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logged[event]
+}
+
 func siteName(i int, e *experiment) string { return fmt.Sprintf("z%d", i%int(e.Sites)) }
 
 func (f *hollowFleet) close() {
@@ -592,6 +614,20 @@
 	return out
 }
 
+// struck gives the daemons that a fault is for.
+func (f *hollowFleet) struck(p plannedFault) (out []*hollow) {
+	for i, h := range f.daemons {
+		has := p.Daemon == int64(i) || p.Site != "" && p.Site == h.settings.Site
+		if p.Role != "" && len(out) == 0 && h.up {
+			h.on(func(s *shell) { has = s.n.rolesHeld()[p.Role] })
+		}
+		if has {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // inForce tells whether every live daemon runs on a version, lately confirmed.
 func (f *hollowFleet) inForce(version int64) bool {
 	return !slices.ContainsFunc(f.daemons, func(h *hollow) bool {
