--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -106,25 +106,26 @@
 
 // instant is a time by the thread's processor time and by the wall.
 type instant struct {
-	thread int64 // ns
+	thread int
+	spent  int64 // ns
 	wall   time.Time
 }
 
 func now() instant {
 	var ts unix.Timespec
 	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts)
-	return instant{ts.Nano(), time.Now()}
+	return instant{unix.Gettid(), ts.Nano(), time.Now()}
 }
 
 // work is the processor time of a role's steps. A step that was moved to another
-// thread on its way shows nonsense: it counts as long as the mean of the others.
+// thread on its way shows nothing: it counts as long as the mean of the others.
 type work struct {
 	sum         time.Duration
 	good, moved int64
 }
 
 func (w work) add(from, to instant) work {
-	if d := time.Duration(to.thread - from.thread); d >= 0 && d <= to.wall.Sub(from.wall)+time.Millisecond {
+	if d := time.Duration(to.spent - from.spent); from.thread == to.thread && d >= 0 && d <= to.wall.Sub(from.wall)+time.Millisecond {
 		return work{w.sum + d, w.good + 1, w.moved}
 	}
 	return work{w.sum, w.good, w.moved + 1}
