--- a/accord/agents.go
+++ b/accord/agents.go
@@ -40,7 +40,7 @@
 	verdictKeep int8 = iota + 1
 	verdictDrop
 	verdictAcked   // nothing more is wanted of it
-	verdictCounted // the same, and it is the run that stands for its task
+	verdictCounted // the same, and no other run took its place since its worker was silent
 	verdictRecall  // to be given back if it has not started: there is room elsewhere
 )
 
@@ -111,7 +111,8 @@
 	orderSeq  int64 // the beat whose answer carried the order
 	percent   int64
 	movedMs   int64 // when its work last moved
-	late      bool  // ended well, and its owner may have given it up meanwhile
+	late      bool  // ended by itself, and its owner may have given it up meanwhile
+	void      bool  // ended, and the hold has lapsed since
 	adoptedMs int64
 }
 
@@ -416,7 +417,7 @@
 		return
 	}
 	ag.owners[m.Slice] = m.SliceEpoch
-	ag.heardOwner(m.Slice, m.SentMs)
+	ag.heardOwner(m.Slice, m.SentMs, n.now)
 	recalled := false
 	for _, s := range m.Specs {
 		if h := ag.held[s.Key]; h != nil && h.unknown {
@@ -447,8 +448,7 @@
 		case verdictAcked, verdictCounted:
 			if h.state == heldEnded && !h.acked {
 				if h.late && v.Verdict != verdictCounted {
-					ag.lapse(n.now)
-					continue
+					continue // another run may have taken its place
 				}
 				h.acked = true
 				if !h.ordered || h.result == resultLost || h.result == resultBounced {
