--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -563,7 +563,7 @@
 		if i < f.edges {
 			s.Name, s.HTTP, s.Site = fmt.Sprintf("d%03d", i), addrs[int(e.Daemons+e.Workers)+i], siteName(i, e)
 		} else {
-			s.Name, s.Site = fmt.Sprintf("s%03d", i-f.edges), siteName(i-f.edges, e)
+			s.Name, s.Site, s.Beside = fmt.Sprintf("s%03d", i-f.edges), siteName(i-f.edges, e), true
 		}
 		if i < coreSize {
 			s.Data = filepath.Join(folder, s.Name)
