--- a/accord/agents.go
+++ b/accord/agents.go
@@ -495,7 +495,7 @@
 	if !n.tends(ag) || !ag.rebuilt || n.now-ag.tokenMs > reportMs || !n.setupFresh() || ag.pinned && (!ag.beating || ag.lapseTill != 0) {
 		return
 	}
-	queue := ag.waiting(n)
+	queue := n.returnBatches(ag, ag.waiting(n))
 	if len(queue) == 0 {
 		return
 	}
@@ -529,6 +529,9 @@
 		if n.now-h.confirmedMs > contactMs {
 			continue
 		}
+		if r := n.batchSpec(&h.spec); r != nil && (!h.spec.Room.fits(avail) || !n.mayStartBatch(ag, h, r)) {
+			continue
+		}
 		if h.spec.Room.fits(avail) {
 			avail = avail.minus(h.spec.Room)
 			n.order(ag, h)
@@ -539,9 +542,7 @@
 			avail = avail.minus(h.spec.Room) // what is free and what gets free is kept for it
 			continue
 		}
-		if n.now-h.queuedMs > urgentWaitMs {
-			n.preempt(ag, h, h.spec.Room.minus(avail)) // of lesser queues only
-		}
+		n.preempt(ag, h, h.spec.Room.minus(avail)) // of lesser queues only, batches at once
 		if n.now-h.queuedMs > bypassMs {
 			return
 		}
@@ -590,6 +591,9 @@
 			room = room.minus(h.spec.Room)
 			continue
 		}
+		if wants.spec.Class == classQueueable && n.now-wants.queuedMs <= urgentWaitMs && n.batchSpec(&h.spec) == nil {
+			continue
+		}
 		if urgency(h) < urgency(wants) || wants.spec.Class == classGuaranteed && urgency(h) == urgency(wants) {
 			runs = append(runs, h)
 		}
@@ -672,10 +676,14 @@
 	}
 }
 
-// rankOf is the paper's R = T_q + T_r + T_l.
-func (ag *agent) rankOf(now int64) (rank, queuedMs, queued int64) {
+// rankOf is the paper's R = T_q + T_r + T_l, without batches: all others push them out.
+func (ag *agent) rankOf(n *node) (rank, queuedMs, queued int64) {
 	var tq, tr int64
+	now := n.now
 	for _, h := range ag.held {
+		if n.batchSpec(&h.spec) != nil {
+			continue
+		}
 		switch h.state {
 		case heldQueued:
 			tq += h.spec.EstMs
@@ -693,8 +701,9 @@
 	if !n.tends(ag) && !ag.replaced {
 		return
 	}
-	rank, tq, queued := ag.rankOf(n.now)
-	base := syncMsg{Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
+	rank, tq, queued := ag.rankOf(n)
+	waiting, spare := ag.besideBatches(n)
+	base := syncMsg{Waiting: waiting, Spare: spare, Worker: ag.worker, Agent: n.Name, Epoch: ag.epoch, SentMs: n.now, Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs,
 		SilentMs: n.now - ag.heardMs, Site: ag.site, Labels: ag.labels, Leaving: ag.leaving, Rack: ag.rack, Free: ag.free, Capacity: ag.capacity,
 		Suspect: n.now < ag.suspectMs, Pinned: ag.pinned,
 		RankMs: rank, QueuedMs: tq, Queued: queued, Oks: ag.oks, Fails: ag.fails, LagPct: ag.lagPct}
@@ -710,6 +719,7 @@
 		}
 		m := base
 		m.Slice = target
+		m.Batch = ag.batchHeld(n, target)
 		for _, key := range keys {
 			h := ag.held[key]
 			if h.spec.Slice == "" {
@@ -775,7 +785,7 @@
 // shed gives back unstarted queueable tasks, the last in line first, until the
 // rank meets the coordinator's target.
 func (n *node) shed(ag *agent, targetMs int64) {
-	rank, _, _ := ag.rankOf(n.now)
+	rank, _, _ := ag.rankOf(n)
 	queue := ag.waiting(n)
 	slices.Reverse(queue)
 	some := false
@@ -783,7 +793,7 @@
 		if rank <= targetMs {
 			break
 		}
-		if h.spec.Class != classQueueable {
+		if h.spec.Class != classQueueable || n.batchSpec(&h.spec) != nil {
 			continue
 		}
 		rank -= h.spec.EstMs
@@ -802,7 +812,7 @@
 		return
 	}
 	h := ag.held[m.Key]
-	if h == nil || h.state != heldRunning || h.stopMs != 0 || h.spec.Class != classQueueable {
+	if h == nil || h.state != heldRunning || h.stopMs != 0 || h.spec.Class != classQueueable || n.batchSpec(&h.spec) != nil {
 		return
 	}
 	firm := h.spec.Room
--- a/accord/central.go
+++ b/accord/central.go
@@ -76,6 +76,7 @@
 	round    int64
 	heardMs  int64
 	targetMs int64
+	short    bool
 	ranks    map[string]int64
 	unsound  map[string]int8
 	added    map[string]int64 // estimates of what was placed from here since the round
@@ -227,8 +228,8 @@
 				}
 			}
 		}
-		if len(sound) > 0 { // unsound workers only where nothing else may ever do
-			fit = sound
+		if len(sound) == 0 { // unsound workers only where nothing else may ever do
+			sound = fit
 		}
 		f := &fitting{n: n, ws: ws, used: map[string]int32{}, reserved: reserved, urgent: q.Urgency >= n.setup.cur.Highest}
 		for _, u := range ws.Used {
@@ -237,12 +238,15 @@
 		for _, g := range ws.granted {
 			f.used[g.worker]++
 		}
-		if idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
-			f.reserved = nil
+		places := f.find(sound)
+		if len(places) == 0 && idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
+			f.reserved, f.urgent = nil, true
+			if places = f.find(sound); len(places) == 0 {
+				places = f.find(fit)
+			}
 		}
-		places := f.find(fit)
 		if len(places) == 0 {
-			n.reserve(ws, fit, reserved, len(rooms))
+			n.reserve(ws, sound, reserved, len(rooms))
 			continue
 		}
 		m := &grantMsg{Slice: ws.Slice, Job: ws.Job, Epoch: c.epoch}
@@ -431,6 +435,9 @@
 	}
 	sure := w.Capacity.minus(w.firm).minus(c.promised(w.Worker))
 	for _, h := range w.Held {
+		if q := n.setup.cur.Queues[h.Queue]; q != nil && q.Batch != nil {
+			continue // batches are never firm
+		}
 		if h.Class == classQueueable && h.State == heldRunning && h.RanMs > max(2*h.EstMs, n.ThresholdMs) && h.Room.fits(sure) {
 			sure = sure.minus(h.Room)
 			n.send(w.Agent, &promoteMsg{Worker: w.Worker, Epoch: w.Epoch, Key: h.Key})
@@ -465,7 +472,7 @@
 	c.roundAt += rankMs
 	c.round++
 	n.judgeSoundness(c)
-	m := &ranksMsg{Epoch: c.epoch, Round: c.round}
+	m := &ranksMsg{Epoch: c.epoch, Round: c.round, Short: n.wantsWait(c)}
 	var sum, sum2, count float64
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
@@ -538,7 +545,7 @@
 	if m.Epoch < r.epoch || m.Epoch == r.epoch && m.Round <= r.round {
 		return
 	}
-	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, ranks: map[string]int64{}, unsound: map[string]int8{}}
+	*r = rankState{epoch: m.Epoch, round: m.Round, heardMs: n.now, targetMs: m.TargetMs, short: m.Short, ranks: map[string]int64{}, unsound: map[string]int8{}}
 	for _, v := range m.Ranks {
 		r.ranks[v.Worker] = v.RankMs
 		if v.Unsound != 0 {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -168,6 +168,8 @@
 	learned   map[string]*estimate
 	learnedAt int64
 
+	batchMeter map[meterKey]float64 // core seconds of batches
+
 	diskFailed string
 	syncMs     int64
 }
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -31,11 +33,13 @@
 		"trust_run_limit":  {Kind: "flag"},
 		"latency_ms":       {Kind: "count", Min: 0, Max: 1 << 40},
 		"stretch":          {Kind: "number"},
+		"batch":            batchFields,
 		"addresses": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "object", Fields: map[string]fieldSpec{
 			"host":   {Kind: "text", Required: true, Min: 1, Max: 256},
 			"prefix": {Kind: "text", Required: true, Min: 1, Max: 1024},
 		}}},
 	}}},
+	"contracts":   {Kind: "list", Max: 100, Elem: &contractFields},
 	"empty_sites": {Kind: "list", Max: 100, Elem: &fieldSpec{Kind: "name"}},
 	"source":      {Kind: "any"},
 }}
@@ -43,7 +47,7 @@
 // setupDoc is the value of the register "setup".
 type setupDoc struct {
 	Version int64
-	Doc     []byte
+	Doc     []byte // deflated
 	Past    []setupPast
 	Emptied []string // sites emptied by an operator's word beside the document, in order
 }
@@ -73,6 +77,7 @@
 	Addresses  []address
 	LatencyMs  int64   // the target for a job's time
 	Stretch    float64 // the target for a job's time against its work alone
+	Batch      *batchRules
 }
 
 // address is where callers reach a queue: all paths of a host that begin so.
@@ -88,8 +93,11 @@
 	Version int64
 	Queues  map[string]*queueRules
 	Empty   map[string]bool
-	Lowest  int64
+	Lowest  int64 // urgency, of the queues that are no batches
 	Highest int64
+
+	Contracts map[string]*contract
+
 	emptied []string // of Empty, what the document itself says
 	hosts   map[string]*hostPrefixes
 }
@@ -165,7 +173,18 @@
 	}
 	var faults []fault
 	root := gjson.ParseBytes(doc)
-	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40, hosts: map[string]*hostPrefixes{}}
+	c := &compiled{Version: version, Queues: map[string]*queueRules{}, Empty: map[string]bool{}, Lowest: 1 << 40, hosts: map[string]*hostPrefixes{},
+		Contracts: map[string]*contract{}}
+	for i, doc := range root.Get("contracts").Array() {
+		k, bad := compileContract(fmt.Sprintf("contracts.%d", i), doc)
+		if faults = append(faults, bad...); len(bad) > 0 {
+			k = &contract{Name: doc.Get("name").Str} // its queues are checked all the same
+		}
+		if c.Contracts[k.Name] != nil {
+			faults = append(faults, fault{fmt.Sprintf("contracts.%d.name", i), "stands twice"})
+		}
+		c.Contracts[k.Name] = k
+	}
 	for i, doc := range root.Get("queues").Array() {
 		q := queueFields(doc.Map()) // one pass: there are thousands
 		name := q.Get("name").Str
@@ -203,6 +222,14 @@
 			r.Addresses = append(r.Addresses, at)
 		}
 		c.Queues[name] = r
+		if b := q.Get("batch"); b.Exists() {
+			var bad []fault
+			r.Batch, bad = c.compileBatch(fmt.Sprintf("queues.%d.batch", i), b)
+			faults = append(faults, bad...)
+			r.Urgency -= batchBelow
+			r.Rules = slices.Insert(r.Rules, 0, rule{"noGangs", 1})
+			continue
+		}
 		c.Lowest = min(c.Lowest, r.Urgency)
 		c.Highest = max(c.Highest, r.Urgency)
 	}
@@ -262,6 +289,42 @@
 	return compileSetup(version, doc)
 }
 
+// deflate packs a document for the wire and the disk: setups say much the same of
+// each queue, and machines with thin lines take each version too.
+//
+// Example: packed := deflate([]byte(`{"queues":[]}`))
+func deflate(doc []byte) []byte {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is known
+	}
+	_, _ = w.Write(doc)
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// inflate is the opposite of deflate; false for what is damaged or larger than
+// any setup may be.
+//
+// Example: doc, ok := inflate(packed)
+func inflate(packed []byte) ([]byte, bool) {
+	if len(packed) == 0 {
+		return nil, true
+	}
+	doc, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), setupMax+1))
+	return doc, err == nil && len(doc) <= setupMax
+}
+
+// compile compiles the document of a register's value.
+func (d *setupDoc) compile() (*compiled, []fault) {
+	doc, ok := inflate(d.Doc)
+	if !ok {
+		return nil, []fault{{"", "is damaged"}}
+	}
+	return compileSetup(d.Version, doc)
+}
+
 // setupReader compiles the setups that messages from the core bring, on the
 // thread that read them: thousands of queues would hold the control thread up.
 // A document that it met last is not compiled again.
@@ -281,7 +344,7 @@
 	defer r.mu.Unlock()
 	if r.last == nil || r.last.Version != d.Version || !bytes.Equal(r.doc, d.Doc) {
 		r.doc = d.Doc
-		r.last, _ = compileSetup(d.Version, d.Doc)
+		r.last, _ = d.compile()
 	}
 	return r.last
 }
@@ -343,7 +406,7 @@
 			n.setup.confirmedMs = max(n.setup.confirmedMs, r.sentMs)
 		} else if n.setup.ballot.less(b) && n.now-n.setup.askedMs > 300 {
 			n.setup.askedMs = n.now
-			n.send(from, &readRegMsg{CoreVer: n.core.Version, Reg: "setup"})
+			n.send(n.nearestWith(r, b), &readRegMsg{CoreVer: n.core.Version, Reg: "setup"})
 		}
 		return
 	}
@@ -357,6 +420,25 @@
 	}
 }
 
+// nearestWith picks whom to read a value from: of the members that hold it one in
+// the own site, or else any, so that not all daemons ask the same.
+func (n *node) nearestWith(r *pollRound, b ballot) string {
+	var near, all []string
+	for _, from := range sorted(r.acks) {
+		if r.acks[from].Setup != b {
+			continue
+		}
+		all = append(all, from)
+		if n.siteOf(from) == n.Site {
+			near = append(near, from)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	return all[n.rand().IntN(len(all))]
+}
+
 func (n *node) onReg(_ string, m *regMsg) {
 	if m.Reg != "setup" || !n.setup.ballot.less(m.Ballot) {
 		return
@@ -382,7 +464,7 @@
 	c := n.ready
 	if c == nil || c.Version != d.Version {
 		var faults []fault
-		if c, faults = compileSetup(d.Version, d.Doc); len(faults) > 0 {
+		if c, faults = d.compile(); len(faults) > 0 {
 			n.log("setup_unreadable", "version", d.Version, "path", faults[0].Path, "reason", faults[0].Reason)
 			return
 		}
@@ -415,15 +497,17 @@
 	if len(o.cur) > 0 && unpack(o.cur, &cur) != nil {
 		return nil, false
 	}
-	if cur.Version == o.want && bytes.Equal(cur.Doc, o.arg) {
-		return o.cur, true
+	if cur.Version == o.want {
+		if doc, ok := inflate(cur.Doc); ok && bytes.Equal(doc, o.arg) {
+			return o.cur, true
+		}
 	}
 	if cur.Version != o.expect {
 		return nil, false
 	}
 	h := fnv.New64a()
 	h.Write(o.arg)
-	next := setupDoc{Version: o.want, Doc: o.arg, Emptied: cur.Emptied, Past: append(slices.Clone(cur.Past), setupPast{Version: o.want, Digest: h.Sum64(),
+	next := setupDoc{Version: o.want, Doc: deflate(o.arg), Emptied: cur.Emptied, Past: append(slices.Clone(cur.Past), setupPast{Version: o.want, Digest: h.Sum64(),
 		Queues: gjson.GetBytes(o.arg, "queues.#").Int(), Bytes: int64(len(o.arg)), AtMs: n.poll.medianWall(n)})}
 	if len(next.Past) > 50 {
 		next.Past = next.Past[len(next.Past)-50:]
@@ -461,7 +545,7 @@
 		n.adoptSetup(o.ballot, next)
 	}
 	n.log("sites_accepted", "emptied", next.Emptied)
-	n.answer(o.ask, 200, 0, jsonOf(map[string]any{"emptied": next.Emptied}))
+	n.answer(o.ask, 200, 0, jsonOf(map[string]any{"emptied": append([]string{}, next.Emptied...)}))
 }
 
 func (n *node) setupChanged(o *casOp, how string) {
@@ -502,6 +586,7 @@
 	all   int // live jobs of the slice
 	bytes int // of their records, with this one
 	base  bool
+	batch bool
 }
 
 type bounceError struct {
@@ -546,12 +631,31 @@
 	"mostLimit": func(c *askContext, v int64) *bounceError {
 		return c.eachTask(func(t *task) bool { return v > 0 && t.LimitMs > v }, "limit_ms", "is above the queue's bound")
 	},
+	"noGangs": func(c *askContext, _ int64) *bounceError {
+		var out []fault
+		for i, s := range c.job.Steps {
+			if s.Gang {
+				out = append(out, fault{fmt.Sprintf("steps.%d.gang", i), "can't be in a batch queue: it needs a firm place"})
+			}
+			if s.Lasting {
+				out = append(out, fault{fmt.Sprintf("steps.%d.lasting", i), "can't be in a batch queue: it never finishes"})
+			}
+		}
+		if len(out) > 0 {
+			return &bounceError{status: 400, faults: out}
+		}
+		return nil
+	},
 	"grantEntry": func(c *askContext, v int64) *bounceError {
 		all := sliceJobsMax
 		if c.base { // queues of the lowest urgency leave the others their share
 			all = sliceJobsMax * (100 - urgentShare) / 100
 		}
-		if int64(c.live) >= v || c.all >= all || c.bytes > sliceBytes {
+		bytes := sliceBytes
+		if c.batch { // held jobs leave the others room in the records
+			all, bytes = sliceJobsMax*batchRecords/100, sliceBytes*batchRecords/100
+		}
+		if int64(c.live) >= v || c.all >= all || c.bytes > bytes {
 			return &bounceError{status: 429, retryMs: 2000, faults: []fault{{"queue", "has as many live jobs as it may"}}}
 		}
 		return nil
