--- a/accord/core.go
+++ b/accord/core.go
@@ -21,10 +21,7 @@
 	startMs int64           // when this member began to hear clocks
 	grants  map[string]*grant
 	clocks  map[string]clockSeen // of all daemons that poll here; never stored
-	// The fleet's time less the steady one, as last made out from the clocks.
-	offset, offsetMs int64
-	offsetOK         bool
-	logged           int64 // bytes of entries since the last snapshot, about
+	logged  int64                // bytes of entries since the last snapshot, about
 }
 
 // clockSeen is a daemon's wall clock minus this member's steady one.
@@ -473,28 +470,14 @@
 	return ""
 }
 
-// fleetWall is the fleet's time by all clocks that this core member hears. Right
-// after a start it waits as long as leases do, so that it hears the others first;
-// and after a freeze until what waited here for long is replaced. Each poll asks
-// for it: it is made out anew once in a tick, not for each.
+// fleetWall is the median of the wall clocks that this core member hears, its
+// own among them: a minority of wrong ones, core or not, has no say. Right after
+// a start it waits as long as leases do, so that it hears the others first; and
+// after a freeze until what waited here for long is replaced.
 func (n *node) fleetWall() int64 {
 	if n.now-n.store.startMs < clockWaitMs || n.now-n.wokeMs < 2*pollAsideMs {
 		return 0
 	}
-	st := n.store
-	if st.offsetMs == 0 || n.now-st.offsetMs >= tickMs {
-		wall := n.medianOfClocks()
-		st.offsetMs, st.offsetOK, st.offset = n.now, wall != 0, wall-n.now
-	}
-	if !st.offsetOK {
-		return 0
-	}
-	return st.offset + n.now
-}
-
-// medianOfClocks is the median of the wall clocks heard here, the own among
-// them: a minority of wrong ones, core or not, has no say.
-func (n *node) medianOfClocks() int64 {
 	var all []int64
 	for name, c := range n.store.clocks {
 		if n.now-c.atMs > 2*clockOldMs {
