--- a/accord/slices.go
+++ b/accord/slices.go
@@ -615,6 +615,10 @@
 			n.poll.nextMs = 0
 			return
 		}
+		if a.queue != "" { // whoever resolved its address had another setup: soon it has this one
+			n.bounce(a, "the queue is not in the newest setup")
+			return
+		}
 		n.answerFaults(a, 400, 0, []fault{{"queue", "is not in the setup"}})
 		return
 	}
@@ -1101,6 +1105,9 @@
 // learnRun takes one run's time: into its name's mean, or into how far the guesses
 // of its queue are off, in percent.
 func (n *node) learnRun(js *jobState, t *task, ranMs int64) {
+	if ranMs <= 0 {
+		return // nobody saw how long it took
+	}
 	if js.Steps[t.Step].Alike && t.HintMs > 0 {
 		n.learn(js.Queue, "%", min(100*ranMs/t.HintMs, 1000))
 		return
