--- a/accord/shell.go
+++ b/accord/shell.go
@@ -19,12 +19,16 @@
 // shell runs one daemon: it feeds events to the reducer and carries out what
 // comes back. Only one goroutine may use it.
 type shell struct {
-	n *node
-	p ports
+	n     *node
+	p     ports
+	meter *meter // only in experiments
 }
 
 func (s *shell) step(ev event) {
-	for _, e := range reduce(s.n, ev) {
+	s.meter.begin()
+	effects := reduce(s.n, ev)
+	s.meter.reduced(ev.Body)
+	for _, e := range effects {
 		s.carry(e)
 	}
 }
@@ -54,6 +58,9 @@
 }
 
 func (s *shell) carry(e effect) {
+	if s.meter != nil {
+		defer s.meter.carried(e, now())
+	}
 	if h, ok := effectHandlers[reflect.TypeOf(e)]; ok {
 		h(s, e)
 	}
--- a/accord/wire.go
+++ b/accord/wire.go
@@ -25,6 +25,7 @@
 	open  map[net.Conn]bool
 	stop  bool
 	setup setupReader
+	meter *meter // only in experiments
 }
 
 type line struct {
@@ -75,6 +76,7 @@
 	}
 	select {
 	case l.frames <- outFrame{frame, time.Now()}:
+		w.meter.sent(frame)
 	default: // all that matters is sent again by who needs it
 	}
 }
@@ -217,6 +219,7 @@
 			w.log("frame_bounced", "from", conn.RemoteAddr().String(), "reason", err.Error())
 			return
 		}
+		w.meter.heard(msg, len(frame))
 		ready := w.setup.ready(msg)
 		w.post(func(s *shell) { s.event(evMsg{Head: h, Msg: msg, Ready: ready}) })
 	}
