A gang's grant is taken whole or not at all; a late end counts only if none of its gang was placed again

Cause: that a gang's places are all still to be had was looked at with the first of them only, and not if that one itself was gone: the others were placed alone. Change: all places are looked at before any is taken; a late end counts only while all members are still at its run.

--- a/accord/beats.go
+++ b/accord/beats.go
@@ -258,6 +258,7 @@
 		delete(ag.ends, ag.seen)
 	}
 	if h := ag.held[ag.ends[ag.seen+1]]; len(ag.ends) > lateEndsMax && h != nil && h.late {
+		n.count("ends_waited")
 		ag.lapse() // too many wait behind it
 	}
 	out.Seen = ag.seen
--- a/accord/beatscenario_test.go
+++ b/accord/beatscenario_test.go
@@ -388,6 +388,38 @@
 		heal()
 		b.run(10_000)
 	},
+	"cut off, and killed before they stop what runs": func(t *testing.T, b *beatWorld) {
+		b.day(6000)
+		for i := range 12 {
+			b.submit(b.simple(i%3, 3, amounts{b.site.capacity[0] / 16, b.site.capacity[1] / 16}, 14_000))
+		}
+		b.run(1500)
+		hosts := b.spots[:6]
+		heal := b.cut(hosts...)
+		for i, host := range hosts { // the last answers hold their workers for longer than owners wait
+			b.after(4_200_000+int64(i)*140_000, func() { b.after(5_000_000, b.kill(host, false)) })
+		}
+		b.run(11_000)
+		heal()
+		b.run(8000)
+	},
+	"many ends behind one that was given up": func(t *testing.T, b *beatWorld) {
+		b.day(3000)
+		small := amounts{b.site.capacity[0] / 64, b.site.capacity[1] / 64}
+		for i := range 40 {
+			b.submit(b.simple(i%3, 2, small, 1500))
+		}
+		b.run(300)
+		heal := b.cut(b.spots[:3]...)
+		b.run(7500)
+		heal()
+		for i := range 160 {
+			b.submit(b.simple(i%3, 12, small, 100+300*b.rng.Float64()))
+			b.run(60)
+		}
+		must.Positive(t, b.total("ends_waited"))
+		b.run(6000)
+	},
 	"small jobs beside a gang that waits for room": func(t *testing.T, b *beatWorld) {
 		whole := amounts{b.site.capacity[0] * 3 / 4, b.site.capacity[1] * 3 / 4}
 		for range 4 {
--- a/accord/beatunit_test.go
+++ b/accord/beatunit_test.go
@@ -49,3 +49,37 @@
 		must.Eq(t, want, state)
 	}
 }
+
+// A gang's places are taken all or none, whichever of its workers is not to be
+// had any more when the grant comes.
+func TestGangGrantIsWhole(t *testing.T) {
+	for gone := range 3 {
+		n := newNode(place{Name: "d0"}, nil)
+		n.now = 100_000
+		cur, faults := compileSetup(1, []byte(`{"queues":[{"name":"q","default_failures":3}]}`))
+		must.SliceEmpty(t, faults)
+		n.setup.cur, n.setup.confirmedMs = cur, n.now
+		n.duties["slice/s"] = &duty{name: "slice/s", epoch: 1, phase: dutyHeld, untilMs: n.now + 60_000}
+		n.startSlice(n.duties["slice/s"])
+		sl := n.owned["s"]
+		j, faults := parseJob("j", "q", []byte(`{"payload":"x","steps":[{"name":"a","count":3,"room":1,"gang":true}]}`))
+		must.SliceEmpty(t, faults)
+		js := &jobState{job: *j, committed: 1, run: make([]taskState, 3)}
+		sl.jobs["j"] = js
+		m := &grantMsg{Slice: "s", Job: "j"}
+		for i := range 3 {
+			name := fmt.Sprint("w", i)
+			n.workers[name] = &workerView{heardMs: n.now, rebuilt: true, fresh: true, leaving: i == gone, capacity: amount{CPU: 4}, agent: "d1", epoch: 1}
+			m.Places = append(m.Places, grantView{Task: js.taskID(i), Attempt: 1, Worker: name})
+		}
+		n.onGrant("d1", m)
+		for i := range js.Tasks {
+			must.Eq(t, taskPending, js.Tasks[i].State, must.Sprintf("task %d was placed though w%d leaves", i, gone))
+		}
+		n.workers[fmt.Sprint("w", gone)].leaving = false
+		n.onGrant("d1", m)
+		for i := range js.Tasks {
+			must.Eq(t, taskPlaced, js.Tasks[i].State)
+		}
+	}
+}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1347,24 +1347,23 @@
 		t := &js.Tasks[i]
 		return i, t.State == taskPending && p.Attempt > t.Attempt && t.SetVer <= js.committed && n.allowed(w, q, t.Needs, t.Room)
 	}
-	gang := 0
+	whole := 0
 	for _, p := range m.Places {
-		i, ok := good(p)
-		if ok && js.Steps[js.Tasks[i].Step].Gang {
-			gang++
+		if _, ok := good(p); ok {
+			whole++
 		}
 	}
-	for k, p := range m.Places {
+	for _, p := range m.Places {
 		i, ok := good(p)
+		if pos, _, known := js.position(p.Task); known && js.Steps[js.Tasks[pos].Step].Gang && whole < int(js.Steps[js.Tasks[pos].Step].Size) {
+			n.count("grants_not_taken") // all of a gang's places or none
+			return
+		}
 		if !ok {
 			n.count("grants_not_taken")
 			continue
 		}
 		st := &js.Steps[js.Tasks[i].Step]
-		if st.Gang && k == 0 && gang < int(st.Size) {
-			n.count("grants_not_taken")
-			return
-		}
 		if st.PerWorker > 0 && js.usedBy(i)[p.Worker] >= st.PerWorker {
 			continue
 		}
@@ -1592,7 +1591,7 @@
 		return verdictDrop
 	}
 	late := h.State == heldEnded && (h.Result == resultOK || h.Result == resultFailed && t.FailedRun != t.Attempt) &&
-		h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning
+		h.Key.Attempt == t.Attempt && t.State == taskPending && js.State == jobRunning && (!js.Steps[t.Step].Gang || js.noneSince(i))
 	if (h.Key.Attempt < t.Attempt || t.State != taskPlaced) && !late {
 		if h.State != heldEnded {
 			return verdictDrop
@@ -1634,6 +1633,17 @@
 	return verdictKeep
 }
 
+// noneSince tells whether no member of a task's gang was placed again after its run.
+func (js *jobState) noneSince(i int) bool {
+	from, to := js.mates(i)
+	for k := from; k < to; k++ {
+		if js.Tasks[k].Attempt != js.Tasks[i].Attempt {
+			return false
+		}
+	}
+	return true
+}
+
 // gaveUpOn tells whether a run was given up since its worker was silent.
 func (j *job) gaveUpOn(k attemptKey) bool {
 	return slices.Contains(j.GaveUp, gaveUp{k.Task, k.Attempt})
