A slice that is let go of answers all who wait there

Change: letting go of a slice answers waiters (504 to a job that may be kept, 503 to reads) and those whose look at the core is open (nothing was kept).

--- a/accord/duties.go
+++ b/accord/duties.go
@@ -255,7 +255,7 @@
 }
 
 var dutyEnds = map[string]func(*node, string){
-	"slice":   func(n *node, name string) { delete(n.owned, strings.TrimPrefix(name, "slice/")) },
+	"slice":   func(n *node, name string) { n.endSlice(strings.TrimPrefix(name, "slice/")) },
 	"agent":   func(n *node, name string) { delete(n.agents, strings.TrimPrefix(name, "agent/")) },
 	"central": func(n *node, _ string) { n.central = nil },
 }
--- a/accord/product_test.go
+++ b/accord/product_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"otterchute/platform"
@@ -45,3 +46,42 @@
 	status, _ = call(platform.Call{Op: "queue.state", Host: "h", Path: "/a/1"})
 	must.Eq(t, 503, status)
 }
+
+// A slice that is let go of answers everyone who waits there: a call that was read
+// must not end without an answer, and a job that may be kept isn't called refused.
+func TestSliceThatMovesAnswersWhoWaits(t *testing.T) {
+	w := served(t, 4900)
+	must.Eq(t, 200, w.settle(w.nodes["d00"], evAsk{Op: "setup.put", Key: "1", Expect: 0, Body: queueSetup("a", `,"addresses":[{"host":"h","prefix":"/a/"}]`)}, 4000).status)
+	w.run(2000)
+	for i := range 40 {
+		id := fmt.Sprint("job", i)
+		owner := w.holderOf("slice/" + w.nodes["d00"].sh.n.sliceOf(id))
+		if owner == nil {
+			continue
+		}
+		n := owner.sh.n
+		name := n.sliceOf(id)
+		for _, m := range memberNames(n.core) { // nothing is committed
+			w.cuts[[2]string{owner.Name, m}] = m != owner.Name
+		}
+		sl := n.owned[name]
+		js := &jobState{job: job{ID: id, Queue: "a"}}
+		put, get := &ask{id: 900001, op: "job.put", key: id, queue: "a"}, &ask{id: 900002, op: "job.state", key: id, queue: "a"}
+		js.waiters = []waiter{{version: 1, ask: put, status: 201}, {version: 1, ask: get, status: 200}}
+		sl.jobs[id] = js
+		look := &ask{id: 900003, op: "job.put", key: "other", queue: "a"}
+		sl.fetches[77] = &fetchOp{id: "other", job: &job{ID: "other"}, asks: []*ask{look}}
+		n.out = nil
+		n.endSlice(name)
+		got := map[uint64]int{}
+		for _, e := range n.out {
+			if r, ok := e.(effReply); ok {
+				got[r.ID] = r.Status
+			}
+		}
+		must.Eq(t, map[uint64]int{900001: 504, 900002: 503, 900003: 503}, got)
+		must.MapNotContainsKey(t, n.owned, name)
+		return
+	}
+	t.Fatal("no owner was met")
+}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -180,6 +180,27 @@
 	n.sendSeals(n.owned[name])
 }
 
+// endSlice lets go of a slice. Who waits here for a commit is told at once that the
+// outcome is unknown, and who waits for a look at the core that nothing was kept.
+func (n *node) endSlice(name string) {
+	sl := n.owned[name]
+	if sl == nil {
+		return
+	}
+	delete(n.owned, name)
+	for _, id := range sorted(sl.jobs) {
+		for _, w := range sl.jobs[id].waiters {
+			w.ask.unsure = true
+			n.bounce(w.ask, "the slice moved while this was written down")
+		}
+	}
+	for _, op := range sorted(sl.fetches) {
+		for _, a := range sl.fetches[op].asks {
+			n.giveUpOn(a, "the slice moved")
+		}
+	}
+}
+
 func (n *node) sendSeals(sl *slice) {
 	sl.sealSent = n.now
 	for _, m := range n.core.Members {
