--- a/accord/agents.go
+++ b/accord/agents.go
@@ -383,7 +383,7 @@
 
 func (n *node) onPlace(_ string, m *placeMsg) {
 	ag := n.agents[m.Worker]
-	if ag == nil || ag.epoch != m.AgentEpoch || !n.tends(ag) || m.SliceEpoch < ag.owners[m.Spec.Slice] || n.now-m.EchoMs > contactMs {
+	if ag == nil || ag.epoch != m.AgentEpoch || !n.tends(ag) && !ag.replaced || m.SliceEpoch < ag.owners[m.Spec.Slice] || n.now-m.EchoMs > contactMs {
 		n.count("places_stale")
 		return
 	}
@@ -406,7 +406,7 @@
 			queued++
 		}
 	}
-	if !ag.rebuilt || !m.Spec.Room.fits(ag.capacity) || m.Spec.Class == classGuaranteed && !firm.fits(ag.capacity) || queued > agentQueue {
+	if !ag.rebuilt || ag.replaced || !m.Spec.Room.fits(ag.capacity) || m.Spec.Class == classGuaranteed && !firm.fits(ag.capacity) || queued > agentQueue {
 		h.state, h.result = heldEnded, resultBounced
 		n.count("places_bounced")
 		n.syncAgent(ag)
--- a/accord/beatunit_test.go
+++ b/accord/beatunit_test.go
@@ -83,3 +83,22 @@
 		}
 	}
 }
+
+// What is placed at a worker that another has taken the place of comes back at once.
+func TestReplacedWorkerBouncesPlaces(t *testing.T) {
+	n := newNode(place{Name: "d0", Inc: 7}, nil)
+	n.now = 100_000
+	beat := func(id string) {
+		n.now += 50
+		n.takeBeat(&ask{key: id, body: []byte(`{"seq":1,"site":"east","capacity":{"cpu":4},"running":[],"ended":[]}`)})
+	}
+	beat("w1")
+	beat("w2")
+	must.True(t, n.agents["w1"].replaced)
+	key := attemptKey{"j", placeID(0, 0, 1), 1}
+	n.onPlace("d1", &placeMsg{Worker: "w1", AgentEpoch: 7, SliceEpoch: 1, EchoMs: n.now, Spec: orderSpec{Key: key, Slice: "s", Room: amount{CPU: 1}}})
+	h := n.agents["w1"].held[key]
+	must.NotNil(t, h)
+	must.Eq(t, heldEnded, h.state)
+	must.Eq(t, resultBounced, h.result)
+}
