--- a/accord/limits.go
+++ b/accord/limits.go
@@ -164,3 +164,10 @@
 	leaveStopMs   = 800    // so long before its worker leaves, work that saves is stopped, to go on elsewhere
 	workerKeepMs  = 60_000 // a worker's agent whose worker is gone keeps the ends nobody took note of for this long
 )
+
+// Of experiments (experiment.go).
+const (
+	settleMaxS   = 240 // s until a hollow fleet stands with its load; a few hundred daemons take half a minute
+	startGroup   = 10  // hollow daemons started at once
+	startPauseMs = 200 // and then a pause, so that the fleet's first words don't come all at one time
+)
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -118,6 +118,7 @@
 type siblingState struct {
 	sibling
 	heardMs int64 // when its beat last moved, by our clock
+	hash    uint64
 }
 
 // node is the whole state of a daemon. Only reduce changes it.
@@ -129,10 +130,12 @@
 	rng       *rand.Rand
 	out       []effect
 	counts    map[string]int64
+	lap       func(role string) // told of each part of a tick; only in experiments
 
 	beat     uint64
 	gossipAt int64
 	siblings map[string]*siblingState
+	byHash   map[uint64]string // siblings by what is said of them, see gossip.go
 	core     coreSet
 	leaving  int64
 
@@ -224,6 +227,8 @@
 	messageHandlers = map[reflect.Type]func(*node, string, any){}
 	message := func(t reflect.Type, f func(*node, string, any)) { messageHandlers[t] = f }
 	message(onMessage((*node).onGossip))
+	message(onMessage((*node).onDigest))
+	message(onMessage((*node).onDigestAck))
 	message(onMessage((*node).onPoll))
 	message(onMessage((*node).onPollAck))
 	message(onMessage((*node).onPrepare))
@@ -254,21 +259,28 @@
 	message(onMessage((*node).onReg))
 }
 
+// tickParts are what a tick does, each part with the role whose work it is.
+var tickParts []tickPart
+
+type tickPart struct {
+	role string
+	do   func(*node)
+}
+
+func init() {
+	tickParts = []tickPart{{roleEvery, (*node).tickSiblings}, {roleCore, (*node).tickFormation}, {roleCore, (*node).tickJoining},
+		{roleEvery, (*node).tickOps}, {roleEvery, (*node).tickPoll}, {roleEvery, (*node).tickDuties}, {roleEvery, (*node).tickSetup},
+		{roleOwner, (*node).tickSlices}, {roleOwner, (*node).tickLearned}, {roleAgent, (*node).tickAgents},
+		{roleCentral, (*node).tickCentral}, {roleFront, (*node).tickAsks}, {roleCore, (*node).tickStore}, {roleEvery, (*node).tickLeaving}}
+}
+
 func (n *node) onTick(evTick) {
-	n.tickSiblings()
-	n.tickFormation()
-	n.tickJoining()
-	n.tickOps()
-	n.tickPoll()
-	n.tickDuties()
-	n.tickSetup()
-	n.tickSlices()
-	n.tickLearned()
-	n.tickAgents()
-	n.tickCentral()
-	n.tickAsks()
-	n.tickStore()
-	n.tickLeaving()
+	for _, p := range tickParts {
+		p.do(n)
+		if n.lap != nil {
+			n.lap(p.role)
+		}
+	}
 }
 
 func (n *node) onMsg(e evMsg) {
