--- a/accord/beatunit_test.go
+++ b/accord/beatunit_test.go
@@ -85,7 +85,7 @@
 }
 
 // What is placed at a worker that another has taken the place of comes back at once.
-func TestReplacedWorkerBouncesPlaces(t *testing.T) {
+func TestReplacedWorkerRejectsPlaces(t *testing.T) {
 	n := newNode(place{Name: "d0", Inc: 7}, nil)
 	n.now = 100_000
 	beat := func(id string) {
