--- a/accord/asks.go
+++ b/accord/asks.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"strings"
 )
@@ -40,7 +41,7 @@
 		"queue.submit": (*node).resolveAddress, "queue.state": (*node).resolveAddress, "queue.cancel": (*node).resolveAddress,
 		"job.state": (*node).mapJob,
 		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
-		"site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
+		"setup.where": (*node).whereSetup, "site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
 		"members": (*node).getMembers, "workers": (*node).getWorkers, "soundness": (*node).getSoundness,
 	}
 }
@@ -329,20 +330,32 @@
 // polls, the own site's first: a machine without a disk may have a thin line,
 // and a change takes the whole document to and from each member.
 func (n *node) handToCore(a *ask) bool {
-	if n.inCore() || a.hop > 0 {
+	best := n.nearMember()
+	if best == "" || a.hop > 0 {
 		return false
 	}
-	best := ""
+	n.handOver(a, best)
+	return true
+}
+
+// nearMember gives a core member that answers polls, the own site's first; none
+// where this daemon is one itself.
+func (n *node) nearMember() (best string) {
+	if n.inCore() {
+		return ""
+	}
 	for _, m := range memberNames(n.core) {
 		if n.live(m) && n.now-n.poll.heardMs[m] < 2*pollAsideMs && (best == "" || n.siteOf(m) == n.Site && n.siteOf(best) != n.Site) {
 			best = m
 		}
 	}
-	if best == "" {
-		return false
-	}
-	n.handOver(a, best)
-	return true
+	return best
+}
+
+// whereSetup names the machine that a setup is best read from, where it is another.
+func (n *node) whereSetup(a *ask) {
+	host, _, _ := net.SplitHostPort(n.addrOf(n.nearMember()))
+	n.answer(a, 200, 0, jsonOf(map[string]any{"host": host}))
 }
 
 // setSite empties a site or opens it again, beside the document.
