--- a/accord/experiment_test.go
+++ b/accord/experiment_test.go
@@ -14,9 +14,6 @@
 
 // A small experiment as CI runs it: real daemons in this process, over sockets.
 func TestExperiment(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes some seconds")
-	}
 	e, faults := readExperiment("small", []byte(`{"daemons": 4, "workers": 3, "running": 6, "starts": 10, "tasks": 2, "task_ms": 100, "changes": 60, "warm_s": 0, "seconds": 2, "port": 24000}`))
 	must.SliceEmpty(t, faults)
 	began := time.Now()
