Ballots are unique over the lives of a proposer

Cause: a ballot was (round, name). Rounds begin low in each life, operations are numbered from 1 in each life, and answers are matched by operation and ballot. So a life that ended after one accept and the next one could use one ballot for two values: a promise to the first that is told twice counts for the second, and a late accept of the first replaces what was chosen, since an acceptor takes an accept of an equal ballot.

Shown before the change by TestBallotsAreUniqueOverLives: the second order is acknowledged, then gone at a majority ("expected string to contain substring right, string: left"). Within one life two operations on one register began with the same ballot too (TestBallotsAreUniqueWithinALife).

Ruled out as reachable today without a message told twice: an acceptor promises each ballot once, so two lives can't both gather a majority of promises for it. Our own wire never repeats a frame. The proof must not rest on the transport, though.

Change: a ballot holds the life of its proposer, 64 bits drawn from the system's random source by each process, and is compared in full. Not the incarnation: it comes from a wall clock that may be set back, is raised while running, and two processes may briefly share a name. Nothing needs to be stored, so daemons without a disk have it too; two lives share a ballot only if name, round and 64 random bits are equal. Within a life the round rises over all operations.

--- /dev/null
+++ b/accord/ballot_test.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// quorumOfThree is a core of three members that are spoken to one message at a
+// time, so that a test can lose, repeat and delay each of them.
+type quorumOfThree struct {
+	set     coreSet
+	members map[string]*node
+}
+
+func newQuorumOfThree() *quorumOfThree {
+	set := coreSet{Cluster: 9, Version: 1, Members: []coreMember{{"a", 1}, {"b", 2}, {"c", 3}}}
+	q := &quorumOfThree{set: set, members: map[string]*node{}}
+	for _, m := range set.Members {
+		st := newStore()
+		st.set, st.cluster = set, set.Cluster
+		n := newNode(place{Name: m.Name, DiskID: m.DiskID, Disk: true}, st)
+		n.core = set
+		q.members[m.Name] = n
+	}
+	return q
+}
+
+// life begins a process of the proposer "p".
+func (q *quorumOfThree) life(number uint64) *node {
+	n := newNode(place{Name: "p", Inc: number, Life: number}, nil)
+	n.core = q.set
+	return n
+}
+
+// sentBy carries out an event and gives what is sent then, synced writes included.
+func sentBy(n *node, from string, msg any) []effSend {
+	var out []effSend
+	for _, e := range reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: wireHead{From: from, Cluster: 9}, Msg: msg}}) {
+		switch x := e.(type) {
+		case effSend:
+			out = append(out, x)
+		case effAppend:
+			for _, then := range x.Then {
+				if s, ok := then.(effSend); ok {
+					out = append(out, s)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// propose begins a change of the setup to version 1 with this queue, and gives
+// what is sent for it.
+func propose(n *node, queue string) (*casOp, map[string]any) {
+	n.out = nil
+	o := n.startCas("setup", "setup", queueSetup(queue, ""), 0)
+	o.want = 1
+	return o, byMember(n.out)
+}
+
+func byMember(effects []effect) map[string]any {
+	out := map[string]any{}
+	for _, e := range effects {
+		if s, ok := e.(effSend); ok {
+			out[s.To] = s.Msg
+		}
+	}
+	return out
+}
+
+func sentTo(sends []effSend) map[string]any {
+	out := map[string]any{}
+	for _, s := range sends {
+		out[s.To] = s.Msg
+	}
+	return out
+}
+
+// A life that ended after one accept and the next one must not propose two
+// values under one ballot: a promise to the first, told twice, would count for
+// the second, and a late accept of the first would replace what was chosen.
+func TestBallotsAreUniqueOverLives(t *testing.T) {
+	q := newQuorumOfThree()
+	answer := func(member string, msg any) any {
+		sends := sentBy(q.members[member], "p", msg)
+		must.Len(t, 1, sends)
+		return sends[0].Msg
+	}
+
+	first := q.life(1)
+	_, prepares := propose(first, "left")
+	promiseA, promiseB := answer("a", prepares["a"]), answer("b", prepares["b"])
+	sentBy(first, "a", promiseA)
+	accepts := sentTo(sentBy(first, "b", promiseB))
+	answer("a", accepts["a"]) // the only one that arrives in time; then the process ends
+
+	second := q.life(2)
+	op, prepares := propose(second, "right")
+	sentBy(second, "b", promiseB) // told again
+	accepts2 := sentTo(sentBy(second, "c", answer("c", prepares["c"])))
+	if len(accepts2) > 0 { // a majority, as it thinks
+		for _, m := range []string{"b", "c"} {
+			sentBy(second, m, answer(m, accepts2[m]))
+		}
+		must.MapNotContainsKey(t, second.ops, op.id, must.Sprint("the second order is acknowledged"))
+		answer("b", accepts["b"]) // late
+		for _, m := range []string{"b", "c"} {
+			var d setupDoc
+			must.NoError(t, unpack(q.members[m].store.reg("setup").value, &d))
+			doc, _ := inflate(d.Doc)
+			must.StrContains(t, string(doc), "right", must.Sprint("what was acknowledged is gone at ", m))
+		}
+		t.Fatal("a promise to an earlier life was counted")
+	}
+	must.Eq(t, int8(1), op.phase)
+}
+
+// All tries of one life have ballots of their own too, whatever the register.
+func TestBallotsAreUniqueWithinALife(t *testing.T) {
+	n := newQuorumOfThree().life(1)
+	seen := map[ballot]bool{}
+	for range 3 {
+		for _, queue := range []string{"left", "right"} {
+			o, _ := propose(n, queue)
+			must.MapNotContainsKey(t, seen, o.ballot)
+			seen[o.ballot] = true
+			n.prepare(o)
+			must.MapNotContainsKey(t, seen, o.ballot)
+			seen[o.ballot] = true
+		}
+	}
+}
+
+// A log in another format is refused, and left as it is.
+func TestDiskOfAnotherFormat(t *testing.T) {
+	dir := t.TempDir()
+	d, _ := opened(t, dir)
+	write(t, d, 0, 3)
+	closed(d)
+	path := lastLog(t, dir)
+	b, err := os.ReadFile(path)
+	must.NoError(t, err)
+	for at := 0; at < len(b); {
+		size := wholeRecord(b[at:])
+		must.Positive(t, size)
+		inFormat(b[at:at+size], diskFormat-1)
+		at += size
+	}
+	must.NoError(t, os.WriteFile(path, b, 0o600))
+	_, _, err = openDisk(dir, 5, quiet)
+	must.ErrorIs(t, err, errDiskFormat)
+	kept, err := os.ReadFile(path)
+	must.NoError(t, err)
+	must.Eq(t, b, kept)
+}
+
+// inFormat marks a record as one of another format, with a checksum that is right.
+func inFormat(record []byte, format byte) {
+	record[recordMarkAt] = record[recordMarkAt]&lastOfBatch | format<<formatShift
+	binary.BigEndian.PutUint32(record[4:], crc32.ChecksumIEEE(record[8:]))
+}
--- a/accord/disk.go
+++ b/accord/disk.go
@@ -21,6 +21,7 @@
 //
 //	length u32 | checksum u32 | batch u64 | last-of-batch u8 | entry
 //
+// The byte that marks the last of a batch holds the format of the entries too.
 // A batch is written and synced before the next one begins; so a bad record
 // that a later batch stands behind was damaged after it had been synced, and
 // one that nothing of a later batch follows is the torn end of the last write.
@@ -51,7 +52,16 @@
 	wipe     uint64
 }
 
-const recordHead = 4 + 4 + 8 + 1
+const (
+	recordHead = 4 + 4 + 8 + 1
+
+	// diskFormat rises with each change of how entries are packed; 1 since
+	// ballots hold the proposer's life.
+	diskFormat   byte = 1
+	lastOfBatch  byte = 1
+	formatShift       = 1
+	recordMarkAt      = recordHead - 1
+)
 
 func appendRecord(dst []byte, e logEntry, batch uint64, last bool) []byte {
 	at := len(dst)
@@ -59,26 +69,40 @@
 	dst = pack(dst, e)
 	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at-recordHead))
 	binary.BigEndian.PutUint64(dst[at+8:], batch)
+	dst[at+recordMarkAt] = diskFormat << formatShift
 	if last {
-		dst[at+16] = 1
+		dst[at+recordMarkAt] |= lastOfBatch
 	}
 	binary.BigEndian.PutUint32(dst[at+4:], crc32.ChecksumIEEE(dst[at+8:]))
 	return dst
 }
 
-// readRecord reads one record; size 0 means there is no whole one here.
-func readRecord(b []byte) (e logEntry, batch uint64, last bool, size int) {
+// wholeRecord gives the size of the record that stands here undamaged, in
+// whatever format; 0 if there is none.
+func wholeRecord(b []byte) int {
 	if len(b) < recordHead {
-		return
+		return 0
 	}
 	n := int(binary.BigEndian.Uint32(b))
 	if n > frameMax || len(b)-recordHead < n || crc32.ChecksumIEEE(b[8:recordHead+n]) != binary.BigEndian.Uint32(b[4:]) {
-		return
+		return 0
 	}
-	if unpack(b[recordHead:recordHead+n], &e) != nil {
-		return
+	return recordHead + n
+}
+
+// otherFormat tells whether a file begins with a record of another format. To
+// take it for a torn one would cut it off.
+func otherFormat(b []byte) bool {
+	return wholeRecord(b) > 0 && b[recordMarkAt]>>formatShift != diskFormat
+}
+
+// readRecord reads one record; size 0 means there is no whole one here.
+func readRecord(b []byte) (e logEntry, batch uint64, last bool, size int) {
+	size = wholeRecord(b)
+	if size == 0 || otherFormat(b) || unpack(b[recordHead:size], &e) != nil {
+		return logEntry{}, 0, false, 0
 	}
-	return e, binary.BigEndian.Uint64(b[8:]), b[16] == 1, recordHead + n
+	return e, binary.BigEndian.Uint64(b[8:]), b[recordMarkAt]&lastOfBatch != 0, size
 }
 
 // readRecords gives a file's entries and where its sound part ends. Damage
@@ -173,6 +197,9 @@
 		if err != nil {
 			return nil, errors.Wrap(errDisk, err.Error())
 		}
+		if otherFormat(b) {
+			return nil, errDiskFormat
+		}
 		// A snapshot got its name only after it was synced: it must be whole.
 		if sound, _, err := readRecords(b, 0, st.apply); err != nil || sound != len(b) {
 			return nil, errDamaged
@@ -188,6 +215,9 @@
 		if err != nil {
 			return nil, errors.Wrap(errDisk, err.Error())
 		}
+		if otherFormat(b) {
+			return nil, errDiskFormat
+		}
 		sound, batch, err := readRecords(b, d.batch, st.apply)
 		if err != nil {
 			return nil, err
--- a/accord/errors.go
+++ b/accord/errors.go
@@ -7,6 +7,7 @@
 	errFrame      = errors.New("frame damaged")
 	errForeign    = errors.New("frame of another cluster or version")
 	errDamaged    = errors.New("disk: log damaged before its end")
+	errDiskFormat = errors.New("disk: written by another version of the program")
 	errDisk       = errors.New("disk failed")
 	errSettings   = errors.New("settings")
 	errOrder      = errors.New("order")
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -1,6 +1,9 @@
 package main
 
-import "reflect"
+import (
+	"cmp"
+	"reflect"
+)
 
 // Messages between daemons. Their numbers are part of the wire form.
 var messageTypes = map[int32]reflect.Type{
@@ -62,13 +65,16 @@
 	DiskID uint64
 }
 
+// ballot names one try to change a register. No two tries share one: within a
+// life of a proposer the round only rises, and no two lives share their number.
 type ballot struct {
 	Round uint64
-	Name  string
+	Name  string // of the proposer
+	Life  uint64 // of the proposer, see place.Life
 }
 
 func (b ballot) less(o ballot) bool {
-	return b.Round < o.Round || b.Round == o.Round && b.Name < o.Name
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Name, o.Name), cmp.Compare(b.Life, o.Life)) < 0
 }
 
 type dutyAsk struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -13,6 +13,7 @@
 type place struct {
 	Name          string
 	Inc           uint64
+	Life          uint64 // drawn at random by each process: unlike Inc it comes from no clock and never changes
 	Addr          string
 	HTTP          string
 	Site          string
@@ -146,6 +147,7 @@
 	joining   *joining
 	ops       map[uint64]*casOp
 	opSeq     uint64
+	lastRound uint64 // of the last ballot that this life proposed under
 
 	poll   pollState
 	duties map[string]*duty
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -66,8 +66,8 @@
 		return
 	}
 	o.tries++
-	round := max(o.ballot.Round, o.top, n.poll.setup.Round) + 1
-	o.ballot, o.phase = ballot{Round: round, Name: n.Name}, 1
+	n.lastRound = max(n.lastRound, o.top, n.poll.setup.Round) + 1
+	o.ballot, o.phase = ballot{Round: n.lastRound, Name: n.Name, Life: n.Life}, 1
 	o.yes, o.no, o.best, o.cur, o.sentMs = map[string]bool{}, map[string]bool{}, ballot{}, nil, n.now
 	for _, m := range n.core.Members {
 		n.send(m.Name, &prepareMsg{Op: o.id, CoreVer: n.core.Version, Reg: o.reg, Ballot: o.ballot})
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -267,6 +267,7 @@
 	n.bootUs = n.w.nowUs - 1_000_000 - n.w.rng.Int64N(3_000_000_000)
 	p := n.place
 	p.Inc = n.incs<<32 | uint64(n.w.nowMs())&0xffffffff
+	p.Life = weight(n.Name, fmt.Sprint(n.gen))
 	var st *store
 	if p.Disk {
 		st = n.disk.load()
