An operator's order that was accepted is acknowledged again, whatever came since

Cause: putSetup answered 409 whenever a version was below its own, from its own copy, and computeSetup compared with the newest version only. So an order whose answer was lost was refused as soon as another was accepted on top of it, at every daemon; so was one whose proposer had to try again after its value was chosen unseen. A PATCH was refused by the adapter from the version it read.

Only the register says 409 now, after a round at a majority; an order older than the list gets 503. A PATCH has an identity of its own; once its base has passed the adapter asks the product for that very order (setup.taken). A value adopted after an old order came again is no longer compiled on the control thread.

Evacuations have no identity: one that comes again is done again and acknowledged (200, or 503 while no majority answers), never refused.

Wire version 5, disk format 2: a value of the earlier form would be misread.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -21,6 +21,7 @@
 	host   string    // with path, the address a caller used
 	path   string
 	expect int64  // the version a setup builds on; -1 for one less than its own
+	digest []byte // SHA-256 of an operator's order as it was sent, where that isn't the setup itself
 	queue  string // the queue that the address belongs to
 	unsure bool   // handed over and not answered: it may have been done
 	byAddr bool   // it came with an address: an unknown job is told apart from an unknown queue
@@ -40,14 +41,14 @@
 		"worker.report": (*node).mapReport, "worker.beat": (*node).takeBeat, "worker.gone": (*node).workerGone, "worker.lost": (*node).mapLost,
 		"queue.submit": (*node).resolveAddress, "queue.state": (*node).resolveAddress, "queue.cancel": (*node).resolveAddress,
 		"job.state": (*node).mapJob,
-		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
+		"setup.put": (*node).putSetup, "setup.taken": (*node).findOrder, "setup.get": (*node).getSetup,
 		"setup.where": (*node).whereSetup, "site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
 		"members": (*node).getMembers, "workers": (*node).getWorkers, "soundness": (*node).getSoundness,
 	}
 }
 
 // mapSetups are the calls of operators, who turn to another daemon after a second.
-var mapSetups = map[string]bool{"setup.put": true, "site.empty": true, "site.open": true}
+var mapSetups = map[string]bool{"setup.put": true, "setup.taken": true, "site.empty": true, "site.open": true}
 
 // budget bounds what this daemon does beyond the first try, for all asks
 // together: under a crowd that sends again and again the fleet's own work must
@@ -73,7 +74,7 @@
 	}
 	n.count("asks_in")
 	n.again.earn(1)
-	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect})
+	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect, digest: e.Digest})
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
@@ -83,7 +84,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
+	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -147,7 +148,7 @@
 	}
 	n.asks[n.askSeq] = &pendingAsk{ask: a, to: to, limitMs: limitMs}
 	n.count("asks_handed_over")
-	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: body, Queue: a.queue, Expect: a.expect})
+	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: body, Queue: a.queue, Expect: a.expect, Digest: a.digest})
 }
 
 func (n *node) onAnswer(from string, m *answerMsg) {
@@ -295,8 +296,10 @@
 	n.mapSlice(a, slice)
 }
 
+// putSetup has a whole setup accepted. Only the register can say whether it was
+// accepted before, or lost: what this daemon itself knows may be old.
 func (n *node) putSetup(a *ask) {
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if n.coreSilent() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -307,23 +310,16 @@
 			return
 		}
 	}
-	version, base := a.setup.Version, a.expect
-	if base < 0 {
-		base = version - 1
-	}
-	if version <= base {
-		n.answerFaults(a, 400, 0, []fault{{"version", "must be higher than the one it builds on"}})
-		return
-	}
-	if version < n.setup.doc.Version { // surely passed; all else only the register can say
-		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": n.setup.doc.Version}))
+	id, faults := orderOf(a)
+	if len(faults) > 0 {
+		n.answerFaults(a, 400, 0, faults)
 		return
 	}
 	if n.handToCore(a) {
 		return
 	}
-	o := n.startCas("setup", "setup", a.body, base)
-	o.want, o.ask = version, a
+	o := n.startCas("setup", "setup", a.body, 0)
+	o.order, o.ask = id, a
 }
 
 // handToCore passes a change of the setup on to a core member that answers
@@ -364,7 +360,7 @@
 		n.answerFaults(a, 400, 0, []fault{{"site", "must be a name"}})
 		return
 	}
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if n.coreSilent() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
--- a/accord/ballot_test.go
+++ b/accord/ballot_test.go
@@ -59,7 +59,7 @@
 func propose(n *node, queue string) (*casOp, map[string]any) {
 	n.out = nil
 	o := n.startCas("setup", "setup", queueSetup(queue, ""), 0)
-	o.want = 1
+	o.order = orderID{Version: 1}
 	return o, byMember(n.out)
 }
 
--- a/accord/codec.go
+++ b/accord/codec.go
@@ -169,7 +169,7 @@
 
 const (
 	wireMagic   uint64 = 0x6f74746572636875 // "otterchu"
-	wireVersion int32  = 4
+	wireVersion int32  = 5
 )
 
 // wireHead stands before every message between daemons.
--- a/accord/core.go
+++ b/accord/core.go
@@ -334,7 +334,11 @@
 		return
 	}
 	r := n.store.reg(m.Reg)
-	n.keep(nil, n.sendEffect(from, &regMsg{Reg: m.Reg, Ballot: r.accepted, Value: r.value}))
+	value := r.value
+	if m.Reg == "setup" {
+		value = n.setup.forReaders.of(r)
+	}
+	n.keep(nil, n.sendEffect(from, &regMsg{Reg: m.Reg, Ballot: r.accepted, Value: value}))
 }
 
 func (n *node) onSeal(from string, m *sealMsg) {
--- a/accord/disk.go
+++ b/accord/disk.go
@@ -55,9 +55,10 @@
 const (
 	recordHead = 4 + 4 + 8 + 1
 
-	// diskFormat rises with each change of how entries are packed; 1 since
-	// ballots hold the proposer's life.
-	diskFormat   byte = 1
+	// diskFormat rises with each change of how entries and the values in them
+	// are packed: 1 since ballots hold the proposer's life, 2 since a setup
+	// holds the history of its orders.
+	diskFormat   byte = 2
 	lastOfBatch  byte = 1
 	formatShift       = 1
 	recordMarkAt      = recordHead - 1
--- a/accord/door.go
+++ b/accord/door.go
@@ -121,7 +121,7 @@
 	if len(c.Body) > bodyMax && c.Op != "setup.put" && c.Op != "worker.beat" {
 		return platform.Answer{Status: 400, Body: faultsBody([]fault{{"", fmt.Sprintf("is larger than %d bytes", bodyMax)}})}
 	}
-	r := d.ask(ctx, evAsk{Op: c.Op, Key: c.Key, Host: c.Host, Path: c.Path, Expect: c.Expect, Body: c.Body})
+	r := d.ask(ctx, evAsk{Op: c.Op, Key: c.Key, Host: c.Host, Path: c.Path, Expect: c.Expect, Digest: c.Digest, Body: c.Body})
 	return platform.Answer{Status: r.Status, RetryMs: r.RetryMs, Body: r.Body}
 }
 
--- /dev/null
+++ b/accord/history_test.go
@@ -0,0 +1,308 @@
+package main
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// operatorOrder is a whole setup as an operator sends it, or the same by items.
+type operatorOrder struct {
+	version, base int64
+	queue         string
+	byItems       bool
+}
+
+func (o operatorOrder) digest() []byte {
+	if !o.byItems {
+		return nil
+	}
+	sum := sha256.Sum256([]byte("items " + o.queue))
+	return sum[:]
+}
+
+func (o operatorOrder) put() evAsk {
+	return evAsk{Op: "setup.put", Key: fmt.Sprint(o.version), Expect: o.base, Digest: o.digest(), Body: queueSetup(o.queue, "")}
+}
+
+// again is how it comes once its base has passed: of a change by items the
+// whole can't be made any more.
+func (o operatorOrder) again() evAsk {
+	e := o.put()
+	if o.byItems {
+		e.Op, e.Body = "setup.taken", nil
+	}
+	return e
+}
+
+// acknowledged sends an order to a daemon until it has a clear answer.
+func (w *world) acknowledged(t *testing.T, to *simNode, e evAsk) answered {
+	t.Helper()
+	var got answered
+	must.True(t, w.until(20_000, func() bool {
+		if !to.up {
+			return false
+		}
+		got = w.settle(to, e, 4000)
+		return got.status != 0 && got.status != 503
+	}), must.Sprint("no clear answer of ", to.Name, " ", got))
+	return got
+}
+
+// storm has so many orders accepted one after the other, at all daemons in turn.
+func (w *world) storm(t *testing.T, from operatorOrder, count int) (all []operatorOrder) {
+	t.Helper()
+	for i := range count {
+		from = operatorOrder{version: from.version + 1 + int64(i%3), base: from.version, queue: fmt.Sprint("q", from.version, "-", i), byItems: i%2 == 1}
+		got := w.acknowledged(t, w.anyNode(i), from.put())
+		must.Eq(t, 200, got.status, must.Sprint(got))
+		must.Eq(t, from.version, gjson.Get(got.body, "version").Int())
+		all = append(all, from)
+	}
+	return all
+}
+
+// resendAll sends orders again to every daemon: all are acknowledged.
+func (w *world) resendAll(t *testing.T, when string, orders ...operatorOrder) {
+	t.Helper()
+	for _, name := range sorted(w.nodes) {
+		for _, o := range orders {
+			got := w.acknowledged(t, w.nodes[name], o.again())
+			must.Eq(t, 200, got.status, must.Sprint(when, " ", o, " at ", name, ": ", got.body))
+			must.Eq(t, o.version, gjson.Get(got.body, "version").Int())
+		}
+	}
+}
+
+// refuseAll sends what was never accepted, and what is invalid, to every daemon.
+func (w *world) refuseAll(t *testing.T, taken operatorOrder) {
+	t.Helper()
+	other := taken
+	other.queue = "never-accepted"
+	otherBase := taken
+	otherBase.base--
+	for _, name := range sorted(w.nodes) {
+		to := w.nodes[name]
+		must.Eq(t, 409, w.acknowledged(t, to, other.put()).status)
+		must.Eq(t, 409, w.acknowledged(t, to, other.again()).status)
+		if otherBase.base >= 0 {
+			must.Eq(t, 409, w.acknowledged(t, to, otherBase.put()).status)
+		}
+		invalid := taken.put()
+		invalid.Body = []byte(`{"queues":[{"name":""}]}`)
+		must.Eq(t, 400, w.acknowledged(t, to, invalid).status)
+	}
+}
+
+// An order that was accepted is acknowledged again wherever it is sent, with
+// any number of changes since, after a restart of all daemons and after a
+// member lost its disk.
+func TestSetupOrdersComeAgain(t *testing.T) {
+	w := served(t, 970)
+	first := operatorOrder{version: 3, base: 0, queue: "first"}
+	must.Eq(t, 200, w.acknowledged(t, w.nodes["d00"], first.put()).status)
+	second := operatorOrder{version: 4, base: 3, queue: "second", byItems: true}
+	must.Eq(t, 200, w.acknowledged(t, w.nodes["d03"], second.put()).status)
+	w.resendAll(t, "one change later", first, second)
+	w.refuseAll(t, first)
+
+	all := w.storm(t, second, 60)
+	w.resendAll(t, "60 changes later", first, second, all[17], all[58], all[59])
+	w.refuseAll(t, all[30])
+	all = append(all, w.storm(t, all[59], 240)...)
+	w.resendAll(t, "300 changes later", first, second, all[60], all[299])
+
+	for _, name := range sorted(w.nodes) {
+		w.nodes[name].kill(true)
+	}
+	w.run(500)
+	for _, name := range sorted(w.nodes) {
+		w.nodes[name].start()
+	}
+	w.run(5000)
+	w.resendAll(t, "after a restart of all", first, all[150], all[299])
+	w.refuseAll(t, all[150])
+
+	lost := w.nodes["d00"]
+	lost.kill(true)
+	lost.wipe()
+	lost.place.FirstStart = false
+	w.run(500)
+	lost.start()
+	must.True(t, w.until(30_000, func() bool { return lost.sh.n.inCore() && lost.sh.n.core.Version >= 3 }))
+	w.nodes["d01"].kill(true) // what is left is the new member and one that was there
+	w.run(3000)
+	delete(w.nodes, "d01")
+	w.resendAll(t, "after a member was replaced", first, all[150], all[299])
+}
+
+// Answers get lost and operators race: whatever was acknowledged, or seen in
+// force, is never refused, and what was refused was never in force.
+func TestSetupOrdersComeAgainInRaces(t *testing.T) {
+	for seed := range uint64(6) {
+		w := served(t, 980+seed)
+		inForce := map[int64]string{} // version to queue, as any daemon had it
+		look := func() {
+			for _, name := range sorted(w.nodes) {
+				if n := w.nodes[name]; n.up && n.sh.n.setup.doc.Version > 0 {
+					d := n.sh.n.setup.doc
+					doc, _ := inflate(d.Doc)
+					queue := gjson.GetBytes(doc, "queues.0.name").Str
+					must.True(t, inForce[d.Version] == "" || inForce[d.Version] == queue, must.Sprint("two under ", d.Version))
+					inForce[d.Version] = queue
+				}
+			}
+		}
+		answers := map[operatorOrder]int{}
+		open := 0
+		send := func(o operatorOrder) { // until it has a clear answer; half of the answers are lost
+			open++
+			var try func()
+			try = func() {
+				w.call("operator", w.anyNode(w.rng.IntN(1000)), o.put(), 1000, func(status int, _ int64, _ []byte) {
+					if w.rng.IntN(2) == 0 || status == 503 || status == 0 {
+						w.after(w.rng.Int64N(700_000), try)
+						return
+					}
+					answers[o] = status
+					open--
+				})
+			}
+			try()
+		}
+		base := int64(0)
+		for round := range 12 {
+			for i := range 3 {
+				send(operatorOrder{version: base + 1 + int64(i%2), base: base, queue: fmt.Sprint("r", round, "-", i)})
+			}
+			if round%4 == 3 { // a core member stops in the middle
+				victim := w.nodes[fmt.Sprint("d0", round/4)]
+				w.after(w.rng.Int64N(30_000), func() { victim.kill(true) })
+				w.after(900_000, victim.start)
+			}
+			must.True(t, w.until(10_000, func() bool { look(); return w.setupVersion() > base }))
+			base = w.setupVersion() // the next ones build on it, whether its own operator was told or not
+		}
+		must.True(t, w.until(60_000, func() bool { look(); return open == 0 }), must.Sprint(seed, open))
+		won := map[int64]int{}
+		for o, status := range answers {
+			must.SliceContains(t, []int{200, 409}, status, must.Sprint(seed, o))
+			if status == 200 {
+				won[o.base]++
+				must.True(t, inForce[o.version] == o.queue || inForce[o.version] == "", must.Sprint(seed, o, inForce))
+			} else {
+				must.NotEq(t, o.queue, inForce[o.version], must.Sprint(seed, " refused, and in force: ", o))
+			}
+		}
+		must.Eq(t, 36, len(answers))
+		must.Eq(t, 12, len(won))
+		for b, count := range won {
+			must.Eq(t, 1, count, must.Sprint(seed, " acknowledged on ", b))
+		}
+	}
+}
+
+// A daemon that no majority answers refuses nothing: 503 at once.
+func TestSetupOrdersAreNotRefusedWhileCutOff(t *testing.T) {
+	w := served(t, 995)
+	first := operatorOrder{version: 3, base: 0, queue: "first"}
+	second := operatorOrder{version: 4, base: 3, queue: "second"}
+	must.Eq(t, 200, w.acknowledged(t, w.nodes["d00"], first.put()).status)
+	must.Eq(t, 200, w.acknowledged(t, w.nodes["d01"], second.put()).status)
+	w.run(1000)
+	for _, name := range []string{"d00", "d04"} {
+		w.cutHost(name)
+		for _, way := range [][2]string{{"caller", name}, {name, "caller"}} {
+			delete(w.cuts, way)
+		}
+		for _, afterMs := range []int64{0, 700, 2000, 20_000} {
+			w.run(afterMs)
+			for _, o := range []operatorOrder{first, {version: 3, base: 0, queue: "never"}} {
+				for _, e := range []evAsk{o.put(), {Op: "setup.taken", Key: "3", Expect: 0, Digest: make([]byte, 32)}, {Op: "site.empty", Key: "west"}} {
+					at := w.nowMs()
+					got := w.settle(w.nodes[name], e, 4000)
+					must.Eq(t, 503, got.status, must.Sprint(name, " ", afterMs, " ", e.Op, " ", got.body))
+					if afterMs > contactMs {
+						must.Less(t, 120, w.nowMs()-at)
+					}
+				}
+			}
+		}
+		w.heal()
+		w.run(3000)
+		must.Eq(t, 200, w.acknowledged(t, w.nodes[name], first.put()).status)
+	}
+}
+
+func TestOrderHistory(t *testing.T) {
+	var h orderHistory
+	id := func(version, base int64) orderID {
+		return orderID{Version: version, Base: base, Digest: sha256.Sum256(fmt.Append(nil, version))}
+	}
+	last := int64(0)
+	var all []orderID
+	for i := range int64(ordersKept + 10) {
+		next := last + 1 + i%5
+		all = append(all, id(next, last))
+		h = h.with(all[i])
+		last = next
+	}
+	must.Eq(t, int64(ordersKept), h.Count)
+	for i, o := range all {
+		must.Eq(t, i >= 10, h.contains(o), must.Sprint(i))
+		must.Eq(t, i >= 10, h.covers(o), must.Sprint(i))
+		changed := o
+		changed.Digest[31] ^= 1
+		must.False(t, h.contains(changed))
+		changed = o
+		changed.Base--
+		must.False(t, h.contains(changed))
+	}
+	must.LessEq(t, 33*ordersKept, len(h.Packed))
+	must.True(t, h.each(func(orderID) bool { return true }))
+	h.Packed = h.Packed[:len(h.Packed)-1]
+	must.False(t, h.each(func(orderID) bool { return true }))
+}
+
+// What the history costs: 33 bytes for each change at the members, and nothing
+// at those that read the setup.
+func TestOrderHistoryCost(t *testing.T) {
+	w := served(t, 996)
+	first := operatorOrder{version: 1, base: 0, queue: "first"}
+	must.Eq(t, 200, w.acknowledged(t, w.nodes["d00"], first.put()).status)
+	last := w.storm(t, first, pastShown) // from here on the list that is shown stays as long as it is
+	size := func() (kept, read int) {
+		w.run(1500)
+		n := w.nodes["d00"].sh.n
+		r := n.store.reg("setup")
+		return len(r.value), len(n.setup.forReaders.of(r))
+	}
+	keptBefore, readBefore := size()
+	w.storm(t, last[len(last)-1], 100)
+	kept, read := size()
+	t.Logf("register %d bytes, then %d; read %d, then %d", keptBefore, kept, readBefore, read)
+	must.LessEq(t, 34*100, kept-keptBefore)
+	must.LessEq(t, 20, read-readBefore) // names of other lengths
+	for _, name := range sorted(w.nodes) {
+		must.Zero(t, w.nodes[name].sh.n.setup.doc.Taken.Count)
+	}
+}
+
+// An order so old that the history has let go of it has no clear answer.
+func TestForgottenOrdersAreNotRefused(t *testing.T) {
+	n := newQuorumOfThree().life(1)
+	value := setupDoc{Version: 9000, Taken: orderHistory{Base: 5000}}
+	value.Taken = value.Taken.with(orderID{Version: 9000, Base: 5000})
+	for _, c := range []struct {
+		id     orderID
+		status int
+	}{{orderID{Version: 5000, Base: 4999}, 503}, {orderID{Version: 8999, Base: 5000}, 409}, {orderID{Version: 9000, Base: 5000}, 200}} {
+		n.out = nil
+		n.takenRead(&casOp{cur: pack(nil, value), order: c.id, ask: &ask{id: 5}}, casDone)
+		must.Len(t, 1, n.out)
+		must.Eq(t, c.status, n.out[0].(effReply).Status, must.Sprint(c.id.Version))
+	}
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -2,6 +2,8 @@
 
 // All constants of the daemon stand here, each with its unit in the name and
 // the reason for its size.
+const setupVersionMax = 1 << 50 // a version's bound: exact as a number in JSON
+
 const (
 	tickMs        = 100            // the reducer's heartbeat; every wait below is a multiple
 	pollMs        = 200            // lease renewals; five tries fit in one lease
@@ -82,6 +84,8 @@
 	againTick     = 1         // and so many a tick, that few asks need not wait
 	readsTick     = 10        // states read from the core a tick: 100 a second for each daemon
 	budgetMost    = 100       // what either budget saves up for a burst
+	ordersKept    = 4096      // identities of accepted setups, some 33 bytes each: a storm makes hundreds in a day
+	pastShown     = 50        // accepted setups that operators are shown
 	bodyMax       = 1 << 20   // bytes of a job's body
 	setupMax      = 16 << 20  // bytes of a setup
 	frameMax      = 64 << 20  // bytes of one message between daemons
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -213,6 +213,7 @@
 	Body   []byte
 	Queue  string // the queue whose address the caller used; "" when it used none
 	Expect int64  // the version that a setup builds on
+	Digest []byte // of an operator's order, where it isn't that of the body
 }
 
 type answerMsg struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -58,6 +58,7 @@
 		Key        string
 		Host, Path string // where the call came in with the address of a queue
 		Expect     int64  // the version a setup builds on; -1 for one less than its own
+		Digest     []byte // SHA-256 of an operator's order, where it isn't that of the body
 		Body       []byte
 		// Ready is the setup in Body, where a traffic thread compiled it already.
 		Ready *compiled
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -7,10 +7,10 @@
 type casOp struct {
 	id      uint64
 	reg     string
-	kind    string // names what is computed and what follows, see casKinds
-	arg     []byte // the wanted value or its part
-	expect  int64  // the version the value must have, where the kind asks
-	want    int64  // the version it is to have then, where the kind asks
+	kind    string  // names what is computed and what follows, see casKinds
+	arg     []byte  // the wanted value or its part
+	expect  int64   // the version the value must have, where the kind asks
+	order   orderID // an operator's, where the kind asks
 	ballot  ballot
 	phase   int8 // 1 prepare, 2 accept, 3 waiting for a retry
 	yes, no map[string]bool
@@ -48,6 +48,7 @@
 		"core":  {compute: computeCore, done: (*node).coreChanged},
 		"duty":  {compute: computeDuty, done: (*node).dutyTaken},
 		"setup": {compute: computeSetup, done: (*node).setupChanged},
+		"taken": {compute: computeTaken, done: (*node).takenRead},
 		"empty": {compute: computeSites, done: (*node).sitesChanged},
 		"open":  {compute: computeSites, done: (*node).sitesChanged},
 	}
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"compress/flate"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net"
 	"slices"
@@ -50,6 +51,7 @@
 	Doc     []byte // deflated
 	Past    []setupPast
 	Emptied []string // sites emptied by an operator's word beside the document, in order
+	Taken   orderHistory
 }
 
 type setupPast struct {
@@ -98,7 +100,8 @@
 
 	Contracts map[string]*contract
 
-	emptied []string // of Empty, what the document itself says
+	digest  [sha256.Size]byte // of the document, where an operator sent it
+	emptied []string          // of Empty, what the document itself says
 	hosts   map[string]*hostPrefixes
 }
 
@@ -154,6 +157,7 @@
 	confirmedMs int64
 	askedMs     int64
 	repairMs    int64
+	forReaders  setupForReaders
 	unsure      []*ask // asks that name a queue not known here, until a newer confirmation
 }
 
@@ -283,10 +287,14 @@
 // Example: c, faults := checkSetup("3", body)
 func checkSetup(key string, doc []byte) (*compiled, []fault) {
 	version, err := strconv.ParseInt(key, 10, 64)
-	if err != nil || version < 1 || version > 1<<50 {
+	if err != nil || version < 1 || version > setupVersionMax {
 		return nil, []fault{{"version", "must be a whole number of 1 or more"}}
 	}
-	return compileSetup(version, doc)
+	c, faults := compileSetup(version, doc)
+	if c != nil {
+		c.digest = sha256.Sum256(doc)
+	}
+	return c, faults
 }
 
 // deflate packs a document for the wire and the disk: setups say much the same of
@@ -452,7 +460,8 @@
 
 // adoptSetup compiles a value; it counts only once a poll confirms its ballot.
 func (n *node) adoptSetup(b ballot, d setupDoc) {
-	if d.Version == n.setup.doc.Version && bytes.Equal(d.Doc, n.setup.doc.Doc) {
+	d.Taken = orderHistory{} // only a change of the register needs it
+	if d.sameDoc(&n.setup.doc) {
 		n.setup.ballot = b
 		if !slices.Equal(d.Emptied, n.setup.doc.Emptied) {
 			n.setup.cur, n.setup.doc, n.setup.confirmedMs = n.setup.cur.withEmptied(d.Emptied), d, -1<<40
@@ -492,25 +501,24 @@
 	}
 }
 
+// computeSetup takes an order that builds on what stands. One that was taken
+// before leaves it as it is, whatever came since.
 func computeSetup(n *node, o *casOp) ([]byte, bool) {
 	var cur setupDoc
 	if len(o.cur) > 0 && unpack(o.cur, &cur) != nil {
 		return nil, false
 	}
-	if cur.Version == o.want {
-		if doc, ok := inflate(cur.Doc); ok && bytes.Equal(doc, o.arg) {
-			return o.cur, true
-		}
+	if cur.Taken.contains(o.order) {
+		return o.cur, true
 	}
-	if cur.Version != o.expect {
+	if cur.Version != o.order.Base {
 		return nil, false
 	}
-	h := fnv.New64a()
-	h.Write(o.arg)
-	next := setupDoc{Version: o.want, Doc: deflate(o.arg), Emptied: cur.Emptied, Past: append(slices.Clone(cur.Past), setupPast{Version: o.want, Digest: h.Sum64(),
-		Queues: gjson.GetBytes(o.arg, "queues.#").Int(), Bytes: int64(len(o.arg)), AtMs: n.poll.medianWall(n)})}
-	if len(next.Past) > 50 {
-		next.Past = next.Past[len(next.Past)-50:]
+	next := setupDoc{Version: o.order.Version, Doc: deflate(o.arg), Emptied: cur.Emptied, Taken: cur.Taken.with(o.order),
+		Past: append(slices.Clone(cur.Past), setupPast{Version: o.order.Version, Digest: binary.BigEndian.Uint64(o.order.Digest[:]),
+			Queues: gjson.GetBytes(o.arg, "queues.#").Int(), Bytes: int64(len(o.arg)), AtMs: n.poll.medianWall(n)})}
+	if len(next.Past) > pastShown {
+		next.Past = next.Past[len(next.Past)-pastShown:]
 	}
 	return pack(nil, next), true
 }
@@ -556,15 +564,17 @@
 	}
 	switch how {
 	case casDone:
-		if unpack(o.next, &cur) == nil && n.setup.ballot.less(o.ballot) {
+		// A newer document, where the order was taken before, comes by the polls,
+		// compiled on another thread.
+		if unpack(o.next, &cur) == nil && cur.Version == o.order.Version && n.setup.ballot.less(o.ballot) {
 			n.ready = o.ask.setup
 			n.adoptSetup(o.ballot, cur)
 			n.ready = nil
 		}
-		n.log("setup_accepted", "version", cur.Version)
-		n.answer(o.ask, 200, 0, jsonOf(map[string]any{"version": cur.Version}))
+		n.log("setup_accepted", "version", o.order.Version, "current", cur.Version)
+		n.answerTaken(o)
 	case casLost:
-		n.answer(o.ask, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": cur.Version}))
+		n.answerRefused(o, &cur)
 	default:
 		n.answer(o.ask, 503, 1000, jsonOf(map[string]any{"error": "outcome unknown: read the current setup, then send the same version again"}))
 	}
