--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -323,6 +323,12 @@
 	cutTogether bool
 	coreLost    bool
 	onSee       func(beatEvent)
+	edgeHosts   []string
+	diskHosts   []string
+	cutOneWay   map[string]cutWay // of those cut off, which way, if one only
+	newHosts    int
+	troubled    map[string]int   // troubles under way, by machine
+	calmMs      map[string]int64 // when the last one ended, or a new machine started
 }
 
 type gangName struct {
@@ -343,8 +349,10 @@
 	site := beatSiteOf(name)
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
-		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1}
+		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1,
+		cutOneWay: map[string]cutWay{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
 	b.holdUpMs = unackedMs
+	b.edgeHosts, b.diskHosts = sorted(b.nodes)[:site.edges], sorted(b.nodes)[:site.disks]
 	for i, host := range sorted(b.nodes) {
 		p := &b.nodes[host].place
 		placeBeatNode(p, site, i >= site.edges)
@@ -364,9 +372,9 @@
 	return b
 }
 
-func (b *beatWorld) edges() []string { return sorted(b.nodes)[:b.site.edges] }
+func (b *beatWorld) edges() []string { return slices.Clone(b.edgeHosts) }
 
-func (b *beatWorld) disks() []string { return sorted(b.nodes)[:b.site.disks] }
+func (b *beatWorld) disks() []string { return slices.Clone(b.diskHosts) }
 
 // see notes one line of the history.
 func (b *beatWorld) see(e beatEvent) {
@@ -993,21 +1001,23 @@
 
 // ready is what the platform asks each edge daemon every second.
 func (b *beatWorld) watchReady() {
-	in := map[string]int{}
-	b.in = in
+	b.in = map[string]int{}
 	for i, host := range b.edges() {
-		n := b.nodes[host]
-		var check func()
-		check = func() {
-			b.call("caller", n, beatCall{op: "ready"}, 1000, func(status int, _ int64, _ []byte) {
-				if in[host]++; status == 200 {
-					in[host] = 0
-				}
-			})
-			b.after(1_000_000, check)
-		}
-		b.after(int64(i)*90_000, check)
+		b.after(int64(i)*90_000, func() { b.checkReady(host) })
+	}
+}
+
+func (b *beatWorld) checkReady(host string) {
+	n := b.nodes[host]
+	if n.removed {
+		return
 	}
+	b.call("caller", n, beatCall{op: "ready"}, 1000, func(status int, _ int64, _ []byte) {
+		if b.in[host]++; status == 200 {
+			b.in[host] = 0
+		}
+	})
+	b.after(1_000_000, func() { b.checkReady(host) })
 }
 
 // edge gives a daemon for a new connection.
@@ -1410,11 +1420,14 @@
 
 func (b *beatWorld) trouble(text, host string) {
 	b.see(beatEvent{kind: bTrouble, host: host, text: text})
+	b.troubled[host]++
 	b.coreMoved(host)
 }
 
 func (b *beatWorld) calm(text, host string) {
 	b.see(beatEvent{kind: bCalm, host: host, text: text})
+	b.troubled[host]--
+	b.calmMs[host] = b.nowMs()
 	b.coreMoved(host)
 }
 
@@ -1477,6 +1490,7 @@
 	return func() {
 		for _, h := range hosts {
 			delete(b.cutOff, h)
+			delete(b.cutOneWay, h)
 		}
 		b.redraw()
 		for _, h := range hosts {
@@ -1490,7 +1504,8 @@
 	for x := range b.cutOff {
 		for y := range b.nodes {
 			if x != y && !(b.cutTogether && b.cutOff[y] && b.nodes[x].Site == b.nodes[y].Site) {
-				b.cuts[[2]string{x, y}], b.cuts[[2]string{y, x}] = true, true
+				b.cuts[[2]string{x, y}] = b.cuts[[2]string{x, y}] || b.cutOneWay[x] != cutInward
+				b.cuts[[2]string{y, x}] = b.cuts[[2]string{y, x}] || b.cutOneWay[x] != cutOutward
 			}
 		}
 	}
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -44,6 +44,9 @@
 	trafficEnds  bool
 	largest      int // bytes of the largest frame so far
 	onNote       func(verdict.Event)
+	resetUs      map[[2]string]int64 // when the connections one way were last reset
+	answerLoss   map[string]float64  // by caller, the share of answers lost on their way
+	onAnswer     []func(sentAnswer) (over bool)
 }
 
 type happening struct {
@@ -77,7 +80,8 @@
 
 func newWorld(seed uint64, dep verdict.Deployment) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, cuts: map[[2]string]bool{},
-		lastUs: map[[2]string]int64{}, hold: map[[2]string]int64{}, dep: dep, jobs: map[string]*simJob{}, syncUs: map[string]int64{}, msgs: map[string]int{}, trace: 14695981039346656037}
+		lastUs: map[[2]string]int64{}, hold: map[[2]string]int64{}, dep: dep, jobs: map[string]*simJob{}, syncUs: map[string]int64{},
+		resetUs: map[[2]string]int64{}, answerLoss: map[string]float64{}, msgs: map[string]int{}, trace: 14695981039346656037}
 	var seeds []string
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7000", i))
@@ -153,6 +157,7 @@
 		w.holdUp(way, do)
 		return
 	}
+	leftUs := w.nowUs
 	at := w.nowUs + 150 + w.rng.Int64N(400) + w.hold[way]
 	if from == to {
 		at = w.nowUs + 5
@@ -164,10 +169,12 @@
 		w.lastUs[way] = at
 	}
 	w.after(at-w.nowUs, func() {
-		if !w.cuts[way] {
-			do()
-		} else {
+		switch {
+		case w.resetUs[way] > leftUs: // gone with its connection
+		case w.cuts[way]:
 			w.holdUp(way, do)
+		default:
+			do()
 		}
 	})
 }
@@ -254,10 +261,15 @@
 	asks     map[uint64]func(int, int64, []byte)
 	askSeq   uint64
 	incs     uint64
+	removed  bool // its machine is gone for good
 }
 
 func (n *simNode) start() {
-	if n.up {
+	if n.up || n.removed {
+		return
+	}
+	if wait := n.disk.stalledUs - n.w.nowUs; n.Disk && wait > 0 { // its log can't be read before
+		n.w.after(wait, n.start)
 		return
 	}
 	n.up, n.frozenTo, n.inbox = true, 0, nil
@@ -430,16 +442,23 @@
 	})
 }
 
-// simDisk keeps what was appended; only what was synced outlives a power loss.
+// simDisk stands in for the log in disk.go: a batch is written and synced before
+// the next one begins. What waits behind it is in memory only; of a batch under
+// way a power loss leaves any first part; and after a write that failed the
+// process writes nothing more until it opens its disk again.
 type simDisk struct {
-	w       *world
-	host    string
-	entries [][]byte
-	synced  int
-	syncing bool
-	waiting []func()
-	wipes   int
-	folded  int // entries that snapshots took the place of, less what these take
+	w         *world
+	host      string
+	entries   [][]byte
+	synced    int
+	syncing   bool
+	batchEnd  int // where the batch under way ends, counted with what was folded
+	waiting   []func()
+	wipes     int
+	folded    int // entries that snapshots took the place of, less what these take
+	full      bool
+	failed    bool  // a write failed since the disk was opened
+	stalledUs int64 // nothing is answered before
 }
 
 func (d *simDisk) load() *store {
@@ -451,11 +470,14 @@
 		}
 		st.apply(e)
 	}
-	d.syncing, d.waiting = false, nil
+	d.syncing, d.waiting, d.failed = false, nil, false
 	return st
 }
 
 func (d *simDisk) append(n *simNode, entries []logEntry, done func()) {
+	if d.failed {
+		return
+	}
 	for _, e := range entries {
 		d.entries = append(d.entries, pack(nil, e))
 	}
@@ -468,17 +490,32 @@
 }
 
 func (d *simDisk) sync(n *simNode) {
-	if d.syncing || len(d.waiting) == 0 {
+	if d.syncing || d.failed || len(d.waiting) == 0 {
 		return
 	}
 	d.syncing = true
-	upTo, calls := len(d.entries), len(d.waiting)
-	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() {
-		d.syncing = false
-		d.synced = max(d.synced, min(upTo, len(d.entries)))
-		d.release(calls)
-		d.sync(n)
-	})
+	d.batchEnd = d.folded + len(d.entries)
+	calls := len(d.waiting)
+	if d.full {
+		n.later(100, func() { d.fail(n, errDiskFull) })
+		return
+	}
+	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() { d.syncEnds(n, calls) })
+}
+
+func (d *simDisk) syncEnds(n *simNode, calls int) {
+	if wait := d.stalledUs - d.w.nowUs; wait > 0 {
+		n.later(wait, func() { d.syncEnds(n, calls) })
+		return
+	}
+	if d.full {
+		d.fail(n, errDiskFull)
+		return
+	}
+	d.syncing = false
+	d.synced = max(d.synced, min(d.batchEnd-d.folded, len(d.entries)))
+	d.release(calls)
+	d.sync(n)
 }
 
 func (d *simDisk) release(calls int) {
@@ -500,6 +537,9 @@
 		if d.wipes != wipes {
 			return // of a disk that was emptied meanwhile
 		}
+		if d.full || d.failed || d.stalledUs > d.w.nowUs {
+			return // it failed; the log still holds all
+		}
 		old := at - d.folded // another snapshot may have come before this one
 		d.entries = append(dump, d.entries[old:]...)
 		d.synced = max(len(dump), d.synced-old+len(dump))
@@ -507,10 +547,30 @@
 	})
 }
 
+// written is how many entries were handed to the operating system.
+func (d *simDisk) written() int {
+	if d.syncing {
+		return max(d.synced, min(d.batchEnd-d.folded, len(d.entries)))
+	}
+	return d.synced
+}
+
+// tear leaves any first part of what was written and not synced.
+func (d *simDisk) tear() {
+	kept := d.written()
+	if kept > d.synced {
+		kept = d.synced + d.w.rng.IntN(kept-d.synced+1)
+	}
+	d.entries = d.entries[:kept]
+}
+
+// stop ends the process that writes here. What it had not yet written is gone,
+// and with power any last part of what was not yet synced.
 func (d *simDisk) stop(power bool) {
 	if power {
-		d.entries = d.entries[:d.synced]
+		d.tear()
 	}
+	d.entries = d.entries[:min(len(d.entries), d.written())]
 	d.synced = len(d.entries)
 	d.syncing, d.waiting = false, nil
 }
@@ -537,6 +597,9 @@
 		to.awake(func() {
 			to.askSeq++
 			to.asks[to.askSeq] = func(status int, retryMs int64, b []byte) {
+				if w.answerLeaves(sentAnswer{from, to, e, status}) {
+					return
+				}
 				w.carryTo(to.Name, from, func() { finish(status, retryMs, b) })
 			}
 			e.ID = to.askSeq
