--- a/accord/beatjudge_test.go
+++ b/accord/beatjudge_test.go
@@ -35,7 +35,11 @@
 	bSetupSent    = "setup_sent"    // n the version, base what it builds on
 	bSetupAcked   = "setup_acked"   //
 	bSetupRefused = "setup_refused" // finally
-	bSetupShown   = "setup_shown"   // n
+	bSetupTaken   = "setup_taken"   // a daemon's answer said so as it left; host
+	bSetupShown   = "setup_shown"   // n, -1 for no answer; text is its note
+	bJobTaken     = "job_taken"     // the same of a job
+	bLoss         = "loss"          // the day's closing fault
+	bBack         = "back"          // the machines that it took are back
 	bTrouble      = "trouble"       // of host, or of worker, or of all; text names it
 	bCalm         = "calm"          // the trouble of that text and place is over
 	bCore         = "core"          // a core machine was killed, started, frozen, thawed, cut or joined
@@ -121,6 +125,7 @@
 	sentMs, ackedMs  int64
 	acked            bool
 	taken            bool // some try had no clear refusal
+	accepted         bool // a daemon's answer said so as it left
 	cancelSent       bool
 	cancelMs         int64 // acknowledged; -1 not
 	cancelSentMs     int64
@@ -158,6 +163,8 @@
 	jobs     map[string]*seenJob
 	workers  map[string]*seenWorker
 	setups   []*seenBeatSetup
+	lossMs   int64 // of the closing fault; 0 for none
+	backMs   int64
 	troubles map[string][]*spanSeen // by host; "worker ID" for those of a worker alone; "" for all
 	core     []int64
 	emptied  map[string][]*spanSeen
@@ -168,6 +175,7 @@
 
 type seenBeatSetup struct {
 	version, base, sentMs, ackedMs int64 // ackedMs -1 until then
+	takenMs                        int64 // a daemon acknowledged it, heard or not; -1 until then
 	refused                        bool
 	setup                          *beatSetup
 }
@@ -184,6 +192,8 @@
 	for _, check := range j.starts {
 		check()
 	}
+	j.chain()
+	j.recovered()
 	for _, id := range sorted(j.jobs) {
 		j.whole(j.jobs[id])
 	}
@@ -271,12 +281,14 @@
 		}
 	},
 	bSetupSent: func(j *beatJudge, e *beatEvent) {
-		j.setups = append(j.setups, &seenBeatSetup{version: e.n, base: e.base, sentMs: e.atMs, ackedMs: -1, setup: e.setup})
+		j.setups = append(j.setups, &seenBeatSetup{version: e.n, base: e.base, sentMs: e.atMs, ackedMs: -1, takenMs: -1, setup: e.setup})
 	},
 	bSetupAcked: func(j *beatJudge, e *beatEvent) {
 		for _, s := range j.setups {
 			if s.setup == e.setup {
-				s.ackedMs = e.atMs
+				if s.ackedMs < 0 {
+					s.ackedMs = e.atMs
+				}
 			} else if s.ackedMs >= 0 && (s.base == e.base || s.version == e.n) {
 				j.breach("CONFIG", e.atMs, "versions %d and %d, both on top of %d, were both acknowledged", s.version, e.n, e.base)
 			}
@@ -287,11 +299,23 @@
 	},
 	bSetupRefused: func(j *beatJudge, e *beatEvent) {
 		for _, s := range j.setups {
-			if s.setup == e.setup {
-				s.refused = true
+			if s.setup != e.setup {
+				continue
+			}
+			s.refused = true
+			if taken := max(s.ackedMs, s.takenMs); taken >= 0 {
+				j.breach("CONFIG", e.atMs, "version %d on top of %d was taken at %d ms, came again and was refused", s.version, s.base, taken)
 			}
 		}
 	},
+	bSetupTaken: (*beatJudge).setupTaken,
+	bJobTaken: func(j *beatJudge, e *beatEvent) {
+		if s := j.jobs[e.job]; s != nil {
+			s.accepted = true
+		}
+	},
+	bLoss: func(j *beatJudge, e *beatEvent) { j.lossMs = e.atMs },
+	bBack: func(j *beatJudge, e *beatEvent) { j.backMs = e.atMs },
 	bSetupShown: func(j *beatJudge, e *beatEvent) {
 		newest := int64(0)
 		for _, s := range j.setups {
@@ -302,8 +326,13 @@
 				j.breach("CONFIG", e.atMs, "version %d is shown, and was refused", e.n)
 			}
 		}
-		if e.n < newest {
+		switch {
+		case e.n < 0:
+			j.breach("CONFIG", e.atMs, "no setup is read back, %d was acknowledged", newest)
+		case e.n < newest:
 			j.breach("CONFIG", e.atMs, "version %d is shown, %d was acknowledged", e.n, newest)
+		case e.text != "" && !j.maybeShown(e):
+			j.breach("CONFIG", e.atMs, "version %d is shown as %q, which differs from what was taken under its number", e.n, e.text)
 		}
 	},
 	bTrouble: func(j *beatJudge, e *beatEvent) {
@@ -385,6 +414,9 @@
 		s.taken = true
 	}
 	first := e.askedMs == s.sentMs
+	if s.accepted && (e.n == 409 || e.n == 400) {
+		j.breach("LOST", e.atMs, "%s was accepted, came again and was refused with %d at %s", e.job, e.n, e.host)
+	}
 	if accepted := e.n >= 200 && e.n < 300; accepted {
 		if !s.acked {
 			s.acked, s.ackedMs = true, e.atMs
@@ -397,6 +429,118 @@
 	}
 }
 
+// setupTaken takes a daemon's word that it took a change, heard or not.
+func (j *beatJudge) setupTaken(e *beatEvent) {
+	for _, s := range j.setups {
+		if s.setup == e.setup {
+			if s.takenMs < 0 {
+				s.takenMs = e.atMs
+			}
+			if s.refused {
+				j.breach("CONFIG", e.atMs, "version %d on top of %d was refused, and taken later", s.version, s.base)
+			}
+		} else if s.takenMs >= 0 && (s.base == e.base || s.version == e.n) {
+			j.breach("CONFIG", e.atMs, "versions %d and %d, on top of %d and %d, were both taken", s.version, e.n, s.base, e.base)
+		}
+	}
+	if e.setup.invalid {
+		j.breach("CONFIG", e.atMs, "version %d is invalid and was taken", e.n)
+	}
+}
+
+// maybeShown tells whether the setup that is shown may be the one under its
+// number: what was taken, or else anything sent and not refused.
+func (j *beatJudge) maybeShown(e *beatEvent) bool {
+	var taken, sent []string
+	for _, s := range j.setups {
+		switch {
+		case s.version != e.n:
+		case s.takenMs >= 0 || s.ackedMs >= 0:
+			taken = append(taken, s.setup.note)
+		case !s.refused:
+			sent = append(sent, s.setup.note)
+		}
+	}
+	if len(taken) > 0 {
+		sent = taken
+	}
+	return slices.Contains(sent, e.text)
+}
+
+// chain finds the changes that were refused though a later one was taken on top
+// of them: some change of that number was in force.
+func (j *beatJudge) chain() {
+	for _, later := range j.setups {
+		if later.takenMs < 0 && later.ackedMs < 0 {
+			continue
+		}
+		known, refused := false, (*seenBeatSetup)(nil)
+		for _, s := range j.setups {
+			if s.version != later.base {
+				continue
+			}
+			if s.refused && s.takenMs < 0 && s.ackedMs < 0 { // the others are told of already
+				refused = s
+			} else {
+				known = true
+			}
+		}
+		if !known && refused != nil {
+			j.breach("CONFIG", later.sentMs, "version %d was refused, and %d was taken on top of it", later.base, later.version)
+		}
+	}
+}
+
+// The users' bound on the return of work, and the share of the usual that it must reach.
+const (
+	recoveryMs    = 12_000
+	recoveryShare = 4
+)
+
+// recovered finds whether too little works again after the closing fault: calls
+// that are accepted, and tasks that end well.
+func (j *beatJudge) recovered() {
+	if j.lossMs == 0 || j.backMs == 0 {
+		return
+	}
+	from := j.backMs + recoveryMs
+	var sent, accepted [2]int
+	var firstMs, lastMs int64 = 1 << 60, 0
+	for _, s := range j.jobs {
+		firstMs, lastMs = min(firstMs, s.sentMs), max(lastMs, s.sentMs)
+		for i, in := range []bool{s.sentMs < j.lossMs, s.sentMs > from} {
+			if in {
+				sent[i]++
+				if s.acked {
+					accepted[i]++
+				}
+			}
+		}
+	}
+	if recoveryShare*accepted[0] >= sent[0] && recoveryShare*accepted[1] < sent[1] {
+		j.breach("RECOVER", from, "%d of %d calls are accepted from %d ms after the return on", accepted[1], sent[1], int64(recoveryMs))
+	}
+	var ended [2]float64
+	for _, s := range j.jobs {
+		for _, runs := range s.runs {
+			for _, r := range runs {
+				if r.how != "ok" {
+					continue
+				}
+				if r.endMs < j.lossMs {
+					ended[0]++
+				} else if r.endMs > from && r.endMs <= lastMs {
+					ended[1]++
+				}
+			}
+		}
+	}
+	before, after := ended[0]/float64(max(1, j.lossMs-firstMs)), ended[1]/float64(max(1, lastMs-from))
+	if lastMs > from && recoveryShare*after < before {
+		j.breach("RECOVER", from, "%.1f tasks a second end well from %d ms after the return on, %.1f before", 1000*after, int64(recoveryMs), 1000*before)
+	}
+}
+
 // maybeRoutes tells whether some setup that may be in force between two
 // moments has a queue's address, or with has false lacks it.
 func (j *beatJudge) maybeRoutes(q *beatQueue, askedMs, atMs int64, has bool) bool {
@@ -893,6 +1037,50 @@
 			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupRefused, n: 2, base: 1, setup: other},
 				beatEvent{atMs: 30_000, kind: bSetupShown, n: 2, askedMs: 29_000})
 		},
+		"CONFIG taken and refused": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupTaken, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 22_001, kind: bSetupRefused, n: 2, base: 1, setup: other})
+		},
+		"CONFIG acknowledged, sent again and refused": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupRefused, n: 1, base: 0, setup: h[2].setup})
+		},
+		"CONFIG refused, then taken": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupRefused, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 22_001, kind: bSetupTaken, n: 2, base: 1, setup: other})
+		},
+		"CONFIG both taken": func(h []beatEvent) []beatEvent {
+			third := &beatSetup{queues: other.queues, note: "third"}
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: third},
+				beatEvent{atMs: 20_001, kind: bSetupTaken, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_002, kind: bSetupTaken, n: 2, base: 1, setup: third})
+		},
+		"CONFIG invalid is taken": func(h []beatEvent) []beatEvent {
+			bad := &beatSetup{invalid: true}
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: bad}, beatEvent{atMs: 20_001, kind: bSetupTaken, n: 2, base: 1, setup: bad})
+		},
+		"CONFIG refused, and built on": func(h []beatEvent) []beatEvent {
+			third := &beatSetup{queues: other.queues, note: "third"}
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupRefused, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 22_000, kind: bSetupSent, n: 3, base: 2, setup: third}, beatEvent{atMs: 22_001, kind: bSetupAcked, n: 3, base: 2, setup: third})
+		},
+		"CONFIG is not read back": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 30_000, kind: bSetupShown, n: -1, askedMs: 29_000})
+		},
+		"CONFIG differs from what was taken": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupAcked, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 30_000, kind: bSetupShown, n: 2, text: "another", askedMs: 29_000})
+		},
+		"LOST came again and was refused": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bJobTaken, job: "j", n: 201}, beatEvent{atMs: 20_010, kind: bJobTried, job: "j", host: "e", n: 409, askedMs: 20_005})
+		},
+		"RECOVER calls": func(h []beatEvent) []beatEvent {
+			h = append(h, beatEvent{atMs: 20_000, kind: bLoss}, beatEvent{atMs: 21_000, kind: bBack})
+			return append(h, beatEvent{atMs: 33_500, kind: bJobSent, job: "k", spec: h[4].spec, queue: h[4].queue})
+		},
+		"RECOVER tasks": func(h []beatEvent) []beatEvent {
+			h = append(h, beatEvent{atMs: 20_000, kind: bLoss}, beatEvent{atMs: 21_000, kind: bBack})
+			return append(h, beatEvent{atMs: 33_500, kind: bJobSent, job: "k", spec: h[4].spec, queue: h[4].queue},
+				beatEvent{atMs: 33_510, kind: bJobTried, job: "k", host: "e", n: 201, askedMs: 33_500})
+		},
 		"CONFIG no such queue": func(h []beatEvent) []beatEvent {
 			return append(h, beatEvent{atMs: 20_000, kind: bJobTried, job: "j", host: "e", n: 404, askedMs: 19_990})
 		},
@@ -939,6 +1127,17 @@
 		"unknown while the core is unsettled": func(h []beatEvent) []beatEvent {
 			return insertBeat(insertBeat(h, beatEvent{atMs: 13_200, kind: bJobShown, job: "j", host: "e", text: "unknown", askedMs: 13_100}), beatEvent{atMs: 11_300, kind: bCore, host: "d00"})
 		},
+		"a change whose answer was lost, acknowledged when it came again": func(h []beatEvent) []beatEvent {
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_001, kind: bSetupTaken, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 22_000, kind: bSetupTaken, n: 2, base: 1, setup: other}, beatEvent{atMs: 22_001, kind: bSetupAcked, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 30_000, kind: bSetupShown, n: 2, text: "other", askedMs: 29_000})
+		},
+		"a race lost under the winner's number": func(h []beatEvent) []beatEvent {
+			third := &beatSetup{queues: other.queues, note: "third"}
+			return append(h, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: other}, beatEvent{atMs: 20_000, kind: bSetupSent, n: 2, base: 1, setup: third},
+				beatEvent{atMs: 20_001, kind: bSetupTaken, n: 2, base: 1, setup: third}, beatEvent{atMs: 20_002, kind: bSetupRefused, n: 2, base: 1, setup: other},
+				beatEvent{atMs: 30_000, kind: bSetupShown, n: 2, text: "third", askedMs: 29_000})
+		},
 		"an emptied site that was opened": func(h []beatEvent) []beatEvent {
 			return insertBeat(insertBeat(late(h, 3000), beatEvent{atMs: 8500, kind: bEmptied, text: "east"}), beatEvent{atMs: 13_900, kind: bOpened, text: "east"})
 		},
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -7,7 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-
+	"strings"
 	"testing"
 
 	"otterchute/verdict"
@@ -169,6 +169,9 @@
 	if s, ok := grownBeatSites[name]; ok {
 		return s
 	}
+	if s, ok := fiveMemberSites[name]; ok {
+		return s
+	}
 	s, ok := beatSites[name]
 	if !ok {
 		s = thirdOfGrownSites[name]
@@ -320,15 +323,21 @@
 	cutOff  map[string]bool
 	emptied map[string]bool
 	// cutTogether: machines cut off in one site still reach each other.
-	cutTogether bool
-	coreLost    bool
-	onSee       func(beatEvent)
-	edgeHosts   []string
-	diskHosts   []string
-	cutOneWay   map[string]cutWay // of those cut off, which way, if one only
-	newHosts    int
-	troubled    map[string]int   // troubles under way, by machine
-	calmMs      map[string]int64 // when the last one ended, or a new machine started
+	cutTogether      bool
+	coreLost         bool
+	onSee            func(beatEvent)
+	edgeHosts        []string
+	diskHosts        []string
+	cutOneWay        map[string]cutWay // of those cut off, which way, if one only
+	newHosts         int
+	sentSetups       map[string]*sentSetup // by body
+	setupsSent       []*sentSetup
+	closing          bool             // no trouble begins any more
+	lastAcknowledger string           // of a change
+	replaced         map[string]bool  // machines whose replacement began
+	underWay         int              // changes not yet finally answered
+	troubled         map[string]int   // troubles under way, by machine
+	calmMs           map[string]int64 // when the last one ended, or a new machine started
 }
 
 type gangName struct {
@@ -350,8 +359,9 @@
 	dep := verdict.Deployment{Name: name, Daemons: site.edges + site.sides}
 	b := &beatWorld{world: newWorld(seed, dep), site: site, byHost: map[string]*beatWorker{}, jobs: map[string]*beatJob{}, gangs: map[gangName]*beatEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1,
-		cutOneWay: map[string]cutWay{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
+		cutOneWay: map[string]cutWay{}, sentSetups: map[string]*sentSetup{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
 	b.holdUpMs = unackedMs
+	b.whenAnswered(b.noteTaken)
 	b.edgeHosts, b.diskHosts = sorted(b.nodes)[:site.edges], sorted(b.nodes)[:site.disks]
 	for i, host := range sorted(b.nodes) {
 		p := &b.nodes[host].place
@@ -1126,26 +1136,38 @@
 	})
 }
 
+// sentSetup is a change of the setup as its operator knows it.
+type sentSetup struct {
+	setup         *beatSetup
+	version, base int64
+	body          []byte
+	acked         bool
+}
+
 // putSetup sends a setup on top of a version until it is finally answered.
 func (b *beatWorld) putSetup(s *beatSetup, version, base int64, done func(status int)) {
+	b.putSetupAt("", 0, s, version, base, done)
+}
+
+// putSetupAt is putSetup with so many tries at one machine first.
+func (b *beatWorld) putSetupAt(host string, tries int, s *beatSetup, version, base int64, done func(status int)) {
 	b.see(beatEvent{kind: bSetupSent, n: version, base: base, setup: s})
-	body := s.body()
+	o := &sentSetup{setup: s, version: version, base: base, body: s.body()}
+	b.sentSetups[string(o.body)] = o
+	b.setupsSent = append(b.setupsSent, o)
+	b.underWay++
 	var try func()
 	try = func() {
-		b.call("operator", b.edge(), beatCall{op: "setup.put", key: fmt.Sprint(version), expect: base, body: body}, 1000, func(status int, retryMs int64, _ []byte) {
-			b.answers[fmt.Sprint("setup ", status)]++
-			switch status {
-			case 200:
-				b.see(beatEvent{kind: bSetupAcked, n: version, base: base, setup: s})
-				if version > b.version {
-					b.version, b.setup = version, s
-				}
-			case 400, 409:
-				b.see(beatEvent{kind: bSetupRefused, n: version, base: base, setup: s})
-			default:
+		to := b.edge()
+		if tries--; tries >= 0 {
+			to = b.nodes[host]
+		}
+		b.sendSetup(o, to, func(status int, retryMs int64) {
+			if status != 200 && status != 400 && status != 409 {
 				b.after(max(retryMs, 100)*1000, try)
 				return
 			}
+			b.underWay--
 			if done != nil {
 				done(status)
 			}
@@ -1154,6 +1176,40 @@
 	try()
 }
 
+// sendSetup sends a change once more, to some machine.
+func (b *beatWorld) sendSetup(o *sentSetup, to *simNode, done func(status int, retryMs int64)) {
+	b.call("operator", to, beatCall{op: "setup.put", key: fmt.Sprint(o.version), expect: o.base, body: o.body}, 1000, func(status int, retryMs int64, _ []byte) {
+		b.answers[fmt.Sprint("setup ", status)]++
+		switch status {
+		case 200:
+			o.acked = true
+			b.see(beatEvent{kind: bSetupAcked, n: o.version, base: o.base, setup: o.setup})
+			if o.version > b.version {
+				b.version, b.setup = o.version, o.setup
+			}
+		case 400, 409:
+			b.see(beatEvent{kind: bSetupRefused, n: o.version, base: o.base, setup: o.setup})
+		}
+		done(status, retryMs)
+	})
+}
+
+// noteTaken tells the judge what a daemon says it took, heard or not.
+func (b *beatWorld) noteTaken(a sentAnswer) (over bool) {
+	if !a.accepted() {
+		return false
+	}
+	switch a.call.Op {
+	case "setup.put":
+		if o := b.sentSetups[string(a.call.Body)]; o != nil {
+			b.see(beatEvent{kind: bSetupTaken, n: o.version, base: o.base, setup: o.setup, host: a.from.Name})
+		}
+	case "queue.submit":
+		b.see(beatEvent{kind: bJobTaken, job: a.call.Path[strings.LastIndex(a.call.Path, "/")+1:], host: a.from.Name})
+	}
+	return false
+}
+
 // usualSetup declares all queues of the site.
 func (b *beatWorld) usualSetup() *beatSetup {
 	s := &beatSetup{note: fmt.Sprint(b.rng.Uint32())}
@@ -1721,7 +1777,7 @@
 	for range 3 {
 		b.call("operator", b.edge(), beatCall{op: "setup.get"}, 1000, func(status int, _ int64, body []byte) {
 			if status == 200 {
-				b.see(beatEvent{kind: bSetupShown, n: gjson.GetBytes(body, "version").Int(), askedMs: asked})
+				b.see(beatEvent{kind: bSetupShown, n: gjson.GetBytes(body, "version").Int(), text: gjson.GetBytes(body, "setup.source.note").Str, askedMs: asked})
 			}
 		})
 	}
