A job ends only once the fleet's time is known

Cause: an accepted job that ended while its owner didn't know the fleet's time yet (the first 0.8 s after all core members had started anew) was recorded as done at 1 ms after 1970. The next look for what was kept long enough, each 10 s, dropped it at every member, and its state was answered 410.

Change: the end waits until the time is known, as do entry and placing already. The tasks' ends are committed before, so nothing runs again.

Tests: TestJobEndsWhileTimeIsUnknown, and TestCoreLossDays (power loss of the core right after acceptances, slow disks, killed again, a member wiped; then all states are asked for once more).

--- /dev/null
+++ b/accord/durability_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// killCore ends all core members at once and gives what starts them again.
+func (b *beatWorld) killCore(power bool) (start func()) {
+	var undo []func()
+	for _, host := range b.disks() {
+		undo = append(undo, b.kill(host, power))
+	}
+	return allOf(undo)
+}
+
+// lookAtAll asks once more for the state of every accepted job, as callers may
+// for as long as finished jobs are kept.
+func (b *beatWorld) lookAtAll() {
+	for _, id := range sorted(b.jobs) {
+		if j := b.jobs[id]; j.acked {
+			b.look(j)
+			b.run(20)
+		}
+	}
+	b.run(b.site.callerMs)
+}
+
+// A job whose last run is told right after the whole core came back ends only
+// once the fleet's time is known: how long it is kept is counted from then.
+func TestJobEndsWhileTimeIsUnknown(t *testing.T) {
+	for seed := range uint64(4) {
+		b := formBeats(t, 7100+seed, chosenSites()[seed%2])
+		var jobs []*beatJob
+		for range 12 {
+			jobs = append(jobs, b.submit(b.simple(2, 1, amounts{b.site.capacity[0] / 32, b.site.capacity[1] / 32}, 1200)))
+		}
+		b.run(900)
+		start := b.killCore(true)
+		b.run(600)
+		start()
+		ended := func() bool {
+			for _, j := range jobs {
+				if j.acked && !j.final() {
+					return false
+				}
+			}
+			return true
+		}
+		must.True(t, b.until(20_000, ended))
+		for _, host := range b.disks() {
+			for _, sl := range b.nodes[host].sh.n.store.slices {
+				for _, c := range sl.past.chunks {
+					eachFrame(c.frames, func(_ int, r record) {
+						must.Greater(t, int64(wallStart), r.DoneMs, must.Sprint(host, " keeps ", r.ID, " as done at ", r.DoneMs))
+					})
+				}
+			}
+		}
+		b.run(12_000) // past the next look for what was kept long enough
+		b.lookAtAll()
+		for _, j := range jobs {
+			must.True(t, !j.acked || j.state == "complete", must.Sprintf("job %s is told as %s", j.id, j.state))
+		}
+		verdictOfBeats(t, b)
+	}
+}
+
+const coreLossCISeeds = 4
+
+// TestCoreLossDays plays days on which the core loses power right after jobs were
+// accepted, its disks stall, it is killed again, and a member loses its disk.
+// With -seeds and -from on so many and those seeds.
+func TestCoreLossDays(t *testing.T) {
+	count := coreLossCISeeds
+	if *seedsFlag > 0 {
+		count = *seedsFlag
+	}
+	for i := range count {
+		seed := *fromFlag + uint64(i)
+		site := chosenSites()[seed%2]
+		t.Run(fmt.Sprintf("%s-%d", site, seed), func(t *testing.T) {
+			t.Parallel()
+			b := formBeats(t, seed, site)
+			b.traffic()
+			accepted := 1 + b.rng.IntN(40)
+			b.onSee = func(e beatEvent) {
+				if e.kind != bJobTried || e.n >= 300 {
+					return
+				}
+				if accepted--; accepted != 0 {
+					return
+				}
+				b.onSee = nil
+				b.after(b.rng.Int64N(400_000), func() {
+					b.after(400_000+b.rng.Int64N(1_600_000), b.killCore(true))
+				})
+			}
+			b.run(6000)
+			b.onSee = nil
+			for range 2 {
+				beatFaults["slow disk"](b)
+				b.run(5000)
+			}
+			b.after(300_000+b.rng.Int64N(1_000_000), b.killCore(b.share(0.5)))
+			b.run(6000)
+			if b.coreWhole() != nil {
+				b.wipe(b.some(b.disks()), b.share(0.5), 300+b.rng.Int64N(2000))
+			}
+			b.run(8000)
+			b.finish(120_000)
+			b.lookAtAll()
+			verdictOfBeats(t, b)
+		})
+	}
+}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -910,8 +910,12 @@
 		return
 	}
 	if state, ended := js.verdict(); ended {
+		wall := n.poll.medianWall(n)
+		if wall == 0 {
+			return // how long the job is kept counts from its end: that waits for the fleet's time
+		}
 		n.touch(sl, js)
-		js.State, js.DoneMs = state, max(n.poll.medianWall(n), 1)
+		js.State, js.DoneMs = state, wall
 		n.count("jobs_" + jobNames[state])
 		n.batchEnded(js)
 		return
