A failed disk is tried again, and its member comes back

Cause: `diskFailed` was set at the first failed write and never cleared, and the disk's thread did nothing more.

Ruled out: writing on in the same file after a failed sync (the page cache is not to be trusted then); reading the store again from disk (the control thread holds all that is held up, and nothing of it was answered for).

Change: after a failed write or sync the member stops counting itself and says so, and the disk is tried again after 0.1 s, doubled up to 1 s: what was synced of the segment is read and checked, the rest cut off and synced, all that was held up is written anew into the next segment, and only then acknowledged. If the segment is short or unsound, the disk begins again, empty, under another id. A disk that takes no writes at the start no longer ends the daemon. A wipe removes the id first, so that one cut short by power loss leaves no old entries under a new id.

TestDiskFailureIsFinal pinned the fault itself ("stops: nothing is acknowledged after that"). TestDiskFailureEnds takes its place: nothing is acknowledged while it fails, and all is found afterwards, for refused, torn and unsynced writes; TestDiskFailureWithLoss, TestDiskBrokenAtStart, TestDiskWipeCutShort are new.

Run: these and the other tests of disk, archive and frames, with -race, three times.

--- a/accord/disk.go
+++ b/accord/disk.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,10 +39,31 @@
 	stopped bool
 	ended   chan struct{}
 
-	file    *os.File
+	file    segmentFile
+	open    func(path string, flags int) (segmentFile, error) // openSegment, but for tests
 	segment uint64
-	size    int64
+	size    int64 // bytes of the segment that are synced
 	batch   uint64
+	held    []diskJob     // not done since the disk failed
+	broken  error         // why the first segment could not be begun
+	retry   time.Duration // the first wait after a failure
+}
+
+// segmentFile is what a segment is written through.
+type segmentFile interface {
+	io.ReadWriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// dataSynced is a file whose Sync leaves out what a reader doesn't need.
+type dataSynced struct{ *os.File }
+
+func (f dataSynced) Sync() error { return unix.Fdatasync(int(f.Fd())) }
+
+func openSegment(path string, flags int) (segmentFile, error) {
+	f, err := os.OpenFile(path, flags, 0o600)
+	return dataSynced{f}, err
 }
 
 type diskJob struct {
@@ -51,6 +73,8 @@
 	wipe     uint64
 }
 
+const diskIDName = "disk-id"
+
 const recordHead = 4 + 4 + 8 + 1
 
 func appendRecord(dst []byte, e logEntry, batch uint64, last bool) []byte {
@@ -106,13 +130,15 @@
 	return sound, batch, nil
 }
 
+func (d *disk) segmentPath(n uint64) string { return filepath.Join(d.folder, segmentName(n)) }
+
 func segmentName(n uint64) string  { return fmt.Sprintf("log-%016d", n) }
 func snapshotName(n uint64) string { return fmt.Sprintf("snap-%016d", n) }
 
 // openDisk reads the data folder. A log damaged before its end is put aside
 // and the disk begins again as a new, empty one: never as a shorter history.
 func openDisk(folder string, newID uint64, log func(string, ...any)) (*disk, *store, error) {
-	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{}), open: openSegment, retry: diskRetryMs * time.Millisecond}
 	lock, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, nil, errors.Wrap(errDisk, err.Error())
@@ -121,6 +147,9 @@
 		return nil, nil, errors.Wrap(errDisk, "the data folder is in use by another process")
 	}
 	d.lock = lock
+	if err := d.dropOrphans(); err != nil {
+		return nil, nil, err
+	}
 	st, err := d.read()
 	if errors.Is(err, errDamaged) {
 		aside := filepath.Join(folder, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
@@ -136,7 +165,8 @@
 	if err := d.identify(newID); err != nil {
 		return nil, nil, err
 	}
-	return d, st, d.roll()
+	d.broken = d.roll() // a disk that takes no writes now may take them later
+	return d, st, nil
 }
 
 func (d *disk) files(prefix string) ([]uint64, error) {
@@ -219,7 +249,7 @@
 		return err
 	}
 	for _, f := range list {
-		if strings.HasPrefix(f.Name(), "log-") || strings.HasPrefix(f.Name(), "snap-") || f.Name() == "disk-id" {
+		if strings.HasPrefix(f.Name(), "log-") || strings.HasPrefix(f.Name(), "snap-") || f.Name() == diskIDName {
 			if err := os.Rename(filepath.Join(d.folder, f.Name()), filepath.Join(aside, f.Name())); err != nil {
 				return err
 			}
@@ -231,7 +261,7 @@
 
 // identify reads the disk's id or gives it a new one.
 func (d *disk) identify(newID uint64) error {
-	path := filepath.Join(d.folder, "disk-id")
+	path := filepath.Join(d.folder, diskIDName)
 	if b, err := os.ReadFile(path); err == nil {
 		if id, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64); err == nil {
 			d.id = id
@@ -285,15 +315,17 @@
 			return errors.Wrap(errDisk, err.Error())
 		}
 	}
-	d.segment++
-	f, err := os.OpenFile(filepath.Join(d.folder, segmentName(d.segment)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	d.file = nil
+	f, err := d.open(d.segmentPath(d.segment+1), os.O_CREATE|os.O_EXCL|os.O_WRONLY)
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
-	d.file, d.size = f, 0
 	if err := syncFolder(d.folder); err != nil {
+		_ = f.Close()
 		return errors.Wrap(errDisk, err.Error())
 	}
+	d.file, d.size = f, 0
+	d.segment++
 	return nil
 }
 
@@ -317,29 +349,24 @@
 	}
 	<-d.ended
 	d.shots.Wait()
-	_ = d.file.Close()
+	if d.file != nil {
+		_ = d.file.Close()
+	}
 	_ = d.lock.Close()
 }
 
 // work commits what has gathered since the last sync as one batch, again and
-// again. After a failure it does nothing more: nothing is acknowledged again.
+// again. After a failure nothing is acknowledged until recover has written all
+// that was held up.
 func (d *disk) work() {
 	defer close(d.ended)
+	if d.broken != nil && !d.recover(d.broken) {
+		return
+	}
 	for range d.wake {
-		d.mu.Lock()
-		jobs, stopped := d.pending, d.stopped
-		d.pending = nil
-		d.mu.Unlock()
-		if err := d.commit(jobs); err != nil {
-			d.post(func(s *shell) { s.event(evDisk{Failed: err.Error()}) })
-			for range d.wake {
-				d.mu.Lock()
-				d.pending, stopped = nil, d.stopped
-				d.mu.Unlock()
-				if stopped {
-					return
-				}
-			}
+		jobs, stopped := d.gathered()
+		if err := d.commit(jobs); err != nil && !d.recover(err) {
+			return
 		}
 		if stopped {
 			return
@@ -347,30 +374,37 @@
 	}
 }
 
-func (d *disk) commit(jobs []diskJob) error {
+// gathered takes the jobs that wait.
+func (d *disk) gathered() (jobs []diskJob, stopped bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	jobs, stopped = d.pending, d.stopped
+	d.pending = nil
+	return jobs, stopped
+}
+
+// commit does jobs in their order. Those that are not done when it fails are held.
+func (d *disk) commit(jobs []diskJob) (err error) {
 	for len(jobs) > 0 {
 		run := slices.IndexFunc(jobs, func(j diskJob) bool { return j.snapshot || j.wipe != 0 })
 		if run < 0 {
 			run = len(jobs)
 		}
-		if run > 0 {
-			if err := d.writeBatch(jobs[:run]); err != nil {
-				return err
-			}
-			jobs = jobs[run:]
-			continue
-		}
-		var err error
-		if jobs[0].wipe != 0 {
-			err = d.wipe(jobs[0].wipe)
-		} else {
-			err = d.snapshot(jobs[0].entries)
+		switch {
+		case run > 0:
+			err = d.writeBatch(jobs[:run])
+		case jobs[0].wipe != 0:
+			run, err = 1, d.wipe(jobs[0].wipe)
+		default:
+			run, err = 1, d.snapshot(jobs[0].entries)
 		}
 		if err != nil {
+			d.held = jobs
 			return err
 		}
-		jobs = jobs[1:]
+		jobs = jobs[run:]
 	}
+	d.held = nil
 	return nil
 }
 
@@ -381,6 +415,11 @@
 	}
 	tookMs := int64(0)
 	if len(flat) > 0 {
+		if d.size > segmentBytes {
+			if err := d.roll(); err != nil {
+				return err
+			}
+		}
 		d.batch++
 		var b []byte
 		for i, e := range flat {
@@ -390,15 +429,11 @@
 		if _, err := d.file.Write(b); err != nil {
 			return errors.Wrap(errDisk, err.Error())
 		}
-		if err := unix.Fdatasync(int(d.file.Fd())); err != nil {
+		if err := d.file.Sync(); err != nil {
 			return errors.Wrap(errDisk, err.Error())
 		}
 		tookMs = time.Since(began).Milliseconds()
-		if d.size += int64(len(b)); d.size > segmentBytes {
-			if err := d.roll(); err != nil {
-				return err
-			}
-		}
+		d.size += int64(len(b))
 	}
 	d.post(func(s *shell) {
 		if len(flat) > 0 {
@@ -456,16 +491,3 @@
 	}
 	return nil
 }
-
-func (d *disk) wipe(id uint64) error {
-	d.shots.Wait()
-	if err := d.removeBefore(1 << 62); err != nil {
-		return err
-	}
-	_ = os.Remove(filepath.Join(d.folder, "disk-id"))
-	if err := d.identify(id); err != nil {
-		return err
-	}
-	d.log("disk_wiped", "disk", id)
-	return d.roll()
-}
--- /dev/null
+++ b/accord/diskrecovery.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// A write or a sync that fails is a state that can end: a full disk gets room,
+// a stalled one goes on. Until then the daemon is told that its disk failed, and
+// no entry that was held up is acknowledged.
+//
+// What the page cache shows after a failed sync says nothing of the disk: the
+// kernel may have dropped the pages and calls them clean. So the log goes on
+// behind what earlier syncs covered: the segment is read again up to there and
+// checked, cut off, and synced; then all entries that were held up, the failed
+// batch among them, are written anew into the next segment. Once that is
+// synced the disk holds all that the store in memory holds, and the member is
+// what it was. If the segment is shorter than what was synced, or unsound, the
+// disk lost something it had acknowledged: it begins again as a new, empty one.
+
+// recover tries to bring the disk back until it works; false if it was
+// stopped before.
+func (d *disk) recover(cause error) bool {
+	d.post(func(s *shell) { s.event(evDisk{Failed: cause.Error()}) })
+	lost := false
+	for wait := d.retry; ; wait = min(2*wait, diskRetryMost*time.Millisecond) {
+		if d.sleep(wait) {
+			return false
+		}
+		jobs, _ := d.gathered()
+		if d.held = append(d.held, jobs...); lost {
+			d.held = fromWipe(d.held)
+		}
+		wiping := len(d.held) > 0 && d.held[0].wipe != 0
+		if lost && !wiping { // only the daemon's order to wipe it makes it a disk again
+			continue
+		}
+		if !wiping { // else nothing of the log is kept
+			if err := d.resume(); errors.Is(err, errDamaged) {
+				lost = true
+				d.post(func(s *shell) { s.event(evDisk{Lost: true}) })
+				continue
+			} else if err != nil {
+				continue
+			}
+		}
+		if d.commit(d.held) == nil {
+			d.post(func(s *shell) { s.event(evDisk{Recovered: true}) })
+			return true
+		}
+		lost = lost && d.held[0].wipe != 0
+	}
+}
+
+// fromWipe drops the jobs before a wipe: what they were to add to is gone.
+func fromWipe(jobs []diskJob) []diskJob {
+	for i, j := range jobs {
+		if j.wipe != 0 {
+			return jobs[i:]
+		}
+	}
+	return nil
+}
+
+// sleep waits, and tells whether the disk was stopped meanwhile.
+func (d *disk) sleep(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return false
+		case <-d.wake:
+			d.mu.Lock()
+			stopped := d.stopped
+			d.mu.Unlock()
+			if stopped {
+				return true
+			}
+		}
+	}
+}
+
+// resume makes the log ready for the next batch after a failure.
+func (d *disk) resume() error {
+	if d.file != nil {
+		_ = d.file.Close()
+		d.file = nil
+	}
+	if err := d.removeUnused(); err != nil {
+		return err
+	}
+	if d.broken == nil {
+		f, err := d.cutTail()
+		if err != nil {
+			return err
+		}
+		if d.file = f; d.size == 0 {
+			return nil // nothing was synced here: the segment is as good as the next one
+		}
+	}
+	if err := d.roll(); err != nil {
+		return err
+	}
+	d.broken = nil
+	return nil
+}
+
+// removeUnused removes the segment that a failed roll may have left: nothing
+// was ever written there.
+func (d *disk) removeUnused() error {
+	if err := os.Remove(d.segmentPath(d.segment + 1)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(errDisk, err.Error())
+	}
+	return nil
+}
+
+// cutTail checks what was synced of the segment, cuts off and syncs the rest,
+// and gives the file.
+func (d *disk) cutTail() (segmentFile, error) {
+	path := d.segmentPath(d.segment)
+	if d.size > 0 {
+		b, err := os.ReadFile(path)
+		if os.IsNotExist(err) || err == nil && int64(len(b)) < d.size {
+			return nil, errDamaged
+		}
+		if err != nil {
+			return nil, errors.Wrap(errDisk, err.Error())
+		}
+		if sound, _, err := readRecords(b[:d.size], 0, func(logEntry) {}); err != nil || int64(sound) != d.size {
+			return nil, errDamaged
+		}
+	}
+	f, err := d.open(path, os.O_CREATE|os.O_WRONLY)
+	if err != nil {
+		return nil, errors.Wrap(errDisk, err.Error())
+	}
+	if err = f.Truncate(d.size); err == nil {
+		err = f.Sync()
+	}
+	if err != nil {
+		_ = f.Close()
+		return nil, errors.Wrap(errDisk, err.Error())
+	}
+	return f, nil
+}
+
+// wipe begins the disk anew under another id. The old id goes first: a log
+// without an id is what a wipe left that was cut short, see dropOrphans.
+func (d *disk) wipe(id uint64) error {
+	d.shots.Wait()
+	if err := os.Remove(filepath.Join(d.folder, diskIDName)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(errDisk, err.Error())
+	}
+	if err := d.dropLog(); err != nil {
+		return err
+	}
+	if err := d.identify(id); err != nil {
+		return err
+	}
+	if err := d.roll(); err != nil {
+		return err
+	}
+	d.broken = nil
+	d.log("disk_wiped", "disk", id)
+	return nil
+}
+
+// dropLog removes all segments and snapshots once the id's removal is synced.
+func (d *disk) dropLog() error {
+	if err := syncFolder(d.folder); err != nil {
+		return errors.Wrap(errDisk, err.Error())
+	}
+	if err := d.removeBefore(1 << 62); err != nil {
+		return err
+	}
+	if err := syncFolder(d.folder); err != nil {
+		return errors.Wrap(errDisk, err.Error())
+	}
+	return nil
+}
+
+// dropOrphans removes a log that has no id beside it. An id is written and
+// synced before the first segment is made, so its wipe was cut short: under the
+// new id that the disk is about to get, the old entries must not come back.
+func (d *disk) dropOrphans() error {
+	if _, err := os.Stat(filepath.Join(d.folder, diskIDName)); !os.IsNotExist(err) {
+		return nil
+	}
+	return d.dropLog()
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -115,6 +115,9 @@
 	loopJobs   = 8192 // events waiting for the control thread before posters wait
 	ordersMax  = 256  // orders on their way at once from one daemon
 
+	diskRetryMs   = 100  // a failed disk is tried again after this, doubled each time
+	diskRetryMost = 1000 // ms; the longest such wait: the member is missed meanwhile
+
 	msPerHour = 3600_000
 )
 
--- a/accord/membership.go
+++ b/accord/membership.go
@@ -36,11 +36,8 @@
 	}
 	if n.store.set.has(n.Name, n.DiskID) {
 		// This disk once was a member and was replaced: what it holds is old,
-		// and an old acceptance must not stand beside newer ones. It starts
-		// over as a new disk.
-		n.DiskID, n.store, n.joining = n.rand().Uint64()|1, newStore(), nil
-		n.emit(effWipe{DiskID: n.DiskID})
-		n.log("disk_restarted", "disk", n.DiskID)
+		// and an old acceptance must not stand beside newer ones.
+		n.startOver()
 		return
 	}
 	missing, wiped := -1, false
@@ -182,3 +179,32 @@
 	}
 	n.keep(m.Entries, n.sendEffect(n.Name, &copiedMsg{Op: m.Op, Whole: from}))
 }
+
+// startOver makes this daemon's disk a new, empty one.
+func (n *node) startOver() {
+	n.DiskID, n.store, n.joining, n.forming = n.rand().Uint64()|1, newStore(), nil, nil
+	n.emit(effWipe{DiskID: n.DiskID})
+	n.log("disk_restarted", "disk", n.DiskID)
+}
+
+// onDisk follows the disk through a failure. While it is failed this daemon
+// counts itself to no majority (see inCore) and tells the others that it has no
+// disk. Its store stays as it is, ahead of the disk by what is held up: nothing
+// is answered from it until all of that is synced. Its leases stay too: they
+// were given in this life and never needed a disk, so no guard is due.
+func (n *node) onDisk(e evDisk) {
+	switch {
+	case e.Failed != "":
+		if n.diskFailed == "" {
+			n.log("disk_failed", "reason", e.Failed)
+		}
+		n.diskFailed = e.Failed
+	case e.Lost:
+		n.log("disk_lost_entries")
+		n.startOver()
+	case e.Recovered:
+		n.log("disk_recovered", "reason", n.diskFailed)
+		n.diskFailed = ""
+	}
+	n.gossipAt = 0 // the others hear of it at once
+}
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -68,9 +68,12 @@
 		Stop    bool
 		Outcome string // see orderOutcomes
 	}
+	// evDisk tells what became of the disk: it failed, it works again with
+	// all that was held up written, or it lost entries that were synced.
 	evDisk struct {
-		Failed string
-		SyncMs int64
+		Failed    string
+		Recovered bool
+		Lost      bool
 	}
 	evStop struct{}
 	// evSeeds brings other addresses to find the fleet by.
@@ -298,15 +301,6 @@
 	}
 }
 
-func (n *node) onDisk(e evDisk) {
-	n.syncMs = e.SyncMs
-	if e.Failed != "" && n.diskFailed == "" {
-		// A core member whose disk fails stops counting itself.
-		n.diskFailed = e.Failed
-		n.log("disk_failed", "reason", e.Failed)
-	}
-}
-
 func (n *node) emit(e effect)               { n.out = append(n.out, e) }
 func (n *node) count(name string)           { n.counts[name]++ }
 func (n *node) log(event string, kv ...any) { n.emit(effLog{Event: event, Pairs: kv}) }
