Guards name the files that formation and membership moved to

Cause: formation and joining moved out of core.go; three rows of guards.sh named the old file and TestGuardsAreNotStale failed on them. Change: the rows name formation.go and membership.go; the guarded texts are the same. Run: TestGuardsAreNotStale passes.

--- a/guards.sh
+++ b/guards.sh
@@ -29,14 +29,14 @@
 old epochs are fenced|core.go|if m.Epoch != x.sealed {|if false {
 leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
 a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
-copied before joining|core.go|if len(j.done) < n.core.majority() {|if false {
-copied from a majority|core.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
+copied before joining|membership.go|if len(j.done) < n.core.majority() {|if false {
+copied from a majority|membership.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
 an acceptance belongs to its try|registers.go|o.phase != 2 \|\| m.Ballot != o.ballot|o.phase != 2
 an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
 a lost setup is written back|registers.go|if o.lost = !ok; o.lost {|if o.lost = !ok; o.lost && false {
 unknown queues by a newer setup|asks.go|case !ok && n.setup.confirmedMs >= a.atMs:|case !ok:
-one vote for a disk|core.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
+one vote for a disk|formation.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
 not taken only when surely so|asks.go|a.queue != "" && a.unsure|false
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
 void live records are not finished jobs|slices.go|if f.best.Live {|if false {
