A restarted member's lease helps no second holder to a duty

Cause: a member that started anew forgets its grants and may grant a duty at once where its register names no holder, or one that is surely over. Its register may lack the newest epoch. Ruled out: the members' exclusion without a restart, and guards that are over. Change: the epoch known to a majority of the grants counts. A change that is lost by it writes the newer epoch back, as every lost one does, and the duty is asked for again of members that then know it.

--- a/accord/duties.go
+++ b/accord/duties.go
@@ -41,7 +41,7 @@
 type duty struct {
 	name      string
 	epoch     uint64
-	seen      uint64 // the newest epoch that those who granted the lease knew
+	seen      uint64 // the newest epoch that a majority of grants was given in knowledge of
 	untilMs   int64  // end of the lease
 	phase     int8
 	takenMs   int64 // when the lease was first had
@@ -143,17 +143,11 @@
 	n.poll.slowMs[from] = m.DiskSlow
 	need := n.core.majority()
 	for i, h := range r.holds {
-		yes, seen := 0, uint64(0)
-		for _, a := range r.acks {
-			if a.Granted[i] {
-				yes++
-				seen = max(seen, a.Epochs[i])
-			}
-		}
-		if d := n.duties[h.Name]; d != nil && yes >= need && d.phase != dutyGoing {
+		epochs := r.grantedAt(i)
+		if d := n.duties[h.Name]; d != nil && len(epochs) >= need && d.phase != dutyGoing {
 			d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
 			if d.phase == dutyWanted {
-				d.phase, d.takenMs, d.seen = dutyCas, n.now, seen
+				d.phase, d.takenMs, d.seen = dutyCas, n.now, epochs[need-1]
 				n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
 			}
 		} else if d != nil && d.phase == dutyWanted && len(r.acks) == len(n.core.Members) {
@@ -185,6 +179,25 @@
 	}
 }
 
+// grantedAt gives the newest epochs known to those members that granted the
+// round's lease number i, highest first. The epoch at the place of the majority
+// is what a change of the duty's register may build on: a majority of those who
+// granted the lease knows it. One that knows less may have granted a lease
+// before and forgotten it in a restart, and can't tell that its holder went on
+// to count the epoch up: where the register holds a newer epoch the change is
+// lost, the newer one is written back, and the lease is asked for again of
+// members that then know it.
+func (r *pollRound) grantedAt(i int) (epochs []uint64) {
+	for _, a := range r.acks {
+		if a.Granted[i] {
+			epochs = append(epochs, a.Epochs[i])
+		}
+	}
+	slices.Sort(epochs)
+	slices.Reverse(epochs)
+	return epochs
+}
+
 // seeDuties learns from a majority's answers who holds what, and which duty
 // stands free.
 func (n *node) seeDuties(r *pollRound) {
@@ -232,6 +245,10 @@
 		return
 	}
 	var v dutyView
+	if how == casLost && n.now < d.untilMs-leaseSlack {
+		d.phase, d.rounds, n.poll.nextMs = dutyWanted, 0, 0 // the members know the newer epoch now
+		return
+	}
 	if how != casDone || unpack(o.next, &v) != nil || n.now >= d.untilMs-leaseSlack {
 		n.dropDuty(d, "not_taken")
 		return
--- /dev/null
+++ b/accord/lease_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// holders names the daemons that may act on a duty at this moment: those whose
+// own clock says that their lease still runs, whether they are frozen or not.
+func (w *world) holders(duty string) []string {
+	var out []string
+	for _, name := range sorted(w.nodes) {
+		n := w.nodes[name]
+		if !n.up {
+			continue
+		}
+		if d := n.sh.n.duties[duty]; d != nil && d.phase == dutyHeld && n.steadyMs() < d.untilMs-leaseSlack {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// heldOnce runs the world on and demands that never two daemons hold a duty.
+func (w *world) heldOnce(t *testing.T, ms int64, duties ...string) {
+	t.Helper()
+	for end := w.nowMs() + ms; w.nowMs() < end; w.run(2) {
+		for _, duty := range duties {
+			if held := w.holders(duty); len(held) > 1 {
+				t.Fatalf("at %d ms %s is held by %v", w.nowMs(), duty, held)
+			}
+		}
+	}
+}
+
+// stepUntil runs the world on, one happening at a time, until something holds.
+func (w *world) stepUntil(ms int64, holds func() bool) bool {
+	for end := w.nowMs() + ms; w.nowMs() < end && !holds(); {
+		w.step()
+	}
+	return holds()
+}
+
+// oneWay cuts what one host sends another, or joins it again.
+func (w *world) oneWay(from, to string, cut bool) {
+	if cut {
+		w.cuts[[2]string{from, to}] = true
+	} else {
+		delete(w.cuts, [2]string{from, to})
+	}
+}
+
+// A member that started anew forgets its grants, and its register may lack the
+// newest epoch. Its grant must then not help a second holder to the duty, though
+// another member that did not grant the first one's lease knows that epoch.
+func TestLeaseOutlivesARestartedMember(t *testing.T) {
+	for seed := range uint64(6) {
+		w := served(t, 7100+seed)
+		first, second := w.nodes["d05"], w.nodes["d06"]
+		const name = "slice/spare"
+		w.oneWay("d05", "d02", true) // its poll reaches d00 and d01 only
+		first.sh.n.want(name)
+		d := first.sh.n.duties[name]
+		must.True(t, w.stepUntil(1000, func() bool { return d.phase == dutyCas }))
+		w.oneWay("d05", "d02", false) // its accept reaches d01 and d02 only
+		must.True(t, w.stepUntil(100, func() bool { return first.sh.n.opOf("duty/"+name).phase == 2 }))
+		w.oneWay("d05", "d00", true)
+		must.True(t, w.stepUntil(100, func() bool { return d.phase == dutyHeld }))
+		w.oneWay("d05", "d02", true) // no renewal gets there
+		w.nodes["d00"].kill(false)
+		w.nodes["d00"].start()
+		second.sh.n.want(name)
+		w.heldOnce(t, 3000, name)
+		w.heal()
+		w.run(2 * leaseMs)
+		second.sh.n.want(name)
+		must.True(t, w.until(1000, func() bool { return second.sh.n.holds(name) }))
+		w.heldOnce(t, 1000, name)
+	}
+}
+
+// opOf gives the open change of a register.
+func (n *node) opOf(reg string) *casOp {
+	for _, id := range sorted(n.ops) {
+		if n.ops[id].reg == reg {
+			return n.ops[id]
+		}
+	}
+	return &casOp{}
+}
+
+// leaseFaults are what goes wrong around leases, each for a moment.
+var leaseFaults = []func(w *world, core []string){
+	func(w *world, core []string) { // a member forgets its grants
+		n := w.nodes[w.some(core)]
+		if n.up {
+			n.kill(w.rng.IntN(2) == 0)
+		}
+		n.start()
+	},
+	func(w *world, _ []string) { // a daemon is back at once, now and then with its wall clock set back
+		n := w.someNode()
+		if n.up {
+			n.kill(false)
+		}
+		if n.incs > 1 && w.rng.IntN(3) == 0 {
+			n.incs -= 2
+		}
+		n.start()
+	},
+	func(w *world, core []string) { // a way is cut, one way
+		from, to := w.someNode().Name, w.some(core)
+		if w.rng.IntN(2) == 0 {
+			from, to = to, from
+		}
+		w.oneWay(from, to, true)
+		w.after(w.rng.Int64N(2_500_000), func() { w.oneWay(from, to, false) })
+	},
+	func(w *world, core []string) { // a member is cut off from one half of the others
+		at := w.some(core)
+		for _, other := range sorted(w.nodes) {
+			if other != at && w.rng.IntN(2) == 0 {
+				w.oneWay(at, other, true)
+				w.after(w.rng.Int64N(2_500_000), func() { w.oneWay(at, other, false) })
+			}
+		}
+	},
+	func(w *world, _ []string) { w.someNode().freeze(100 + w.rng.Int64N(3000)) },
+	func(w *world, _ []string) {
+		for _, duty := range []string{"slice/east", "slice/west", "slice/mid", "central"} {
+			if n := w.holderOf(duty); n != nil && w.rng.IntN(2) == 0 {
+				n.freeze(500 + w.rng.Int64N(2000))
+			}
+		}
+	},
+	func(w *world, _ []string) { w.someNode().skewMs += w.rng.Int64N(40_000) - 20_000 },
+	func(w *world, _ []string) { // a holder hands a duty on
+		if n := w.holderOf("slice/" + w.some([]string{"east", "west", "mid"})); n != nil {
+			for _, name := range sorted(n.sh.n.duties) {
+				if d := n.sh.n.duties[name]; d.phase == dutyHeld && kindOfDuty(name) == "slice" {
+					n.sh.n.resign(d, w.someNode().Name)
+				}
+			}
+		}
+	},
+}
+
+// Whatever is cut, frozen, restarted, delayed or has its clock moved, never two
+// daemons may act on one duty, at cores of three and of five.
+func TestLeaseIsHeldOnce(t *testing.T) {
+	for seed := range uint64(seedsOr(6)) {
+		w := coreWorld(7200+*fromFlag+seed, 3+2*int(seed%2), []string{"east", "west", "mid", "east", "west", "mid"}, 4)
+		must.True(t, w.until(20_000, w.allServed))
+		w.stray = 40
+		for range 120 {
+			leaseFaults[w.rng.IntN(len(leaseFaults))](w, memberNames(w.nodes["d09"].sh.n.core))
+			w.heldOnce(t, 50+w.rng.Int64N(400), "slice/east", "slice/west", "slice/mid", "central")
+		}
+		for _, name := range sorted(w.nodes) {
+			w.nodes[name].start()
+		}
+		w.heal()
+		must.True(t, w.until(20_000, w.allServed), must.Sprint(seed))
+		taken, raised := 0, 0
+		for _, line := range w.logs {
+			taken += strings.Count(line, " duty_taken ")
+			raised += strings.Count(line, " incarnation_raised ")
+		}
+		t.Logf("seed %d: duties taken %d times, incarnations raised %d times", seed, taken, raised)
+	}
+}
+
+// seedsOr is how many seeds to run: those asked for, or CI's number.
+func seedsOr(count int) int {
+	if *seedsFlag > 0 {
+		return *seedsFlag
+	}
+	return count
+}
--- a/guards.sh
+++ b/guards.sh
@@ -29,6 +29,7 @@
 old epochs are fenced|core.go|if m.Epoch != x.sealed {|if false {
 leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
 a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
+a lease builds on what its granters know|duties.go|n.now, epochs[need-1]|n.now, epochs[0]
 copied before joining|core.go|if len(j.done) < n.core.majority() {|if false {
 copied from a majority|core.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
