A daemon that raises its incarnation lets go of its leases first

Cause: members take a life of a daemon for over once a later incarnation is heard of at the same address, and grant its duties to others at once. A daemon that hears of an earlier life with a later clock raises its own number though the process goes on, and kept its leases until they ran out: two holders. Ruled out: a start with a clock set back alone; its lower number never counts as a later life. Change: the leases go as the number is raised, before any message tells it.

--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -124,10 +124,14 @@
 func (n *node) learnSibling(s sibling) {
 	if s.Name == n.Name && (s.Inc > n.Inc || s.Inc == n.Inc && (s.Beat > n.beat || s.Addr != n.Addr)) {
 		// An earlier life of this daemon began by a later clock, or another
-		// process has our name: only above it are we heard. Leases taken
-		// under the old number end by themselves.
+		// process has our name: only above it are we heard. To the core the
+		// old number's life is over once it hears of the new one, see over:
+		// so the leases taken under the old number are let go of first.
 		n.log("incarnation_raised", "from", n.Inc, "above", s.Inc)
 		n.Inc = s.Inc + 1
+		for _, name := range sorted(n.duties) {
+			n.dropDuty(n.duties[name], "incarnation_raised")
+		}
 		n.gossipAt = 0
 	}
 	if s.Name == n.Name || s.Name == "" {
