A restarted member never takes an older core set than its disk's

Cause: until the first tick takes the set from the disk, a message may bring a set. One from a daemon that missed the last change was taken, and the tick then left it: the member served the former set again, so that a majority of each could answer beside the other. Change: a set below the one on disk is not learned.

--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -162,6 +162,9 @@
 	if c.Cluster == 0 || n.core.Cluster != 0 && c.Cluster != n.core.Cluster || c.Version <= n.core.Version {
 		return
 	}
+	if n.store != nil && c.Cluster == n.store.set.Cluster && c.Version < n.store.set.Version {
+		return // at a start, before the set on disk was taken up
+	}
 	was, first := n.inCore(), n.core.Cluster == 0
 	n.core = c
 	if first {
