Leases aren't renewed after their end, nor changed by overtaken polls

Cause, read and then shown by a test each: a late grant for a round from before a duty was let go counted for the duty when it was wanted again; a grant that came after the lease had run out, but before the tick that drops it, brought it back under the old epoch, though others may have held it in between; a member took a release from a poll that a later one of the same life had overtaken; and it renewed a lease under an epoch that it knew to have passed. Change: a round names the duties it asked for, not only their names; a lease that ran out is taken anew, under a new epoch; members leave overtaken polls aside, and check the epoch as a fencing token also when they renew.

--- a/accord/core.go
+++ b/accord/core.go
@@ -21,12 +21,16 @@
 	startMs int64           // when this member began to hear clocks
 	grants  map[string]*grant
 	clocks  map[string]clockSeen // of all daemons that poll here; never stored
+	polled  map[string]pollSeen  // the newest poll of each daemon; never stored
 	logged  int64                // bytes of entries since the last snapshot, about
 }
 
 // clockSeen is a daemon's wall clock minus this member's steady one.
 type clockSeen struct{ offset, atMs int64 }
 
+// pollSeen is the newest poll that was heard of a daemon, and of which life.
+type pollSeen struct{ inc, seq uint64 }
+
 type register struct {
 	promised, accepted ballot
 	value              []byte
@@ -93,7 +97,7 @@
 )
 
 func newStore() *store {
-	return &store{refused: map[uint64]bool{}, regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}}
+	return &store{refused: map[uint64]bool{}, regs: map[string]*register{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}, polled: map[string]pollSeen{}}
 }
 
 func (s *store) reg(name string) *register {
@@ -404,6 +408,11 @@
 		return
 	}
 	st, inc := n.store, m.Inc
+	if p := st.polled[from]; p.inc == inc && m.Seq < p.seq {
+		n.count("polls_overtaken") // what it holds or releases may have changed since
+		return
+	}
+	st.polled[from] = pollSeen{inc, m.Seq}
 	// What a message took on its way, or waited here, makes a clock seem late,
 	// never early: the latest reading of the last seconds is the truest.
 	if c, known := st.clocks[from]; !known || m.WallMs-n.now >= c.offset || n.now-c.atMs > clockOldMs {
@@ -422,6 +431,9 @@
 			g.holder == "" && (g.successor == from || g.successor == "") || n.over(g.holder, g.inc, g.addr)
 		last := st.lastHolder(d.Name)
 		ok := free && (n.now >= st.guardMs || last.Holder == "" || n.over(last.Holder, last.Inc, last.Addr))
+		if d.Epoch != 0 && d.Epoch < last.Epoch { // it lost the duty and doesn't know
+			ok = false
+		}
 		if ok {
 			st.grants[d.Name] = &grant{holder: from, inc: inc, addr: addr, epoch: d.Epoch, untilMs: n.now + leaseMs}
 		}
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -34,6 +34,7 @@
 type pollRound struct {
 	sentMs int64
 	holds  []dutyAsk
+	duties []*duty // what each of holds was asked for: one let go of since is another
 	frees  []release
 	acks   map[string]*pollAck
 }
@@ -93,6 +94,8 @@
 	}
 	n.poll.seq++
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
+	r := &pollRound{sentMs: n.now, acks: map[string]*pollAck{}}
+	n.poll.sent[m.Seq] = r
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
 		if d.phase == dutyWanted {
@@ -104,9 +107,10 @@
 			m.Releases = append(m.Releases, release{Name: name, Successor: d.releasing})
 		} else {
 			m.Holds = append(m.Holds, dutyAsk{Name: name, Epoch: d.epoch})
+			r.duties = append(r.duties, d)
 		}
 	}
-	n.poll.sent[m.Seq] = &pollRound{sentMs: n.now, holds: m.Holds, frees: m.Releases, acks: map[string]*pollAck{}}
+	r.holds, r.frees = m.Holds, m.Releases
 	for _, seq := range sorted(n.poll.sent) {
 		if n.now-n.poll.sent[seq].sentMs > leaseMs {
 			delete(n.poll.sent, seq)
@@ -142,16 +146,9 @@
 	n.poll.readClock(n, from, r.sentMs, m.FleetMs)
 	n.poll.slowMs[from] = m.DiskSlow
 	need := n.core.majority()
-	for i, h := range r.holds {
-		epochs := r.grantedAt(i)
-		if d := n.duties[h.Name]; d != nil && len(epochs) >= need && d.phase != dutyGoing {
-			d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
-			if d.phase == dutyWanted {
-				d.phase, d.takenMs, d.seen = dutyCas, n.now, epochs[need-1]
-				n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
-			}
-		} else if d != nil && d.phase == dutyWanted && len(r.acks) == len(n.core.Members) {
-			n.letGo(d)
+	for i, d := range r.duties {
+		if n.duties[d.name] == d {
+			n.leaseGranted(r, d, r.grantedAt(i))
 		}
 	}
 	if len(r.acks) < need {
@@ -179,6 +176,26 @@
 	}
 }
 
+// leaseGranted counts the grants of a duty's lease in one round. The lease runs
+// from when the round was sent, so it ends here before any member's grant does.
+func (n *node) leaseGranted(r *pollRound, d *duty, epochs []uint64) {
+	need := n.core.majority()
+	switch {
+	case d.phase == dutyGoing:
+	case d.phase == dutyHeld && n.now >= d.untilMs-leaseSlack:
+		// Others may have held it since: it is taken anew, under a new epoch.
+		n.dropDuty(d, "lease_ended")
+	case len(epochs) >= need:
+		d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
+		if d.phase == dutyWanted {
+			d.phase, d.takenMs, d.seen = dutyCas, n.now, epochs[need-1]
+			n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
+		}
+	case d.phase == dutyWanted && len(r.acks) == len(n.core.Members):
+		n.letGo(d)
+	}
+}
+
 // grantedAt gives the newest epochs known to those members that granted the
 // round's lease number i, highest first. The epoch at the place of the majority
 // is what a change of the duty's register may build on: a majority of those who
--- a/accord/lease_test.go
+++ b/accord/lease_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -179,3 +180,114 @@
 	}
 	return count
 }
+
+// A daemon that raises its incarnation looks to the core as if its former life
+// were over, though it is the same process: it lets go of its leases first.
+func TestLeaseEndsWithItsIncarnation(t *testing.T) {
+	w := served(t, 7300)
+	first, second := w.nodes["d05"], w.nodes["d06"]
+	const name = "slice/spare"
+	first.sh.n.want(name)
+	must.True(t, w.until(2000, func() bool { return first.sh.n.holds(name) }))
+	said := first.sh.n.self()
+	said.Inc++
+	for _, other := range sorted(w.nodes) { // a daemon that is back tells of a life with a later clock
+		if other != "d05" {
+			w.nodes[other].sh.n.learnSibling(said)
+		}
+	}
+	first.event(evMsg{Head: wireHead{From: "d07", Cluster: first.sh.n.core.Cluster}, Msg: &gossipMsg{Self: w.nodes["d07"].sh.n.self(), Table: []sibling{said}}})
+	must.Greater(t, said.Inc, first.sh.n.Inc)
+	w.cutHost("d05")
+	second.sh.n.want(name)
+	w.heldOnce(t, 3000, name)
+	must.True(t, w.until(1000, func() bool { return second.sh.n.holds(name) }))
+}
+
+// A grant that was asked for before a duty was let go says nothing of the duty
+// when it is wanted again.
+func TestLeaseAskedForBeforeItWasReleased(t *testing.T) {
+	w := served(t, 7301)
+	n := w.nodes["d05"].sh.n
+	const name = "slice/spare"
+	n.want(name)
+	must.True(t, w.until(2000, func() bool { return n.holds(name) }))
+	n.poll.nextMs = 0
+	n.tickPoll()
+	asked := n.poll.sent[n.poll.seq]
+	i := slices.IndexFunc(asked.holds, func(h dutyAsk) bool { return h.Name == name })
+	n.dropDuty(n.duties[name], "released")
+	n.want(name)
+	for _, m := range memberNames(n.core) {
+		a := &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(asked.holds)), Epochs: make([]uint64, len(asked.holds))}
+		a.Granted[i] = true
+		n.onPollAck(m, a)
+	}
+	must.Eq(t, dutyWanted, n.duties[name].phase)
+}
+
+// A lease that has run out is not brought back by a late grant, even before the
+// tick that drops it: others may have held the duty in between.
+func TestLeaseThatRanOutIsNotRenewed(t *testing.T) {
+	w := served(t, 7302)
+	n := w.nodes["d05"].sh.n
+	const name = "slice/spare"
+	n.want(name)
+	must.True(t, w.until(2000, func() bool { return n.holds(name) }))
+	epoch := n.duties[name].epoch
+	n.now += 850
+	n.poll.nextMs = 0
+	n.tickPoll()
+	asked := n.poll.sent[n.poll.seq]
+	n.now += 150
+	for _, m := range memberNames(n.core) {
+		a := &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(asked.holds)), Epochs: make([]uint64, len(asked.holds))}
+		for i := range a.Granted {
+			a.Granted[i] = true
+		}
+		n.onPollAck(m, a)
+	}
+	must.False(t, n.holds(name))
+	must.True(t, n.duties[name] == nil || n.duties[name].epoch != epoch)
+}
+
+// A member takes no release and renews no lease from a poll that a later one of
+// the same life has overtaken, and renews none under an epoch that has passed.
+func TestLeasePollsOutOfOrder(t *testing.T) {
+	n, say := coreMemberOf(t)
+	poll := func(from string, seq, epoch uint64, released bool) *pollAck {
+		m := &pollMsg{Inc: 1, Seq: seq, CoreVer: n.core.Version, Holds: []dutyAsk{{Name: "slice/some", Epoch: epoch}}}
+		if released {
+			m.Holds, m.Releases = nil, []release{{Name: "slice/some", Successor: "x09"}}
+		}
+		a, _ := say(from, m).(*pollAck)
+		return a
+	}
+	must.True(t, poll("x08", 5, 0, false).Granted[0])
+	must.Nil(t, poll("x08", 4, 0, true)) // held up on its way: the duty was taken anew since
+	must.False(t, poll("x09", 1, 0, false).Granted[0])
+	must.True(t, poll("x08", 6, 4, false).Granted[0])
+	n.store.reg("duty/slice/some").value = pack(nil, dutyView{Name: "slice/some", Holder: "x09", Inc: 1, Epoch: 5})
+	must.False(t, poll("x08", 7, 4, false).Granted[0])
+}
+
+// A member that starts anew keeps to the core set on its disk, though a daemon
+// that missed the last change speaks to it first.
+func TestRestartedMemberKeepsItsCoreSet(t *testing.T) {
+	w := served(t, 7303)
+	member := w.nodes["d01"]
+	older := member.sh.n.core
+	next := older
+	next.Version++
+	tell := func(c coreSet) evMsg {
+		return evMsg{Head: wireHead{From: "d09", Cluster: older.Cluster}, Msg: &gossipMsg{Self: sibling{Name: "d09", Inc: 1, Beat: 1}, Core: c}}
+	}
+	member.event(tell(next))
+	w.run(50)
+	member.kill(false)
+	n := newNode(member.place, member.disk.load())
+	reduce(n, event{NowMs: 1000, WallMs: wallStart, Body: tell(older)})
+	must.NotEq(t, older.Version, n.core.Version)
+	reduce(n, event{NowMs: 1010, WallMs: wallStart, Body: evTick{}})
+	must.Eq(t, next.Version, n.core.Version)
+}
