--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -13,6 +13,7 @@
 type place struct {
 	Name          string
 	Inc           uint64
+	Life          uint64 // drawn at random by each process: unlike Inc it comes from no clock and never changes
 	Addr          string
 	HTTP          string
 	Site          string
@@ -57,6 +58,7 @@
 		Key        string
 		Host, Path string // where the call came in with the address of a queue
 		Expect     int64  // the version a setup builds on; -1 for one less than its own
+		Digest     []byte // SHA-256 of an operator's order, where it isn't that of the body
 		Body       []byte
 		// Ready is the setup in Body, where a traffic thread compiled it already.
 		Ready *compiled
@@ -68,9 +70,12 @@
 		Stop    bool
 		Outcome string // see orderOutcomes
 	}
+	// evDisk tells what became of the disk: it failed, it works again with
+	// all that was held up written, or it lost entries that were synced.
 	evDisk struct {
-		Failed string
-		SyncMs int64
+		Failed    string
+		Recovered bool
+		Lost      bool
 	}
 	evStop struct{}
 	// evSeeds brings other addresses to find the fleet by.
@@ -146,6 +151,7 @@
 	joining   *joining
 	ops       map[uint64]*casOp
 	opSeq     uint64
+	lastRound uint64 // of the last ballot that this life proposed under
 
 	poll   pollState
 	duties map[string]*duty
@@ -298,15 +304,6 @@
 	}
 }
 
-func (n *node) onDisk(e evDisk) {
-	n.syncMs = e.SyncMs
-	if e.Failed != "" && n.diskFailed == "" {
-		// A core member whose disk fails stops counting itself.
-		n.diskFailed = e.Failed
-		n.log("disk_failed", "reason", e.Failed)
-	}
-}
-
 func (n *node) emit(e effect)               { n.out = append(n.out, e) }
 func (n *node) count(name string)           { n.counts[name]++ }
 func (n *node) log(event string, kv ...any) { n.emit(effLog{Event: event, Pairs: kv}) }
