A copy begins again where its source has restarted

Cause: a new member copies finished jobs by chunk numbers of the member it copies from. These numbers begin at 1 in each life of a daemon, so after old chunks were dropped and the source restarted, a cursor from before pointed past its end: the copy counted as whole, and the rest was left out. What the other survivor lacked was then held by one member only, and a finished job could be answered as unknown.

Found by review of all ways in which a finished state may go. Change: a cursor names the life of its source; one of another life begins at the start. Parts that come twice change nothing, the newest record wins.

Test: TestCopyOutlivesARestart.

--- a/accord/core.go
+++ b/accord/core.go
@@ -224,10 +224,12 @@
 }
 
 // copyCursor is a place in a store's dump: nothing yet, a slice's live records
-// (Chunk 0), or its finished ones from a chunk on.
+// (Chunk 0), or its finished ones from a chunk on. Chunks are numbered anew in
+// each life of a daemon, so a cursor says nothing in another than its own.
 type copyCursor struct {
 	Slice string
 	Chunk uint64
+	Life  uint64
 }
 
 // part gives some entries of the dump, and where to go on; an empty cursor at
@@ -265,14 +267,14 @@
 		for _, id := range sorted(x.live) {
 			out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
 		}
-		return out, copyCursor{c.Slice, x.past.first}
+		return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
 	}
 	chunks, from := x.past.since(c.Chunk, most)
 	for _, ch := range chunks {
 		out = append(out, logEntry{Kind: entryChunk, Name: c.Slice, Value: ch.frames})
 	}
 	if from != 0 {
-		return out, copyCursor{c.Slice, from}
+		return out, copyCursor{Slice: c.Slice, Chunk: from}
 	}
 	for _, id := range sorted(x.unsure) {
 		out = append(out, logEntry{Kind: entryUnsure, Name: c.Slice, Rec: record{ID: id}})
--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -116,3 +116,47 @@
 		})
 	}
 }
+
+// A member that restarts while a new one copies it numbers its chunks anew: the
+// copy begins again there, so that it leaves nothing out.
+func TestCopyOutlivesARestart(t *testing.T) {
+	w := formed(t, 6, "ikenna")
+	const many, gone = 20_000, 8000
+	source := w.nodes["d00"]
+	for i := range many {
+		source.disk.entries = append(source.disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i)*1000)))
+	}
+	keepFrom := int64(wallStart + gone*1000)
+	source.disk.entries = append(source.disk.entries, pack(nil, logEntry{Kind: entryDrop, Name: "mid", Epoch: uint64(keepFrom)}))
+	source.kill(false)
+	source.start()
+	past := source.sh.n.store.slice("mid").past
+	must.Greater(t, 3, past.first)
+	kept := len(past.index)
+	must.Greater(t, many-gone-1, kept)
+
+	joiner := w.nodes["d02"]
+	must.True(t, w.until(10_000, func() bool { return w.coreWhole() != nil }))
+	joiner.kill(true)
+	joiner.wipe()
+	joiner.start()
+	asked := func() uint64 {
+		if j := joiner.sh.n.joining; j != nil && j.at["d00"].Slice == "mid" {
+			return j.at["d00"].Chunk
+		}
+		return 0
+	}
+	for end := w.nowMs() + 20_000; asked() < past.first+3 && w.nowMs() < end; {
+		w.step()
+	}
+	must.Greater(t, past.first, asked())
+	source.disk.entries, source.disk.synced = nil, 0 // as after a snapshot
+	for _, e := range source.sh.n.store.dump() {
+		source.disk.entries = append(source.disk.entries, pack(nil, e))
+	}
+	source.kill(false)
+	source.start()
+	must.Less(t, past.first, source.sh.n.store.slice("mid").past.first)
+	must.True(t, w.until(30_000, func() bool { return w.coreWhole() != nil }))
+	must.Eq(t, kept, len(joiner.sh.n.store.slice("mid").past.index))
+}
--- a/accord/membership.go
+++ b/accord/membership.go
@@ -151,10 +151,18 @@
 }
 
 func (n *node) onCopy(from string, m *copyMsg) {
-	if n.serves(m.CoreVer) {
-		part, next := n.store.part(m.At, chunkBytes)
-		n.keep(nil, n.sendEffect(from, &copiedMsg{Op: m.Op, At: m.At, Next: next, Entries: part}))
+	if !n.serves(m.CoreVer) {
+		return
+	}
+	at := m.At
+	if at.Life != n.Inc { // the copy begins, or begins again since this daemon has restarted
+		at = copyCursor{}
+	}
+	part, next := n.store.part(at, chunkBytes)
+	if next.Slice != "" {
+		next.Life = n.Inc
 	}
+	n.keep(nil, n.sendEffect(from, &copiedMsg{Op: m.Op, At: m.At, Next: next, Entries: part}))
 }
 
 // onCopied keeps one part of a survivor's copy, and asks for the next once it is
--- a/guards.sh
+++ b/guards.sh
@@ -30,6 +30,8 @@
 leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
 a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
 copied before joining|membership.go|if len(j.done) < n.core.majority() {|if false {
+a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
+a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
 copied from a majority|membership.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
 an acceptance belongs to its try|registers.go|o.phase != 2 \|\| m.Ballot != o.ballot|o.phase != 2
