Finished jobs go only by a time that a majority of the core tells

Cause: a core member that started cut off from all others heard one clock, its own, and took it for the fleet's time. With a clock that runs ahead by more than keep_hours it dropped all finished jobs within 10 s, and two such members would have lost them. Ruled out: a member whose readings of the others are from before the cut goes by their median as before.

Change: dropKept waits until the time of a majority of the core was heard; with one wrong reading of two the lower one counts.

Test: TestKeepingNeedsTheTimeOfAMajority. After: 100 of 100, also after the cut; all go once a week has passed on all clocks.

--- a/accord/core.go
+++ b/accord/core.go
@@ -496,17 +496,26 @@
 	return all[(len(all)-1)/2] + n.now
 }
 
+// dropKept lets go of finished records past their keeping. Where less than a
+// majority of the core has told its time here, one wrong clock might be all there is.
+func (n *node) dropKept() {
+	if len(n.poll.clocks) < n.core.majority() {
+		return
+	}
+	cutMs := n.poll.medianWall(n) - n.KeepMs
+	for _, name := range sorted(n.store.slices) {
+		if n.store.slices[name].past.stale(cutMs) {
+			n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
+		}
+	}
+}
+
 func (n *node) tickStore() {
 	if !n.inCore() || n.poll.medianWall(n) == 0 {
 		return
 	}
-	if n.now%10_000 < tickMs { // finished records past their keeping go
-		cutMs := n.poll.medianWall(n) - n.KeepMs
-		for _, name := range sorted(n.store.slices) {
-			if n.store.slices[name].past.stale(cutMs) {
-				n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
-			}
-		}
+	if n.now%10_000 < tickMs {
+		n.dropKept()
 	}
 	// Members take their snapshots at different lengths of the log, so that
 	// they don't all write one at the same time.
--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -160,3 +160,37 @@
 	must.True(t, w.until(30_000, func() bool { return w.coreWhole() != nil }))
 	must.Eq(t, kept, len(joiner.sh.n.store.slice("mid").past.index))
 }
+
+// Finished jobs go only by a time that a majority of the core tells: a member that
+// is cut off and whose clock runs a week ahead drops nothing.
+func TestKeepingNeedsTheTimeOfAMajority(t *testing.T) {
+	w := formed(t, 4, "ikenna")
+	w.run(3000)
+	member := w.nodes["d01"]
+	const week = 7 * 24 * msPerHour
+	for _, name := range []string{"d00", "d01"} {
+		for i := range 100 {
+			w.nodes[name].disk.entries = append(w.nodes[name].disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i))))
+		}
+		w.nodes[name].kill(false)
+	}
+	w.cutHost("d01")
+	member.skewMs = week
+	w.nodes["d00"].start()
+	member.start()
+	w.run(25_000)
+	must.Eq(t, 100, len(member.sh.n.store.slice("mid").past.index))
+	member.skewMs = 0
+	w.heal()
+	w.run(25_000)
+	for _, name := range []string{"d00", "d01"} {
+		must.Eq(t, 100, len(w.nodes[name].sh.n.store.slice("mid").past.index), must.Sprint(name))
+	}
+	for _, name := range sorted(w.nodes) { // once a week has passed they go
+		w.nodes[name].skewMs = week
+	}
+	w.run(30_000)
+	for _, name := range []string{"d00", "d01"} {
+		must.Zero(t, len(w.nodes[name].sh.n.store.slice("mid").past.index), must.Sprint(name))
+	}
+}
