--- a/accord/core.go
+++ b/accord/core.go
@@ -228,10 +228,12 @@
 }
 
 // copyCursor is a place in a store's dump: nothing yet, a slice's live records
-// (Chunk 0), or its finished ones from a chunk on.
+// (Chunk 0), or its finished ones from a chunk on. Chunks are numbered anew in
+// each life of a daemon, so a cursor says nothing in another than its own.
 type copyCursor struct {
 	Slice string
 	Chunk uint64
+	Life  uint64
 }
 
 // part gives some entries of the dump, and where to go on; an empty cursor at
@@ -269,14 +271,14 @@
 		for _, id := range sorted(x.live) {
 			out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
 		}
-		return out, copyCursor{c.Slice, x.past.first}
+		return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
 	}
 	chunks, from := x.past.since(c.Chunk, most)
 	for _, ch := range chunks {
 		out = append(out, logEntry{Kind: entryChunk, Name: c.Slice, Value: ch.frames})
 	}
 	if from != 0 {
-		return out, copyCursor{c.Slice, from}
+		return out, copyCursor{Slice: c.Slice, Chunk: from}
 	}
 	for _, id := range sorted(x.unsure) {
 		out = append(out, logEntry{Kind: entryUnsure, Name: c.Slice, Rec: record{ID: id}})
@@ -506,17 +508,26 @@
 	return all[(len(all)-1)/2] + n.now
 }
 
+// dropKept lets go of finished records past their keeping. Where less than a
+// majority of the core has told its time here, one wrong clock might be all there is.
+func (n *node) dropKept() {
+	if len(n.poll.clocks) < n.core.majority() {
+		return
+	}
+	cutMs := n.poll.medianWall(n) - n.KeepMs
+	for _, name := range sorted(n.store.slices) {
+		if n.store.slices[name].past.stale(cutMs) {
+			n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
+		}
+	}
+}
+
 func (n *node) tickStore() {
 	if !n.inCore() || n.poll.medianWall(n) == 0 {
 		return
 	}
-	if n.now%10_000 < tickMs { // finished records past their keeping go
-		cutMs := n.poll.medianWall(n) - n.KeepMs
-		for _, name := range sorted(n.store.slices) {
-			if n.store.slices[name].past.stale(cutMs) {
-				n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
-			}
-		}
+	if n.now%10_000 < tickMs {
+		n.dropKept()
 	}
 	// Members take their snapshots at different lengths of the log, so that
 	// they don't all write one at the same time.
