A former member that lived through its removal starts over, too

Cause: a member that was removed from the set while it ran (its disk failed, it was frozen or slow) kept the set without itself on its disk, so that it no longer knew of having been a member: it joined again on top of its old acceptances, where one that was down meanwhile begins as a new, empty disk.

Change: a disk does not keep a set that it was taken out of.

--- a/accord/core.go
+++ b/accord/core.go
@@ -280,8 +280,10 @@
 	return out, after(c.Slice)
 }
 
+// learnSet keeps a newer set on this disk, but not one that lacks it: a former
+// member must know after a restart, too, that it was one.
 func (s *store) learnSet(n *node, c coreSet) {
-	if c.Version > s.set.Version {
+	if c.Version > s.set.Version && (c.has(n.Name, n.DiskID) || !s.set.has(n.Name, n.DiskID)) {
 		n.keep([]logEntry{{Kind: entrySet, Value: pack(nil, c)}})
 	}
 }
