A seat goes to a spare before its member leaves; the surest loss first

Cause: the first member found missing lost its seat, in the order of names, and a newcomer took the seat of any member that missed its polls for 1.6 s: that of one whose disk was full, while the member that the newcomer was brought for then left without a successor. A leaving member went after 0.3 s, seat or no seat, so that the next loss left one of three.

Change: a seat has a state (its disk fails, silent, leaving, wiped), and the surest loss goes first. The seat of a member that answers but leaves is handed over by copy, add, copy, remove, and the member stays until it is out (3 s at most; before that it takes the newcomer out again). A seat whose member doesn't answer goes by remove, copy, add, as before, but first the spare shows by a whole copy that it can take it. A failing disk keeps its seat for 10 s; silence counts only if beats and answers both miss. Why no step takes away a loss that could be borne stands in membership.go. A change of a register begins anew when the set changes, since acceptances under two sets don't add up; a member's silence counts from when it joined.

Ruled out: swapping two members in one change (majorities of the two sets need not meet); removing a leaving member first (one loss away from no majority meanwhile); keeping a fourth member for good (a zone then holds half of the set).

--- a/accord/duties.go
+++ b/accord/duties.go
@@ -129,11 +129,15 @@
 	}
 }
 
-func (n *node) onPollAck(from string, m *pollAck) {
-	if n.poll.heardMs == nil {
-		n.poll.heardMs = map[string]int64{}
+func (p *pollState) heard(member string, nowMs int64) {
+	if p.heardMs == nil {
+		p.heardMs = map[string]int64{}
 	}
-	n.poll.heardMs[from] = n.now
+	p.heardMs[member] = nowMs
+}
+
+func (n *node) onPollAck(from string, m *pollAck) {
+	n.poll.heard(from, n.now)
 	r := n.poll.sent[m.Seq]
 	if r == nil || m.CoreVer != n.core.Version || r.acks[from] != nil || len(m.Granted) != len(r.holds) || len(m.Epochs) != len(r.holds) {
 		return
@@ -389,6 +393,9 @@
 	}
 	n.leaving = n.now
 	n.log("stopping", "duties", len(n.duties))
+	if n.inCore() {
+		n.tellSpares()
+	}
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
 		site := strings.TrimPrefix(name, "slice/")
@@ -406,7 +413,10 @@
 }
 
 func (n *node) tickLeaving() {
-	if n.leaving != 0 && (len(n.duties) == 0 && n.now-n.leaving > 300 || n.now-n.leaving > stopMs) {
+	if n.leaving == 0 || n.seatAwaited() {
+		return
+	}
+	if len(n.duties) == 0 && n.now-n.leaving > 300 || n.now-n.leaving > stopMs {
 		n.emit(effExit{})
 	}
 }
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -34,7 +34,9 @@
 	takeStepMs    = 700            // each lower-ranked candidate waits this much longer for a free duty
 	homeMs        = 8000           // a slice owner outside its site goes home when the site stood this long
 	replaceMs     = 10000          // a core member gone this long may be replaced by a spare disk
-	stopMs        = 2000           // a graceful stop ends in this time whatever happens
+	stopMs        = 2000           // a graceful stop ends in this time whatever happens, but for a core member's
+	seatMs        = 3000           // a core member that stops waits this long for a spare to take its seat
+	seatUndoMs    = 600            // before that it takes a spare out again that has not finished
 	wantAgentMs   = 3000           // a candidate keeps trying for a worker's agent this long after a report
 	agentIdleMs   = 600_000        // an agent whose worker is silent and owes nothing lets go
 	tombMs        = 6000           // dropped attempts are remembered longer than any placement stays fresh
--- a/accord/membership.go
+++ b/accord/membership.go
@@ -6,22 +6,55 @@
 	"strconv"
 )
 
-// joining is a spare disk's way into the core: the missing member leaves the
-// set, all is copied from a majority of those left, then the set takes the new
-// one in. A set is full or lacks one member, never more.
+// Membership of the core changes by one member at a time, each change a compare
+// and swap of the register "core" at a majority of the set it replaces. So
+// consecutive sets share a member in any two of their majorities, and a member
+// answers only requests made under the set it knows (see serves): two sets that
+// both reach a majority are the same or neighbours. Let the full set have k=2f+1
+// members. A seat is refilled in one of two ways.
 //
-// Why a majority of those left is enough. The full set has k=2f+1 members. What
-// was acknowledged under it is held by f+1 of them, so by f of the 2f left,
-// whoever left; a majority of those is f+1, and f+(f+1) is above 2f: the copy
-// meets every such write. With the copy it is at f+1 of 2f+1 again. What is
-// acknowledged while the set lacks one is held by f+1 of the 2f, which with or
-// without the copy is a majority of the full set after it. So all that was
-// acknowledged is at a majority before the next member may leave. For k=3 both
-// that are left are copied. This holds as long as the acknowledgements that
-// make a majority come from members under one set: see coreMoved.
+// The seat's member doesn't answer (it is gone, wiped, or its disk failed):
+// remove, copy, add. What was acknowledged under the full set is held by f+1 of
+// its members, so by f of the 2f left, whoever left; a majority of those is f+1,
+// and f+(f+1) > 2f: a copy of a majority of those left meets every such write.
+// With the copy it is at f+1 of 2f+1 again. What is acknowledged while the set
+// lacks one is held by f+1 of the 2f, which with or without the copy is a
+// majority of the full set after it. The set of 2f bears f-1 losses, as many as
+// the full one with one member gone: removing it takes no loss away that could be
+// borne. It does take away what the member still has, should it come back; so the
+// spare shows first, by a whole copy under the full set, that it can take the
+// seat (but for a wiped member, which has nothing). A spare that then stalls leaves
+// a majority of 2f, which needs none of it.
+//
+// The seat's member answers but leaves: copy, add, copy, remove. The set of 2f+2
+// has majorities of f+2, so it bears f losses like the full one, at any moment,
+// the spare's or the leaving member's among them. What was acknowledged under the
+// full set is at f+1 of its 2f+1 members, and every f+2 of the 2f+2 include f+1 of
+// those: nothing hangs on the spare yet. Before the removal the spare copies once
+// more, under the larger set, from f+1 other members: each answers under it only
+// after its last acknowledgement under the full set, and f+1 of 2f+1 meet each of
+// those. So all that was acknowledged under the full set is at f others, at the
+// least, and the spare; and what is acknowledged under the larger set is at f+2 of
+// it, f+1 without the leaving member: a majority after the removal either way.
+// If nobody leaves after all, or the newest member fails, that one is removed
+// again, which needs no copy: f+2 less one is f+1 of the rest, and what was
+// acknowledged under the full set stood there without it. The leaving member stays
+// until it is out, and if that takes too long it removes the newest one before it
+// ends; so a set never stays larger than full with a member gone. What isn't
+// borne: while the set is 2f+2 (some 0.3 s) f+1 losses, as the end of the leaving
+// member by itself together with f others; and a zone that holds both the leaving
+// member and the spare, for f=1, stops the core until it is back, losing nothing.
+//
+// Leases are in memory only, so a new member grants none before one lease has
+// passed: since it joined, and, where it joined a larger set, since that set
+// became full. Until then every majority includes one who knew of the lease. For
+// what belongs to one set and what to the next see coreMoved.
+
+// joining is what a spare knows of its own way into the core, and the newest
+// member of a set larger than full of what it has still to do.
 type joining struct {
 	ver    int64                 // of the core set that is copied: another set's copies say nothing
-	goneMs int64                 // since when a member is missing
+	goneMs map[string]int64      // member -> since when its seat can be had
 	at     map[string]copyCursor // member -> the part of its copy that is awaited
 	done   map[string]bool       // members whose copy is whole and synced
 	op     uint64
@@ -29,8 +62,96 @@
 	casAt  int64
 }
 
+// seatState is how surely a member is gone, the surest last.
+type seatState int8
+
+const (
+	seatKept    seatState = iota
+	seatFailed            // its disk takes no writes, and may again
+	seatSilent            // neither its beats nor its answers to polls come
+	seatLeaving           // it was asked to stop
+	seatWiped             // it has another disk now
+)
+
+// seatOf gives the state of a member's seat as it looks from here.
+func (n *node) seatOf(m coreMember) seatState {
+	s := n.siblings[m.Name]
+	switch {
+	case m.Name == n.Name && m.DiskID != n.DiskID:
+		return seatWiped
+	case m.Name == n.Name && n.leaving != 0:
+		return seatLeaving
+	case m.Name == n.Name:
+		return seatKept
+	case s == nil:
+		return seatSilent
+	case n.live(m.Name) && s.DiskID != m.DiskID:
+		return seatWiped
+	case s.Leaving && !n.goneLong(m.Name):
+		return seatLeaving
+	case !n.live(m.Name) || n.quiet(m.Name) && n.now-s.heardMs > quietMs:
+		return seatSilent
+	case !s.Disk:
+		return seatFailed
+	}
+	return seatKept
+}
+
+// goneLong tells whether a daemon was silent for so long that what it last said
+// of itself counts for nothing.
+func (n *node) goneLong(name string) bool {
+	s := n.siblings[name]
+	return s == nil || n.now-s.heardMs > replaceMs
+}
+
+// quiet tells whether a member answers none of this daemon's polls, though a
+// majority does.
+func (n *node) quiet(name string) bool {
+	return n.poll.firstMs != 0 && n.now-n.poll.okMs < 2*pollAsideMs && n.now-max(n.poll.heardMs[name], n.poll.firstMs) > quietMs
+}
+
+// seatWaitMs is how long a seat stands in its state before a spare goes for it.
+func (n *node) seatWaitMs(state seatState) int64 {
+	switch {
+	case state == seatWiped:
+		return 2 * gossipMs
+	case state == seatLeaving, state == seatSilent && n.newcomer:
+		return 0
+	}
+	return replaceMs
+}
+
+// vacantSeat gives the place in the core set of the seat that is most surely
+// free, or -1, and the state of that seat. A wiped disk goes for its own.
+func (n *node) vacantSeat(j *joining) (at int, state seatState) {
+	at = -1
+	mine := slices.Contains(memberNames(n.core), n.Name)
+	for i, m := range n.core.Members {
+		now := n.seatOf(m)
+		if now == seatKept || mine && m.Name != n.Name {
+			delete(j.goneMs, m.Name)
+			continue
+		}
+		if _, known := j.goneMs[m.Name]; !known {
+			j.goneMs[m.Name] = n.now
+		}
+		if now > state && n.now-j.goneMs[m.Name] >= n.seatWaitMs(now)+n.spareRank(m.Name)*spareStepMs {
+			at, state = i, now
+		}
+	}
+	return at, state
+}
+
 func (n *node) tickJoining() {
-	if n.store == nil || n.diskFailed != "" || n.core.Cluster == 0 || n.inCore() {
+	if n.store == nil || n.diskFailed != "" || n.core.Cluster == 0 {
+		n.joining = nil
+		return
+	}
+	if n.inCore() {
+		n.tickLargerSet()
+		return
+	}
+	if n.leaving != 0 {
 		n.joining = nil
 		return
 	}
@@ -40,76 +161,159 @@
 		n.startOver()
 		return
 	}
-	missing, wiped := -1, false
-	for i, m := range n.core.Members {
-		s := n.siblings[m.Name]
-		if m.Name == n.Name || s != nil && s.DiskID != m.DiskID && n.live(m.Name) {
-			missing, wiped = i, true
-		} else if (!n.live(m.Name) || n.quietMember(m.Name)) && missing < 0 {
-			missing = i
+	if n.joining == nil || n.joining.ver != n.core.Version {
+		n.joining = &joining{ver: n.core.Version, goneMs: map[string]int64{"": n.now}, at: map[string]copyCursor{}, done: map[string]bool{}}
+	}
+	j := n.joining
+	switch goal := n.coreGoal(); {
+	case len(n.core.Members) < goal:
+		if n.now-j.goneMs[""] >= n.joinWaitMs() && n.copied(j, n.core.majority()) {
+			n.proposeSet(j, n.core.with(coreMember{n.Name, n.DiskID}))
 		}
+	case len(n.core.Members) == goal:
+		n.takeSeat(j)
+	}
+}
+
+// joinWaitMs is how long this spare leaves a free seat to those before it. One
+// whose own former seat is still to be removed comes last.
+func (n *node) joinWaitMs() int64 {
+	if slices.Contains(memberNames(n.core), n.Name) {
+		return int64(len(n.spares())) * spareStepMs
 	}
-	full := len(n.core.Members) >= n.coreGoal()
-	if missing < 0 && full {
+	return n.spareRank("") * spareStepMs
+}
+
+// takeSeat goes for a seat of a full set.
+func (n *node) takeSeat(j *joining) {
+	at, state := n.vacantSeat(j)
+	if at < 0 || state != seatWiped && !n.copied(j, n.core.majority()) {
+		return
+	}
+	if state == seatLeaving && !n.quiet(n.core.Members[at].Name) {
+		n.proposeSet(j, n.core.with(coreMember{n.Name, n.DiskID}))
+		return
+	}
+	n.proposeSet(j, n.core.without(at))
+}
+
+// tickLargerSet brings a set that is larger than full back to that.
+func (n *node) tickLargerSet() {
+	newest := len(n.core.Members) - 1
+	if newest < n.coreGoal() {
 		n.joining = nil
 		return
 	}
 	if n.joining == nil || n.joining.ver != n.core.Version {
-		n.joining = &joining{ver: n.core.Version, goneMs: n.now, at: map[string]copyCursor{}, done: map[string]bool{}}
+		n.joining = &joining{ver: n.core.Version, goneMs: map[string]int64{}, at: map[string]copyCursor{}, done: map[string]bool{}}
 	}
 	j := n.joining
-	if full {
-		wait := int64(replaceMs)
-		if wiped {
-			wait = 2 * gossipMs
-		} else if n.quietMember(n.core.Members[missing].Name) {
-			wait = 0 // this machine was brought in its place
-		}
-		if n.now-j.goneMs < wait+n.spareRank(n.core.Members[missing].Name)*spareStepMs || n.now < j.casAt {
-			return
+	if n.core.Members[newest].Name != n.Name {
+		late := n.leaving != 0 && n.now-n.leaving > seatMs-seatUndoMs
+		if late || n.quiet(n.core.Members[newest].Name) {
+			n.proposeSet(j, n.core.without(newest))
 		}
-		next := n.core
-		next.Members = slices.Delete(slices.Clone(next.Members), missing, missing+1)
-		next.Version++
-		j.casAt = n.now + casMs
-		n.startCas("core", "core", pack(nil, next), n.core.Version)
-		return
-	}
-	if n.now-j.goneMs < n.spareRank("")*spareStepMs {
 		return
 	}
-	if len(j.done) < n.core.majority() {
-		if j.op == 0 {
-			n.opSeq++
-			j.op = n.opSeq
+	at, state := newest, seatKept
+	for i, m := range n.core.Members[:newest] {
+		if now := n.seatOf(m); now > state {
+			at, state = i, now
 		}
-		if n.now-j.sentMs > copyAgainMs {
-			j.sentMs = n.now
-			for _, m := range n.core.Members {
-				if !j.done[m.Name] {
-					n.send(m.Name, &copyMsg{CoreVer: n.core.Version, Op: j.op, At: j.at[m.Name]})
-				}
+	}
+	if at == newest || n.copied(j, n.core.majority()-1) {
+		n.proposeSet(j, n.core.without(at))
+	}
+}
+
+// copied tells whether the copies of so many members are whole and synced, and
+// asks for them.
+func (n *node) copied(j *joining, need int) bool {
+	if len(j.done) >= need {
+		return true
+	}
+	if j.op == 0 {
+		n.opSeq++
+		j.op = n.opSeq
+	}
+	if j.sentMs == 0 || n.now-j.sentMs > copyAgainMs {
+		j.sentMs = n.now
+		for _, m := range n.core.Members {
+			if m.Name != n.Name && !j.done[m.Name] {
+				n.send(m.Name, &copyMsg{CoreVer: n.core.Version, Op: j.op, At: j.at[m.Name]})
 			}
 		}
-		return
 	}
+	return false
+}
+
+// proposeSet tries to put another set in the place of the one that is known.
+func (n *node) proposeSet(j *joining, next coreSet) {
 	if n.now < j.casAt {
 		return
 	}
-	next := n.core
-	next.Members = append(slices.Clone(next.Members), coreMember{n.Name, n.DiskID})
-	next.Version++
 	j.casAt = n.now + casMs
 	n.startCas("core", "core", pack(nil, next), n.core.Version)
 }
 
-// quietMember tells whether a member answers none of this daemon's polls while a
-// majority does, and this disk is empty though the fleet is not new: then it was
-// most likely brought in that member's place, and need not wait as long as a
-// disk that stood by before. If the member is back after all it becomes a spare.
-func (n *node) quietMember(name string) bool {
-	return !n.FirstStart && n.store.set.Version == 0 && n.poll.firstMs != 0 && n.now-n.poll.okMs < 2*pollAsideMs &&
-		n.now-max(n.poll.heardMs[name], n.poll.firstMs) > quietMs
+// with gives the next set with one more member, which is its newest from then on.
+func (c coreSet) with(m coreMember) coreSet {
+	c.Members = append(slices.Clone(c.Members), m)
+	c.Version++
+	return c
+}
+
+// without gives the next set without one of its members.
+func (c coreSet) without(at int) coreSet {
+	c.Members = slices.Delete(slices.Clone(c.Members), at, at+1)
+	c.Version++
+	return c
+}
+
+// seatAwaited tells whether a member that stops is to wait until its seat is
+// taken: a spare can have it, or is about to.
+func (n *node) seatAwaited() bool {
+	if !n.inCore() || n.now-n.leaving > seatMs {
+		return false
+	}
+	if len(n.core.Members) > n.coreGoal() {
+		return true
+	}
+	return len(n.core.Members) == n.coreGoal() && len(n.spares()) > 0
+}
+
+// tellSpares lets the spares know at once that this member leaves.
+func (n *node) tellSpares() {
+	n.beat++
+	for _, s := range n.spares() {
+		n.send(s.Name, n.coreWord())
+	}
+}
+
+// spares gives the disks outside the core whose daemons were heard of lately: a
+// member that was just removed because it is gone is none.
+func (n *node) spares() (out []sibling) {
+	for _, name := range n.liveNames() {
+		s := n.self()
+		if name != n.Name {
+			if n.now-n.siblings[name].heardMs > quietMs {
+				continue
+			}
+			s = n.siblings[name].sibling
+		}
+		if s.Disk && !s.Leaving && !n.core.has(s.Name, s.DiskID) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// restartOps begins changes of registers anew under another set: what members
+// of the former one answered counts for nothing.
+func (n *node) restartOps() {
+	for _, o := range n.ops {
+		o.phase, o.retryMs = 3, n.now
+	}
 }
 
 // spareRank orders the live disks outside the core: the first goes at once, the
@@ -122,16 +326,7 @@
 			members[n.siteOf(m.Name)]++
 		}
 	}
-	var spares []sibling
-	for _, name := range n.liveNames() {
-		s := n.self()
-		if name != n.Name {
-			s = n.siblings[name].sibling
-		}
-		if s.Disk && !s.Leaving && !n.core.has(s.Name, s.DiskID) {
-			spares = append(spares, s)
-		}
-	}
+	spares := n.spares()
 	key := "core" + strconv.FormatInt(n.core.Version, 10)
 	slices.SortFunc(spares, func(a, b sibling) int {
 		return cmp.Or(boolRank(a.Name != missing, b.Name != missing), cmp.Compare(members[a.Site], members[b.Site]),
@@ -167,6 +362,7 @@
 	if from == n.Name { // our own word that a member's last part is synced
 		j.done[m.Whole] = true
 		n.log("core_copied", "from", m.Whole)
+		n.tickJoining() // the next step waits for no tick
 		return
 	}
 	if j.at[from] != m.At || j.done[from] {
@@ -180,9 +376,10 @@
 	n.keep(m.Entries, n.sendEffect(n.Name, &copiedMsg{Op: m.Op, Whole: from}))
 }
 
-// startOver makes this daemon's disk a new, empty one.
+// startOver makes this daemon's disk a new, empty one. Where its seat was taken,
+// the fleet has a machine more than before, which was brought for some member's.
 func (n *node) startOver() {
-	n.DiskID, n.store, n.joining, n.forming = n.rand().Uint64()|1, newStore(), nil, nil
+	n.DiskID, n.store, n.joining, n.forming, n.newcomer = n.rand().Uint64()|1, newStore(), nil, nil, true
 	n.emit(effWipe{DiskID: n.DiskID})
 	n.log("disk_restarted", "disk", n.DiskID)
 }
--- /dev/null
+++ b/accord/membership_test.go
@@ -0,0 +1,399 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// seatWorld is a world whose core members come and go, with an operator and a
+// caller who remember what was acknowledged.
+type seatWorld struct {
+	*world
+	t       *testing.T
+	size    int
+	seed    uint64
+	version int64 // of the newest configuration acknowledged
+	jobs    []string
+	away    map[string]bool // machines that never come back
+}
+
+// losses is how many members may be lost at once.
+func (s *seatWorld) losses() int { return (s.size - 1) / 2 }
+
+// newSeatWorld gives a served core of size members, all disks in use, and
+// daemons without a disk that newcomers are made of.
+func newSeatWorld(t *testing.T, seed uint64, size int) *seatWorld {
+	t.Helper()
+	s := &seatWorld{world: coreWorld(seed, size, []string{"east", "west", "mid", "east", "west"}[:size], 5), t: t, size: size, seed: seed, away: map[string]bool{}}
+	must.True(t, s.until(20_000, s.allServed), s.why())
+	for _, n := range s.nodes {
+		n.place.FirstStart = false
+	}
+	s.run(1500)
+	s.acknowledge()
+	return s
+}
+
+func (s *seatWorld) why() must.Setting { return must.Sprint(s.size, s.seed, s.told()) }
+
+// asker is a daemon that stands through the whole run.
+func (s *seatWorld) asker() *simNode { return s.nodes[fmt.Sprintf("d%02d", s.size)] }
+
+// newcomer starts a machine with an empty disk at a new address.
+func (s *seatWorld) newcomer(i int) *simNode {
+	n := s.nodes[fmt.Sprintf("d%02d", s.size+1+i)]
+	n.kill(true)
+	n.place.Disk, n.place.Addr = true, fmt.Sprintf("10.7.0.%d:7000", i+1)
+	n.wipe()
+	n.start()
+	return n
+}
+
+// acknowledge has one more configuration and one more job taken.
+func (s *seatWorld) acknowledge() {
+	s.t.Helper()
+	next := s.version + 1
+	must.True(s.t, s.until(15_000, func() bool {
+		return s.settle(s.asker(), evAsk{Op: "setup.put", Key: fmt.Sprint(next), Expect: -1, Body: queueSetup("q", "")}, 3000).status == 200
+	}), s.why())
+	s.version = next
+	id := fmt.Sprint("job", len(s.jobs))
+	must.True(s.t, s.until(15_000, func() bool {
+		status := s.settle(s.asker(), evAsk{Op: "job.put", Key: id, Expect: -1, Body: []byte(`{"queue":"q","steps":[{"name":"s","tasks":[{"name":"t","room":1}]}]}`)}, 3000).status
+		return status == 200 || status == 201
+	}), s.why())
+	s.jobs = append(s.jobs, id)
+}
+
+// keepsAll demands that all that was acknowledged is there, soon.
+func (s *seatWorld) keepsAll() {
+	s.t.Helper()
+	must.True(s.t, s.until(12_000, func() bool {
+		r := s.settle(s.asker(), evAsk{Op: "setup.get"}, 2000)
+		return gjson.Get(r.body, "version").Int() == s.version
+	}), s.why())
+	for _, id := range s.jobs {
+		last := answered{}
+		must.True(s.t, s.until(12_000, func() bool {
+			last = s.settle(s.asker(), evAsk{Op: "job.get", Key: id, Expect: -1}, 2000)
+			return last.status == 200
+		}), must.Sprint(id, last), s.why())
+	}
+}
+
+// full tells whether the core has all its members, each up and with a disk that works.
+func (s *seatWorld) full() bool {
+	c := s.cluster()
+	if c == nil || len(c.Members) != s.size {
+		return false
+	}
+	for _, m := range c.Members {
+		if n := s.nodes[m.Name]; !n.up || !n.sh.n.inCore() {
+			return false
+		}
+	}
+	return true
+}
+
+// wipeSome takes the disks of so many members at once, and brings the machines
+// back empty.
+func (s *seatWorld) wipeSome(count int, but ...*simNode) {
+	var from []*simNode
+	for _, m := range s.newestSet().Members {
+		if n := s.nodes[m.Name]; n.up && n.sh.n.leaving == 0 && !slices.Contains(but, n) {
+			from = append(from, n)
+		}
+	}
+	s.rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	for _, n := range from[:min(count, len(from))] {
+		n.kill(true)
+		n.wipe()
+		n.disk.full, n.disk.stallUs = false, 0
+		s.after(500_000+s.rng.Int64N(1_500_000), n.start)
+	}
+}
+
+// newestSet gives the newest core set that any daemon knows.
+func (s *seatWorld) newestSet() (set coreSet) {
+	for _, name := range sorted(s.nodes) {
+		if n := s.nodes[name]; n.up && n.sh.n.core.Version > set.Version {
+			set = n.sh.n.core
+		}
+	}
+	return set
+}
+
+// member gives a member by its place in the set.
+func (s *seatWorld) member(i int) *simNode { return s.nodes[s.newestSet().Members[i].Name] }
+
+// gone takes a machine out for good.
+func (s *seatWorld) gone(n *simNode) {
+	s.away[n.Name] = true
+	if n.up {
+		n.kill(true)
+	}
+}
+
+// fillDisk fills a member's disk for a while, in which it is written to.
+func (s *seatWorld) fillDisk(n *simNode, ms int64) {
+	n.disk.full = true
+	s.after(ms*1000, func() { n.disk.full = false })
+}
+
+// catchUpMs is how long a new machine has until it counts.
+const catchUpMs = 4000
+
+// seatScenarios are runs in which members come and go, each followed by a loss of
+// as many disks as the core must bear, at a moment that the seed decides.
+var seatScenarios = map[string]func(s *seatWorld){
+	"disk full, planned replacement, then wiped": func(s *seatWorld) {
+		leaving := s.member(s.rng.IntN(s.size))
+		other := s.member(s.rng.IntN(s.size))
+		if other != leaving {
+			s.fillDisk(other, 300+s.rng.Int64N(2500))
+		}
+		s.acknowledge()
+		s.newcomer(0)
+		s.run(catchUpMs + 2500)
+		s.acknowledge()
+		leaving.event(evStop{})
+		must.True(s.t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		s.run(s.rng.Int64N(40))
+		s.wipeSome(s.losses())
+	},
+	"disk full for long, replaced, then wiped": func(s *seatWorld) {
+		other := s.member(s.rng.IntN(s.size))
+		s.fillDisk(other, 25_000)
+		s.acknowledge()
+		s.newcomer(0)
+		must.True(s.t, s.until(20_000, s.full), s.why())
+		s.acknowledge()
+		s.run(s.rng.Int64N(6000))
+		s.wipeSome(s.losses())
+	},
+	"killed for good, replaced, then wiped at once": func(s *seatWorld) {
+		lost := s.member(s.rng.IntN(s.size))
+		s.gone(lost)
+		s.run(s.rng.Int64N(4000))
+		s.acknowledge()
+		s.newcomer(0)
+		s.run(catchUpMs)
+		s.acknowledge()
+		s.wipeSome(s.losses())
+	},
+	"planned replacement, then wiped at once": func(s *seatWorld) {
+		leaving := s.member(s.rng.IntN(s.size))
+		s.newcomer(0)
+		s.run(catchUpMs)
+		leaving.event(evStop{})
+		if s.rng.IntN(2) == 0 { // in the middle of it, while the leaving one still is there
+			s.run(s.rng.Int64N(900))
+			if leaving.up {
+				s.wipeSome(s.losses())
+			}
+		}
+		must.True(s.t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		s.away[leaving.Name] = true
+		if s.cluster() != nil && s.full() {
+			s.wipeSome(s.losses())
+		}
+	},
+	"planned replacement, the leaving one crashes": func(s *seatWorld) {
+		leaving := s.member(s.rng.IntN(s.size))
+		s.newcomer(0)
+		s.run(catchUpMs)
+		leaving.event(evStop{})
+		s.run(s.rng.Int64N(1200))
+		s.gone(leaving)
+		must.True(s.t, s.until(catchUpMs, s.full), s.why())
+		s.acknowledge()
+		s.wipeSome(s.losses())
+	},
+	"planned replacement, the newcomer crashes": func(s *seatWorld) {
+		leaving := s.member(s.rng.IntN(s.size))
+		fresh := s.newcomer(0)
+		s.run(catchUpMs)
+		leaving.event(evStop{})
+		s.run(s.rng.Int64N(1200))
+		fresh.kill(s.rng.IntN(2) == 0)
+		s.after(300_000+s.rng.Int64N(4_000_000), fresh.start)
+		s.acknowledge() // the others go on
+		must.True(s.t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		s.gone(leaving)
+		must.True(s.t, s.until(16_000, s.full), s.why())
+		s.acknowledge()
+		s.wipeSome(s.losses())
+	},
+	"a spare's disk stalls in the copy": func(s *seatWorld) {
+		leaving := s.member(s.rng.IntN(s.size))
+		fresh := s.newcomer(0)
+		planned := s.rng.IntN(2) == 0
+		if planned {
+			s.run(catchUpMs)
+			leaving.event(evStop{})
+			s.run(s.rng.Int64N(700))
+		} else {
+			s.gone(leaving)
+			s.run(1400 + s.rng.Int64N(1500))
+		}
+		fresh.disk.stallUs = s.nowUs + 9_000_000
+		s.acknowledge()
+		must.True(s.t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		s.gone(leaving)
+		s.acknowledge() // though the newcomer still stands still
+		must.Less(s.t, fresh.disk.stallUs, s.nowUs, s.why())
+		must.True(s.t, s.until(12_000, s.full), s.why())
+		s.acknowledge()
+		s.wipeSome(s.losses())
+	},
+	"the leaving member alone has what another lacks": func(s *seatWorld) {
+		leaving := s.member(0)
+		for i := range s.losses() { // these hear nothing of what is acknowledged now
+			s.member(1 + i).disk.stallUs = s.nowUs + 3_000_000
+		}
+		s.acknowledge()
+		s.newcomer(0)
+		s.run(catchUpMs)
+		leaving.event(evStop{})
+		must.True(s.t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		s.gone(leaving)
+		holders := s.newestSet().Members[:] // those that have it beside the newcomer
+		for range s.losses() {
+			for _, m := range holders {
+				if n := s.nodes[m.Name]; n.up && n.disk.stallUs == 0 && m.Name != holders[len(holders)-1].Name {
+					n.kill(true)
+					n.wipe()
+					s.after(1_000_000, n.start)
+					break
+				}
+			}
+		}
+	},
+}
+
+// Members come and go, and a second loss comes right then, at sizes 3 and 5:
+// nothing acknowledged is lost, and the core is full again soon.
+func TestMembersComeAndGo(t *testing.T) {
+	count, from := 6, uint64(5000)
+	if *seedsFlag > 0 {
+		count, from = *seedsFlag, *fromFlag
+	}
+	for _, name := range sorted(seatScenarios) {
+		for _, size := range []int{3, 5} {
+			t.Run(fmt.Sprintf("%s/%d", name, size), func(t *testing.T) {
+				t.Parallel()
+				for i := range count {
+					s := newSeatWorld(t, from+uint64(i), size)
+					seatScenarios[name](s)
+					s.keepsAll()
+					must.True(t, s.until(30_000, s.full), s.why())
+					s.acknowledge()
+					s.keepsAll()
+				}
+			})
+		}
+	}
+}
+
+// Two members of five are lost for good, two newcomers come, and two more are
+// wiped as soon as these had their time.
+func TestTwoRepairsAtOnce(t *testing.T) {
+	for seed := range uint64(12) {
+		s := newSeatWorld(t, 5200+seed, 5)
+		at := s.rng.IntN(4)
+		first, second := s.member(at), s.member(at+1)
+		s.gone(first)
+		s.run(s.rng.Int64N(500))
+		s.gone(second)
+		s.run(s.rng.Int64N(2000))
+		s.newcomer(0)
+		s.run(s.rng.Int64N(300))
+		s.newcomer(1)
+		s.run(catchUpMs)
+		must.True(t, s.full(), s.why())
+		s.acknowledge()
+		s.wipeSome(2)
+		s.keepsAll()
+		must.True(t, s.until(30_000, s.full), s.why())
+	}
+}
+
+// A newcomer that stands ready takes a seat soon after its member is surely
+// gone, and a leaving member's seat before that has ended.
+func TestSeatTakenSoon(t *testing.T) {
+	worstKilled, worstLeft := int64(0), int64(0)
+	for seed := range uint64(10) {
+		for _, planned := range []bool{false, true} {
+			s := newSeatWorld(t, 5300+seed, 3+2*int(seed%2))
+			lost := s.member(s.rng.IntN(s.size))
+			s.newcomer(0)
+			s.run(catchUpMs)
+			at := s.nowMs()
+			if planned {
+				lost.event(evStop{})
+				id := lost.DiskID
+				for set := s.newestSet(); set.has(lost.Name, id) || len(set.Members) != s.size; set = s.newestSet() {
+					must.True(t, lost.up && s.nowMs() < at+seatMs, s.why())
+					s.step()
+				}
+				worstLeft = max(worstLeft, s.nowMs()-at)
+				must.True(t, s.until(stopMs, func() bool { return !lost.up }), s.why())
+			} else {
+				s.gone(lost)
+				must.True(t, s.until(8000, s.full), s.why())
+				worstKilled = max(worstKilled, s.nowMs()-at)
+			}
+		}
+	}
+	t.Logf("full again %d ms after a kill, %d ms after a stop, at most", worstKilled, worstLeft)
+	must.Less(t, quietMs+2000, worstKilled)
+	must.Less(t, 2000, worstLeft)
+}
+
+// A member that restarts keeps its seat, though a spare stands ready.
+func TestRestartingMemberKeepsItsSeat(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSeatWorld(t, 5400+seed, 3)
+		s.newcomer(0)
+		s.run(2000)
+		set := s.newestSet()
+		for i := range s.size {
+			n := s.member(i)
+			n.kill(s.rng.IntN(2) == 0)
+			s.run(200 + s.rng.Int64N(800))
+			n.start()
+			s.run(3000)
+		}
+		must.Eq(t, set.Version, s.newestSet().Version, s.why())
+	}
+}
+
+// A member whose disk is full and has room again is the member it was.
+func TestFullDiskComesBack(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSeatWorld(t, 5500+seed, 3)
+		set := s.newestSet()
+		for i := range s.size { // one after the other: with two gone nothing can be acknowledged
+			n := s.member(i)
+			s.fillDisk(n, 3000)
+			s.acknowledge()
+			s.run(500)
+			must.False(t, n.sh.n.inCore(), s.why())
+			must.True(t, s.until(6000, s.full), s.why())
+		}
+		must.Eq(t, set.Version, s.newestSet().Version, s.why())
+		s.keepsAll()
+		a, b := s.member(0), s.member(1) // and two at different times, overlapping
+		s.fillDisk(a, 3000)
+		s.run(1500)
+		s.fillDisk(b, 3000)
+		s.run(1000)
+		must.True(t, s.until(6000, s.full), s.why())
+		s.acknowledge()
+		s.keepsAll()
+	}
+}
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -147,8 +147,12 @@
 	formKey   string // the empty disks seen
 	formSince int64  // since when they are the same
 	joining   *joining
-	ops       map[uint64]*casOp
-	opSeq     uint64
+	// newcomer: this disk came into a fleet that isn't new, most likely in the
+	// place of a member that went or is about to. It doesn't wait as long as a
+	// disk that stood by before; if that member is back it becomes a spare.
+	newcomer bool
+	ops      map[uint64]*casOp
+	opSeq    uint64
 
 	poll   pollState
 	duties map[string]*duty
@@ -178,7 +182,7 @@
 }
 
 func newNode(p place, st *store) *node {
-	return &node{place: p, store: st, counts: map[string]int64{}, siblings: map[string]*siblingState{},
+	return &node{place: p, store: st, newcomer: st != nil && st.set.Version == 0 && !p.FirstStart, counts: map[string]int64{}, siblings: map[string]*siblingState{},
 		ops: map[uint64]*casOp{}, duties: map[string]*duty{}, views: map[string]dutyView{},
 		asks: map[uint64]*pendingAsk{}, reads: map[uint64]*coreRead{}, owned: map[string]*slice{}, agents: map[string]*agent{},
 		workers: map[string]*workerView{}, learned: map[string]*estimate{}, poll: pollState{sent: map[uint64]*pollRound{}, slowMs: map[string]int64{}},
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -159,6 +159,8 @@
 		return
 	}
 	was, first := n.inCore(), n.core.Cluster == 0
+	settles := len(c.Members) == n.coreGoal() && len(n.core.Members) > n.coreGoal() && c.Members[len(c.Members)-1].Name == n.Name
+	n.awaitPolls(c)
 	n.core = c
 	if first {
 		n.forming = nil
@@ -178,16 +180,26 @@
 		// under it, the set would have been synced before.
 		formed := c.Version == 1 && n.store.set.Version == 0
 		n.store.learnSet(n, c)
-		if !was && n.inCore() && !formed {
+		if (!was || settles) && n.inCore() && !formed {
 			n.store.guardMs, n.store.startMs = n.now+leaseMs, n.now
 		}
 	}
 }
 
+// awaitPolls counts the silence of a set's new members from now on.
+func (n *node) awaitPolls(c coreSet) {
+	for _, m := range c.Members {
+		if !n.core.has(m.Name, m.DiskID) {
+			n.poll.heard(m.Name, n.now)
+		}
+	}
+}
+
 // coreMoved begins anew what members under the former set acknowledged only
 // in part: a majority counts within one set, and one that left may be back
 // under its old name with an empty disk.
 func (n *node) coreMoved() {
+	n.restartOps()
 	for _, sl := range n.owned {
 		if !sl.serving {
 			sl.sealed, sl.doubts, sl.doubtOp, sl.sealSent = map[string]map[string]record{}, map[string]map[string]bool{}, map[uint64]string{}, 0
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -439,7 +439,10 @@
 	syncing bool
 	waiting []func()
 	wipes   int
-	folded  int // entries that snapshots took the place of, less what these take
+	full    bool  // takes no writes
+	failed  bool  // a write failed, and is tried again
+	stallUs int64 // no sync ends before
+	folded  int   // entries that snapshots took the place of, less what these take
 }
 
 func (d *simDisk) load() *store {
@@ -451,7 +454,7 @@
 		}
 		st.apply(e)
 	}
-	d.syncing, d.waiting = false, nil
+	d.syncing, d.waiting, d.failed = false, nil, false
 	return st
 }
 
@@ -468,17 +471,40 @@
 }
 
 func (d *simDisk) sync(n *simNode) {
-	if d.syncing || len(d.waiting) == 0 {
+	if d.syncing || d.failed || len(d.waiting) == 0 {
 		return
 	}
 	d.syncing = true
 	upTo, calls := len(d.entries), len(d.waiting)
-	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() {
-		d.syncing = false
-		d.synced = max(d.synced, min(upTo, len(d.entries)))
-		d.release(calls)
-		d.sync(n)
-	})
+	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() { d.syncEnds(n, upTo, calls) })
+}
+
+func (d *simDisk) syncEnds(n *simNode, upTo, calls int) {
+	if wait := d.stallUs - d.w.nowUs; wait > 0 {
+		n.later(wait, func() { d.syncEnds(n, upTo, calls) })
+		return
+	}
+	d.syncing = false
+	if d.full {
+		d.failed = true
+		n.event(evDisk{Failed: "no space left"})
+		n.later(diskRetryMs*1000, func() { d.again(n, 2*diskRetryMs) })
+		return
+	}
+	d.synced = max(d.synced, min(upTo, len(d.entries)))
+	d.release(calls)
+	d.sync(n)
+}
+
+// again tries a failed disk anew, as diskrecovery.go does.
+func (d *simDisk) again(n *simNode, nextMs int64) {
+	if d.full || d.stallUs > d.w.nowUs {
+		n.later(nextMs*1000, func() { d.again(n, min(2*nextMs, diskRetryMost)) })
+		return
+	}
+	d.failed, d.synced = false, len(d.entries)
+	d.release(len(d.waiting))
+	n.event(evDisk{Recovered: true})
 }
 
 func (d *simDisk) release(calls int) {
@@ -497,8 +523,8 @@
 	}
 	wipes := d.wipes
 	n.later(20_000, func() {
-		if d.wipes != wipes {
-			return // of a disk that was emptied meanwhile
+		if d.wipes != wipes || d.full {
+			return // of a disk that was emptied meanwhile, or has no room
 		}
 		old := at - d.folded // another snapshot may have come before this one
 		d.entries = append(dump, d.entries[old:]...)
@@ -508,11 +534,11 @@
 }
 
 func (d *simDisk) stop(power bool) {
-	if power {
+	if power || d.failed {
 		d.entries = d.entries[:d.synced]
 	}
 	d.synced = len(d.entries)
-	d.syncing, d.waiting = false, nil
+	d.syncing, d.waiting, d.failed = false, nil, false
 }
 
 // ask sends an HTTP ask from a host to a daemon; cb gets status 0 on silence.
