A store comes back whole under its own identity, or not at all, after losses of power

Cause, read in the code and shown by the new model (powerfolder_test.go): what a loss of power may leave was handled for one step at a time only. - A torn tail was cut without a sync: after a second loss it stood again, in a segment that was no longer the last, and a sound disk was put aside.

Change: disk-id holds the id and the first segment written under it, so one rename begins a new, empty identity and all files with lower numbers count for nothing. The last segment is cut and synced before anything is told. A batch counts whole or not at all. The search behind a torn record looks at the batch number before any checksum. A disk of an earlier release is read and its id file rewritten.

TestDiskComesBack counts segments by the folder's names, as strictly as before.

--- a/accord/disk.go
+++ b/accord/disk.go
@@ -8,7 +8,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,8 +24,8 @@
 // that a later batch stands behind was damaged after it had been synced, and
 // one that nothing of a later batch follows is the torn end of the last write.
 type disk struct {
-	folder string
-	id     uint64
+	diskIdentity
+	folder dataFolder
 	lock   *os.File
 	post   func(func(*shell)) // runs something on the control thread
 	log    func(event string, pairs ...any)
@@ -38,7 +37,8 @@
 	stopped bool
 	ended   chan struct{}
 
-	file    *os.File
+	file    dataFile
+	base    uint64 // what was read began at this number
 	segment uint64
 	size    int64
 	batch   uint64
@@ -81,187 +81,99 @@
 	return e, binary.BigEndian.Uint64(b[8:]), b[16] == 1, recordHead + n
 }
 
-// readRecords gives a file's entries and where its sound part ends. Damage
-// with a later batch behind it gives errDamaged; an end that is merely torn
-// does not.
-func readRecords(b []byte, batch uint64, into func(logEntry)) (sound int, lastBatch uint64, err error) {
-	closed := true
-	for sound < len(b) {
-		e, at, last, size := readRecord(b[sound:])
-		if size == 0 {
-			torn := batch
-			if closed {
-				torn++
-			}
-			for o := sound + 1; o < len(b); o++ {
-				if _, later, _, n := readRecord(b[o:]); n > 0 && later > torn {
-					return sound, batch, errDamaged
-				}
-			}
-			return sound, batch, nil
-		}
-		into(e)
-		batch, closed, sound = at, last, sound+size
-	}
-	return sound, batch, nil
-}
+const (
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snap-"
+	unnamedSuffix  = ".new" // of a file that is not whole yet
+)
 
-func segmentName(n uint64) string  { return fmt.Sprintf("log-%016d", n) }
-func snapshotName(n uint64) string { return fmt.Sprintf("snap-%016d", n) }
+func segmentName(n uint64) string  { return fmt.Sprintf("%s%016d", segmentPrefix, n) }
+func snapshotName(n uint64) string { return fmt.Sprintf("%s%016d", snapshotPrefix, n) }
 
 // openDisk reads the data folder. A log damaged before its end is put aside
 // and the disk begins again as a new, empty one: never as a shorter history.
-func openDisk(folder string, newID uint64, log func(string, ...any)) (*disk, *store, error) {
-	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{})}
-	lock, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+func openDisk(path string, newID uint64, log func(string, ...any)) (*disk, *store, error) {
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, nil, errors.Wrap(errDisk, err.Error())
 	}
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		return nil, nil, errors.Wrap(errDisk, "the data folder is in use by another process")
 	}
-	d.lock = lock
-	st, err := d.read()
-	if errors.Is(err, errDamaged) {
-		aside := filepath.Join(folder, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
-		log("disk_damaged", "kept_at", aside)
-		if err := d.putAside(aside); err != nil {
-			return nil, nil, errors.Wrap(errDisk, err.Error())
-		}
-		st, err = d.read()
-	}
+	d, st, err := openFolder(osFolder(path), newID, log)
 	if err != nil {
+		_ = lock.Close()
 		return nil, nil, err
 	}
-	if err := d.identify(newID); err != nil {
-		return nil, nil, err
-	}
-	return d, st, d.roll()
+	d.lock = lock
+	return d, st, nil
 }
 
-func (d *disk) files(prefix string) ([]uint64, error) {
-	list, err := os.ReadDir(d.folder)
-	if err != nil {
-		return nil, errors.Wrap(errDisk, err.Error())
+// openFolder is openDisk for a folder that no other process uses. What it reads
+// is synced before it is told; what is left of earlier lives goes after that.
+func openFolder(folder dataFolder, newID uint64, log func(string, ...any)) (*disk, *store, error) {
+	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	st, err := d.load(newID)
+	if err == nil {
+		err = d.roll()
 	}
-	var out []uint64
-	for _, f := range list {
-		if rest, ok := strings.CutPrefix(f.Name(), prefix); ok {
-			if n, err := strconv.ParseUint(rest, 10, 64); err == nil {
-				out = append(out, n)
-			}
-		}
+	if err == nil {
+		err = d.removeBefore(d.base)
 	}
-	slices.Sort(out)
-	return out, nil
-}
-
-func (d *disk) read() (*store, error) {
-	st := newStore()
-	snaps, err := d.files("snap-")
 	if err != nil {
-		return nil, err
+		return nil, nil, errors.Wrap(errDisk, err.Error())
 	}
-	logs, err := d.files("log-")
+	return d, st, nil
+}
+
+// load reads the disk under its identity, or begins a new one where it has none
+// or where the store under it isn't whole.
+func (d *disk) load(newID uint64) (*store, error) {
+	names, err := d.folder.List()
 	if err != nil {
 		return nil, err
 	}
-	from := uint64(0)
-	if len(snaps) > 0 {
-		from = snaps[len(snaps)-1]
-		b, err := os.ReadFile(filepath.Join(d.folder, snapshotName(from)))
-		if err != nil {
-			return nil, errors.Wrap(errDisk, err.Error())
-		}
-		// A snapshot got its name only after it was synced: it must be whole.
-		if sound, _, err := readRecords(b, 0, st.apply); err != nil || sound != len(b) {
-			return nil, errDamaged
+	top := uint64(0) // of all files of all identities
+	for _, name := range names {
+		if number, ok := fileNumber(name); ok {
+			top = max(top, number)
 		}
-		st.logged = 0
 	}
-	logs = slices.DeleteFunc(logs, func(n uint64) bool { return n < from })
-	for i, n := range logs {
-		if i > 0 && n != logs[i-1]+1 || i == 0 && from > 0 && n != from {
-			return nil, errDamaged // a segment is missing
-		}
-		b, err := os.ReadFile(filepath.Join(d.folder, segmentName(n)))
-		if err != nil {
-			return nil, errors.Wrap(errDisk, err.Error())
-		}
-		sound, batch, err := readRecords(b, d.batch, st.apply)
-		if err != nil {
-			return nil, err
+	found, known := d.readIdentity()
+	if known {
+		d.diskIdentity = found
+		st, err := d.read()
+		if err == nil && found.first == 0 { // written by an earlier release
+			err = d.begin(diskIdentity{id: found.id, first: d.base})
 		}
-		d.batch = batch
-		if sound < len(b) {
-			if i < len(logs)-1 {
-				return nil, errDamaged // only the last segment may end torn
-			}
-			d.log("disk_tail_cut", "segment", n, "bytes", len(b)-sound)
-			if err := os.Truncate(filepath.Join(d.folder, segmentName(n)), int64(sound)); err != nil {
-				return nil, errors.Wrap(errDisk, err.Error())
-			}
+		if !errors.Is(err, errDamaged) {
+			return st, err
 		}
-		d.segment = n
-	}
-	if len(logs) == 0 {
-		d.segment = from
 	}
-	return st, nil
-}
-
-func (d *disk) putAside(aside string) error {
-	if err := os.Mkdir(aside, 0o755); err != nil {
-		return err
-	}
-	list, err := os.ReadDir(d.folder)
-	if err != nil {
-		return err
+	if err := d.begin(diskIdentity{id: newID, first: top + 1}); err != nil {
+		return nil, err
 	}
-	for _, f := range list {
-		if strings.HasPrefix(f.Name(), "log-") || strings.HasPrefix(f.Name(), "snap-") || f.Name() == "disk-id" {
-			if err := os.Rename(filepath.Join(d.folder, f.Name()), filepath.Join(aside, f.Name())); err != nil {
-				return err
-			}
-		}
+	d.segment, d.batch, d.base = top, 0, top+1
+	if top == 0 {
+		return newStore(), nil
 	}
-	d.segment, d.batch = 0, 0
-	return syncFolder(d.folder)
-}
-
-// identify reads the disk's id or gives it a new one.
-func (d *disk) identify(newID uint64) error {
-	path := filepath.Join(d.folder, "disk-id")
-	if b, err := os.ReadFile(path); err == nil {
-		if id, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64); err == nil {
-			d.id = id
-			return nil
-		}
+	if err := d.removeAside(); err != nil { // of an earlier time: only the newest is kept
+		return nil, err
 	}
-	d.id = newID
-	return writeSynced(path, func(w *bufio.Writer) { fmt.Fprintf(w, "%x\n", newID) })
+	return newStore(), d.putAside()
 }
 
 // writeSynced writes a file that gets its name only once it is whole and synced.
-func writeSynced(path string, parts func(w *bufio.Writer)) error {
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrap(errDisk, err.Error())
-	}
-	w := bufio.NewWriterSize(f, chunkBytes)
-	parts(w)
-	err = w.Flush() // and with it the first error of any write
+func (d *disk) writeSynced(name string, parts func(w *bufio.Writer)) error {
+	unnamed := name + unnamedSuffix
+	err := d.writeUnnamed(unnamed, parts)
 	if err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
+		err = d.folder.Rename(unnamed, name)
+	} else {
+		_ = d.folder.Remove(unnamed) // it would take room that others need
 	}
 	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err == nil {
-		err = syncFolder(filepath.Dir(path))
+		err = d.folder.Sync()
 	}
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
@@ -269,13 +181,24 @@
 	return nil
 }
 
-func syncFolder(path string) error {
-	f, err := os.Open(path)
+func (d *disk) writeUnnamed(name string, parts func(w *bufio.Writer)) error {
+	if err := d.folder.Remove(name); err != nil { // of an earlier try
+		return err
+	}
+	f, err := d.folder.Create(name)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	return f.Sync()
+	w := bufio.NewWriterSize(f, chunkBytes)
+	parts(w)
+	err = w.Flush() // and with it the first error of any write
+	if err == nil {
+		err = f.Sync()
+	}
+	if closing := f.Close(); err == nil {
+		err = closing
+	}
+	return err
 }
 
 // roll begins the next segment.
@@ -286,12 +209,12 @@
 		}
 	}
 	d.segment++
-	f, err := os.OpenFile(filepath.Join(d.folder, segmentName(d.segment)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	f, err := d.folder.Create(segmentName(d.segment))
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
 	d.file, d.size = f, 0
-	if err := syncFolder(d.folder); err != nil {
+	if err := d.folder.Sync(); err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
 	return nil
@@ -390,7 +313,7 @@
 		if _, err := d.file.Write(b); err != nil {
 			return errors.Wrap(errDisk, err.Error())
 		}
-		if err := unix.Fdatasync(int(d.file.Fd())); err != nil {
+		if err := d.file.Sync(); err != nil {
 			return errors.Wrap(errDisk, err.Error())
 		}
 		tookMs = time.Since(began).Milliseconds()
@@ -413,59 +336,65 @@
 }
 
 // snapshot begins a new segment and writes the store's dump beside it, while
-// appends go on; older segments go once it is synced.
+// appends go on; older segments go once it is synced under its name.
 func (d *disk) snapshot(entries []logEntry) error {
 	d.shots.Wait() // one at a time
 	if err := d.roll(); err != nil {
 		return err
 	}
-	at := d.segment
+	at, batch := d.segment, max(d.batch, 1)
 	d.shots.Add(1)
 	go func() {
 		defer d.shots.Done()
-		err := writeSynced(filepath.Join(d.folder, snapshotName(at)), func(w *bufio.Writer) {
-			var b []byte
-			for i, e := range entries {
-				b = appendRecord(b[:0], e, 1, i == len(entries)-1)
-				_, _ = w.Write(b)
-			}
-		})
-		if err == nil {
-			err = d.removeBefore(at)
-		}
-		if err != nil { // the segments still hold all
+		if err := d.writeSnapshot(at, batch, entries); err != nil { // the segments still hold all
 			d.log("snapshot_failed", "err", err.Error())
 		}
 	}()
 	return nil
 }
 
-func (d *disk) removeBefore(n uint64) error {
-	for _, prefix := range []string{"log-", "snap-"} {
-		list, err := d.files(prefix)
-		if err != nil {
-			return err
-		}
-		for _, f := range list {
-			if f < n {
-				if err := os.Remove(filepath.Join(d.folder, fmt.Sprintf("%s%016d", prefix, f))); err != nil {
-					return errors.Wrap(errDisk, err.Error())
-				}
-			}
+// writeSnapshot writes a dump that takes the place of all segments before a
+// number. Its records carry the last batch of those.
+func (d *disk) writeSnapshot(at, batch uint64, entries []logEntry) error {
+	err := d.writeSynced(snapshotName(at), func(w *bufio.Writer) {
+		var b []byte
+		for i, e := range entries {
+			b = appendRecord(b[:0], e, batch, i == len(entries)-1)
+			_, _ = w.Write(b)
 		}
+	})
+	if err == nil {
+		err = d.removeBefore(at)
 	}
-	return nil
+	if err == nil {
+		err = d.removeAside()
+	}
+	return err
+}
+
+// removeBefore removes the segments and snapshots before a number, and what was
+// begun and never got its name. Nothing needs it to last.
+func (d *disk) removeBefore(n uint64) error {
+	return d.removeFiles(func(name string) bool {
+		number, ok := fileNumber(name)
+		return ok && number < n || strings.HasSuffix(name, unnamedSuffix)
+	})
 }
 
+// wipe makes the disk an empty one under a new id. The new identity is what ends
+// the old one: its files go after that, in any order.
 func (d *disk) wipe(id uint64) error {
 	d.shots.Wait()
-	if err := d.removeBefore(1 << 62); err != nil {
+	if err := d.begin(diskIdentity{id: id, first: d.segment + 1}); err != nil {
 		return err
 	}
-	_ = os.Remove(filepath.Join(d.folder, "disk-id"))
-	if err := d.identify(id); err != nil {
+	d.batch = 0 // a reader of the new identity counts from there
+	d.log("disk_wiped", "disk", id)
+	if err := d.roll(); err != nil {
 		return err
 	}
-	d.log("disk_wiped", "disk", id)
-	return d.roll()
+	if err := d.removeBefore(d.first); err != nil {
+		d.log("removal_failed", "err", err.Error()) // the next snapshot tries again
+	}
+	return nil
 }
--- a/accord/disk_test.go
+++ b/accord/disk_test.go
@@ -65,8 +65,9 @@
 	write(t, d, 20, 30)
 	d.shots.Wait()
 	closed(d)
-	logs, _ := d.files("log-")
-	must.Len(t, 1, logs) // what the snapshot holds is gone
+	names, err := d.folder.List()
+	must.NoError(t, err)
+	must.Len(t, 1, numbers(names, segmentPrefix, 0)) // what the snapshot holds is gone
 	d, st = opened(t, dir)
 	must.Eq(t, 30, st.records("east"))
 	closed(d)
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -95,6 +95,8 @@
 	copyAgainMs   = 2000      // a part of a copy that does not come is asked for again
 	sliceBytes    = 24 << 20  // live jobs of a slice as packed: a seal's answer must fit a frame
 	segmentBytes  = 8 << 20   // a segment is closed at this size
+	asideBytes    = 8 << 20   // of a damaged disk's files that are kept for a look, until the next snapshot; a disk may hold 128 MB
+	batchesMax    = 1 << 32   // batches of one segment, far above what it may hold
 	keepHoursDef  = 24        // hours a finished job is kept; callers check states within a day
 
 	dialMs       = 350       // a sibling in reach answers in milliseconds; one that a cut hid must be found soon after it
