--- a/accord/disk.go
+++ b/accord/disk.go
@@ -40,8 +40,12 @@
 	file    dataFile
 	base    uint64 // what was read began at this number
 	segment uint64
-	size    int64
+	size    int64 // bytes of the segment that are synced
 	batch   uint64
+	held    []diskJob     // not done since the disk failed
+	broken  error         // why the first segment could not be begun
+	uncut   bool          // the segment still has a tail to be cut, or to be synced
+	retry   time.Duration // the first wait after a failure
 }
 
 type diskJob struct {
@@ -109,23 +113,34 @@
 	return d, st, nil
 }
 
-// openFolder is openDisk for a folder that no other process uses. What it reads
-// is synced before it is told; what is left of earlier lives goes after that.
+// openFolder is openDisk for a folder that no other process uses. A disk that
+// takes no writes now may take them later: until then it tells nobody anything.
 func openFolder(folder dataFolder, newID uint64, log func(string, ...any)) (*disk, *store, error) {
-	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{}), retry: diskRetryMs * time.Millisecond}
 	st, err := d.load(newID)
-	if err == nil {
-		err = d.roll()
-	}
-	if err == nil {
-		err = d.removeBefore(d.base)
-	}
 	if err != nil {
 		return nil, nil, errors.Wrap(errDisk, err.Error())
 	}
+	if d.broken = d.start(); d.broken != nil {
+		return d, st, nil
+	}
+	if err := d.removeBefore(d.base); err != nil { // what earlier lives left
+		d.log("removal_failed", "err", err.Error()) // the next snapshot tries again
+	}
 	return d, st, nil
 }
 
+// start makes what was read last, and begins the next segment.
+func (d *disk) start() error {
+	if d.uncut {
+		if err := d.cutSegment(); err != nil {
+			return errors.Wrap(errDisk, err.Error())
+		}
+		d.uncut = false
+	}
+	return d.roll()
+}
+
 // load reads the disk under its identity, or begins a new one where it has none
 // or where the store under it isn't whole.
 func (d *disk) load(newID uint64) (*store, error) {
@@ -208,15 +223,17 @@
 			return errors.Wrap(errDisk, err.Error())
 		}
 	}
-	d.segment++
-	f, err := d.folder.Create(segmentName(d.segment))
+	d.file = nil
+	f, err := d.folder.Create(segmentName(d.segment + 1))
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
-	d.file, d.size = f, 0
 	if err := d.folder.Sync(); err != nil {
+		_ = f.Close()
 		return errors.Wrap(errDisk, err.Error())
 	}
+	d.file, d.size = f, 0
+	d.segment++
 	return nil
 }
 
@@ -240,29 +257,24 @@
 	}
 	<-d.ended
 	d.shots.Wait()
-	_ = d.file.Close()
+	if d.file != nil {
+		_ = d.file.Close()
+	}
 	_ = d.lock.Close()
 }
 
 // work commits what has gathered since the last sync as one batch, again and
-// again. After a failure it does nothing more: nothing is acknowledged again.
+// again. After a failure nothing is acknowledged until recover has written all
+// that was held up.
 func (d *disk) work() {
 	defer close(d.ended)
+	if d.broken != nil && !d.recover(d.broken) {
+		return
+	}
 	for range d.wake {
-		d.mu.Lock()
-		jobs, stopped := d.pending, d.stopped
-		d.pending = nil
-		d.mu.Unlock()
-		if err := d.commit(jobs); err != nil {
-			d.post(func(s *shell) { s.event(evDisk{Failed: err.Error()}) })
-			for range d.wake {
-				d.mu.Lock()
-				d.pending, stopped = nil, d.stopped
-				d.mu.Unlock()
-				if stopped {
-					return
-				}
-			}
+		jobs, stopped := d.gathered()
+		if err := d.commit(jobs); err != nil && !d.recover(err) {
+			return
 		}
 		if stopped {
 			return
@@ -270,30 +282,37 @@
 	}
 }
 
-func (d *disk) commit(jobs []diskJob) error {
+// gathered takes the jobs that wait.
+func (d *disk) gathered() (jobs []diskJob, stopped bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	jobs, stopped = d.pending, d.stopped
+	d.pending = nil
+	return jobs, stopped
+}
+
+// commit does jobs in their order. Those that are not done when it fails are held.
+func (d *disk) commit(jobs []diskJob) (err error) {
 	for len(jobs) > 0 {
 		run := slices.IndexFunc(jobs, func(j diskJob) bool { return j.snapshot || j.wipe != 0 })
 		if run < 0 {
 			run = len(jobs)
 		}
-		if run > 0 {
-			if err := d.writeBatch(jobs[:run]); err != nil {
-				return err
-			}
-			jobs = jobs[run:]
-			continue
-		}
-		var err error
-		if jobs[0].wipe != 0 {
-			err = d.wipe(jobs[0].wipe)
-		} else {
-			err = d.snapshot(jobs[0].entries)
+		switch {
+		case run > 0:
+			err = d.writeBatch(jobs[:run])
+		case jobs[0].wipe != 0:
+			run, err = 1, d.wipe(jobs[0].wipe)
+		default:
+			run, err = 1, d.snapshot(jobs[0].entries)
 		}
 		if err != nil {
+			d.held = jobs
 			return err
 		}
-		jobs = jobs[1:]
+		jobs = jobs[run:]
 	}
+	d.held = nil
 	return nil
 }
 
@@ -304,6 +323,11 @@
 	}
 	tookMs := int64(0)
 	if len(flat) > 0 {
+		if d.size > segmentBytes {
+			if err := d.roll(); err != nil {
+				return err
+			}
+		}
 		d.batch++
 		var b []byte
 		for i, e := range flat {
@@ -317,11 +341,7 @@
 			return errors.Wrap(errDisk, err.Error())
 		}
 		tookMs = time.Since(began).Milliseconds()
-		if d.size += int64(len(b)); d.size > segmentBytes {
-			if err := d.roll(); err != nil {
-				return err
-			}
-		}
+		d.size += int64(len(b))
 	}
 	d.post(func(s *shell) {
 		if len(flat) > 0 {
@@ -380,21 +400,3 @@
 		return ok && number < n || strings.HasSuffix(name, unnamedSuffix)
 	})
 }
-
-// wipe makes the disk an empty one under a new id. The new identity is what ends
-// the old one: its files go after that, in any order.
-func (d *disk) wipe(id uint64) error {
-	d.shots.Wait()
-	if err := d.begin(diskIdentity{id: id, first: d.segment + 1}); err != nil {
-		return err
-	}
-	d.batch = 0 // a reader of the new identity counts from there
-	d.log("disk_wiped", "disk", id)
-	if err := d.roll(); err != nil {
-		return err
-	}
-	if err := d.removeBefore(d.first); err != nil {
-		d.log("removal_failed", "err", err.Error()) // the next snapshot tries again
-	}
-	return nil
-}
--- a/accord/diskloss_test.go
+++ b/accord/diskloss_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -360,3 +363,38 @@
 		}
 	}
 }
+
+// A disk that syncs nothing at its start tells nobody what it read, until its
+// torn end is cut and the rest of it synced.
+func TestDiskTailUncutAtStart(t *testing.T) {
+	dir := t.TempDir()
+	d, _ := opened(t, dir)
+	write(t, d, 0, 5)
+	closed(d)
+	path := lastLog(t, dir)
+	whole, err := os.ReadFile(path)
+	must.NoError(t, err)
+	must.NoError(t, os.Truncate(path, int64(len(whole)-3)))
+	trouble := &diskTrouble{tries: make(chan struct{}, 1), syncs: true}
+	d, st, err := openFolder(troubledFolder{osFolder(dir), trouble}, 99, quiet)
+	must.NoError(t, err)
+	must.Eq(t, 4, st.records("east"))
+	d.retry = time.Millisecond
+	told, done := toldOf(d), atomic.Int64{}
+	go d.work()
+	must.Eq(t, "failed", <-told)
+	d.add(diskJob{done: func() { done.Add(1) }}) // a read
+	for range 3 {
+		<-trouble.tries
+	}
+	must.Zero(t, done.Load())
+	trouble.mu.Lock()
+	trouble.syncs = false
+	trouble.mu.Unlock()
+	must.Eq(t, "recovered", <-told)
+	d.stop()
+	must.Eq(t, 1, done.Load())
+	info, err := os.Stat(path)
+	must.NoError(t, err)
+	must.Less(t, int64(len(whole)-3), info.Size())
+}
--- a/accord/diskread.go
+++ b/accord/diskread.go
@@ -169,8 +169,8 @@
 }
 
 // readSegment applies a segment's records. Only the last segment may end torn.
-// Its end is cut and what is left of it synced before anything follows from it:
-// a process that was killed may have left what the next loss of power takes away.
+// Its end is to be cut and the rest synced before anything follows from it: a
+// process that was killed may have left what the next loss of power takes away.
 func (d *disk) readSegment(at uint64, st *store) error {
 	b, err := d.folder.Read(segmentName(at))
 	if err != nil {
@@ -190,19 +190,17 @@
 	if sound < len(b) {
 		d.log("disk_tail_cut", "segment", at, "bytes", len(b)-sound)
 	}
-	if err := d.cutSegment(at, int64(sound)); err != nil {
-		return errors.Wrap(errDisk, err.Error())
-	}
+	d.size, d.uncut = int64(sound), true
 	return nil
 }
 
-// cutSegment gives a segment the length of its sound part, and syncs it.
-func (d *disk) cutSegment(at uint64, size int64) error {
-	file, err := d.folder.Open(segmentName(at))
+// cutSegment gives the segment the length of its sound part, and syncs it.
+func (d *disk) cutSegment() error {
+	file, err := d.folder.Open(segmentName(d.segment))
 	if err != nil {
 		return err
 	}
-	err = file.Truncate(size)
+	err = file.Truncate(d.size)
 	if err == nil {
 		err = file.Sync()
 	}
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -68,9 +68,12 @@
 		Stop    bool
 		Outcome string // see orderOutcomes
 	}
+	// evDisk tells what became of the disk: it failed, it works again with
+	// all that was held up written, or it lost entries that were synced.
 	evDisk struct {
-		Failed string
-		SyncMs int64
+		Failed    string
+		Recovered bool
+		Lost      bool
 	}
 	evStop struct{}
 	// evSeeds brings other addresses to find the fleet by.
@@ -144,8 +147,12 @@
 	formKey   string // the empty disks seen
 	formSince int64  // since when they are the same
 	joining   *joining
-	ops       map[uint64]*casOp
-	opSeq     uint64
+	// newcomer: this disk came into a fleet that isn't new, most likely in the
+	// place of a member that went or is about to. It doesn't wait as long as a
+	// disk that stood by before; if that member is back it becomes a spare.
+	newcomer bool
+	ops      map[uint64]*casOp
+	opSeq    uint64
 
 	poll   pollState
 	duties map[string]*duty
@@ -175,7 +182,7 @@
 }
 
 func newNode(p place, st *store) *node {
-	return &node{place: p, store: st, counts: map[string]int64{}, siblings: map[string]*siblingState{},
+	return &node{place: p, store: st, newcomer: st != nil && st.set.Version == 0 && !p.FirstStart, counts: map[string]int64{}, siblings: map[string]*siblingState{},
 		ops: map[uint64]*casOp{}, duties: map[string]*duty{}, views: map[string]dutyView{},
 		asks: map[uint64]*pendingAsk{}, reads: map[uint64]*coreRead{}, owned: map[string]*slice{}, agents: map[string]*agent{},
 		workers: map[string]*workerView{}, learned: map[string]*estimate{}, poll: pollState{sent: map[uint64]*pollRound{}, slowMs: map[string]int64{}},
@@ -298,15 +305,6 @@
 	}
 }
 
-func (n *node) onDisk(e evDisk) {
-	n.syncMs = e.SyncMs
-	if e.Failed != "" && n.diskFailed == "" {
-		// A core member whose disk fails stops counting itself.
-		n.diskFailed = e.Failed
-		n.log("disk_failed", "reason", e.Failed)
-	}
-}
-
 func (n *node) emit(e effect)               { n.out = append(n.out, e) }
 func (n *node) count(name string)           { n.counts[name]++ }
 func (n *node) log(event string, kv ...any) { n.emit(effLog{Event: event, Pairs: kv}) }
