--- a/accord/disk_test.go
+++ b/accord/disk_test.go
@@ -70,8 +70,9 @@
 	write(t, d, 20, 30)
 	d.shots.Wait()
 	closed(d)
-	logs, _ := d.files("log-")
-	must.Len(t, 1, logs) // what the snapshot holds is gone
+	names, err := d.folder.List()
+	must.NoError(t, err)
+	must.Len(t, 1, numbers(names, segmentPrefix, 0)) // what the snapshot holds is gone
 	d, st = opened(t, dir)
 	must.Eq(t, 30, st.records("east"))
 	closed(d)
@@ -122,10 +123,26 @@
 // troubled is a segment file of a disk that refuses writes, or tears them, or
 // fails to sync.
 type troubled struct {
-	segmentFile
+	dataFile
 	trouble *diskTrouble
 }
 
+// troubledFolder is the folder of such a disk.
+type troubledFolder struct {
+	dataFolder
+	trouble *diskTrouble
+}
+
+func (f troubledFolder) Create(name string) (dataFile, error) {
+	file, err := f.dataFolder.Create(name)
+	return troubled{file, f.trouble}, err
+}
+
+func (f troubledFolder) Open(name string) (dataFile, error) {
+	file, err := f.dataFolder.Open(name)
+	return troubled{file, f.trouble}, err
+}
+
 type diskTrouble struct {
 	mu      sync.Mutex
 	refuses bool
@@ -149,17 +166,17 @@
 
 func (f troubled) Write(b []byte) (int, error) {
 	if f.trouble.fails(&f.trouble.refuses) {
-		n, _ := f.segmentFile.Write(b[:min(f.trouble.torn, len(b))])
+		n, _ := f.dataFile.Write(b[:min(f.trouble.torn, len(b))])
 		return n, unix.ENOSPC
 	}
-	return f.segmentFile.Write(b)
+	return f.dataFile.Write(b)
 }
 
 func (f troubled) Sync() error {
 	if f.trouble.fails(&f.trouble.syncs) {
 		return unix.EIO
 	}
-	return f.segmentFile.Sync()
+	return f.dataFile.Sync()
 }
 
 // troubledDisk gives a working disk whose segments can be made to fail.
@@ -168,10 +185,7 @@
 	d, _ := opened(t, dir)
 	trouble := &diskTrouble{tries: make(chan struct{}, 1)}
 	d.retry = time.Millisecond
-	d.open = func(path string, flags int) (segmentFile, error) {
-		f, err := openSegment(path, flags)
-		return troubled{f, trouble}, err
-	}
+	d.folder = troubledFolder{d.folder, trouble}
 	must.NoError(t, d.roll())
 	return d, trouble
 }
@@ -251,7 +265,7 @@
 		dir := t.TempDir()
 		d, trouble := troubledDisk(t, dir)
 		write(t, d, 0, 5)
-		path, size := d.segmentPath(d.segment), d.size
+		path, size := filepath.Join(dir, segmentName(d.segment)), d.size
 		told := toldOf(d)
 		trouble.refuses = true
 		done := atomic.Int64{}
@@ -300,7 +314,7 @@
 	d, _ := opened(t, dir)
 	write(t, d, 0, 5)
 	closed(d)
-	must.NoError(t, os.Remove(filepath.Join(dir, diskIDName)))
+	must.NoError(t, os.Remove(filepath.Join(dir, identityName)))
 	d, st, err := openDisk(dir, 99, quiet)
 	must.NoError(t, err)
 	must.Zero(t, st.records("east"))
--- a/accord/diskrecovery.go
+++ b/accord/diskrecovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -93,26 +92,27 @@
 	if err := d.removeUnused(); err != nil {
 		return err
 	}
-	if d.broken == nil {
-		f, err := d.cutTail()
-		if err != nil {
+	if d.broken != nil {
+		if err := d.start(); err != nil {
 			return err
 		}
-		if d.file = f; d.size == 0 {
-			return nil // nothing was synced here: the segment is as good as the next one
-		}
+		d.broken = nil
+		return nil
 	}
-	if err := d.roll(); err != nil {
+	f, err := d.cutTail()
+	if err != nil {
 		return err
 	}
-	d.broken = nil
-	return nil
+	if d.file = f; d.size == 0 {
+		return nil // nothing was synced here: the segment is as good as the next one
+	}
+	return d.roll()
 }
 
 // removeUnused removes the segment that a failed roll may have left: nothing
 // was ever written there.
 func (d *disk) removeUnused() error {
-	if err := os.Remove(d.segmentPath(d.segment + 1)); err != nil && !os.IsNotExist(err) {
+	if err := d.folder.Remove(segmentName(d.segment + 1)); err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
 	return nil
@@ -120,10 +120,10 @@
 
 // cutTail checks what was synced of the segment, cuts off and syncs the rest,
 // and gives the file.
-func (d *disk) cutTail() (segmentFile, error) {
-	path := d.segmentPath(d.segment)
+func (d *disk) cutTail() (dataFile, error) {
+	name := segmentName(d.segment)
 	if d.size > 0 {
-		b, err := os.ReadFile(path)
+		b, err := d.folder.Read(name)
 		if os.IsNotExist(err) || err == nil && int64(len(b)) < d.size {
 			return nil, errDamaged
 		}
@@ -134,7 +134,10 @@
 			return nil, errDamaged
 		}
 	}
-	f, err := d.open(path, os.O_CREATE|os.O_WRONLY)
+	f, err := d.folder.Open(name)
+	if os.IsNotExist(err) {
+		f, err = d.folder.Create(name)
+	}
 	if err != nil {
 		return nil, errors.Wrap(errDisk, err.Error())
 	}
@@ -148,47 +151,24 @@
 	return f, nil
 }
 
-// wipe begins the disk anew under another id. The old id goes first: a log
-// without an id is what a wipe left that was cut short, see dropOrphans.
+// wipe makes the disk an empty one under a new id. The new identity is what ends
+// the old one: its files go after that, in any order.
 func (d *disk) wipe(id uint64) error {
 	d.shots.Wait()
-	if err := os.Remove(filepath.Join(d.folder, diskIDName)); err != nil && !os.IsNotExist(err) {
-		return errors.Wrap(errDisk, err.Error())
-	}
-	if err := d.dropLog(); err != nil {
+	if err := d.removeUnused(); err != nil {
 		return err
 	}
-	if err := d.identify(id); err != nil {
+	if err := d.begin(diskIdentity{id: id, first: d.segment + 1}); err != nil {
 		return err
 	}
 	if err := d.roll(); err != nil {
 		return err
 	}
-	d.broken = nil
-	d.log("disk_wiped", "disk", id)
-	return nil
-}
-
-// dropLog removes all segments and snapshots once the id's removal is synced.
-func (d *disk) dropLog() error {
-	if err := syncFolder(d.folder); err != nil {
-		return errors.Wrap(errDisk, err.Error())
-	}
-	if err := d.removeBefore(1 << 62); err != nil {
-		return err
-	}
-	if err := syncFolder(d.folder); err != nil {
-		return errors.Wrap(errDisk, err.Error())
+	// A reader of the new identity counts batches from 0.
+	d.batch, d.broken, d.uncut = 0, nil, false
+	if err := d.removeBefore(d.first); err != nil {
+		d.log("removal_failed", "err", err.Error()) // the next snapshot tries again
 	}
+	d.log("disk_wiped", "disk", id)
 	return nil
 }
-
-// dropOrphans removes a log that has no id beside it. An id is written and
-// synced before the first segment is made, so its wipe was cut short: under the
-// new id that the disk is about to get, the old entries must not come back.
-func (d *disk) dropOrphans() error {
-	if _, err := os.Stat(filepath.Join(d.folder, diskIDName)); !os.IsNotExist(err) {
-		return nil
-	}
-	return d.dropLog()
-}
