--- a/accord/asks.go
+++ b/accord/asks.go
@@ -175,14 +175,14 @@
 	n.again.earn(againTick * againShare)
 	n.fresh.earn(readsTick * againShare)
 	for _, id := range sorted(n.asks) {
-		if p := n.asks[id]; n.now >= p.limitMs {
+		if p := n.asks[id]; n.unanswered(p) {
 			delete(n.asks, id)
 			p.ask.unsure = true
 			n.giveUpOn(p.ask, "the daemon that settles this did not answer")
 		}
 	}
 	for _, id := range sorted(n.reads) {
-		if r := n.reads[id]; n.now >= r.limitMs {
+		if r := n.reads[id]; n.now >= r.limitMs || n.cutOff() {
 			delete(n.reads, id)
 			n.bounce(r.ask, "neither the owner nor the core answered")
 		}
@@ -192,7 +192,7 @@
 // giveUpOn is for asks that no owner settles now: a job's state can still be
 // had from the core, anything else is bounced.
 func (n *node) giveUpOn(a *ask, reason string) {
-	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || !n.fresh.spend() {
+	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || n.cutOff() || !n.fresh.spend() {
 		n.bounce(a, reason)
 		return
 	}
@@ -296,7 +296,7 @@
 }
 
 func (n *node) putSetup(a *ask) {
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -364,7 +364,7 @@
 		n.answerFaults(a, 400, 0, []fault{{"site", "must be a name"}})
 		return
 	}
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -406,9 +406,10 @@
 	}
 }
 
-// holdUnsure keeps an ask until a newer confirmation of the setup, for a while.
+// holdUnsure keeps an ask until a newer confirmation of the setup, for a while,
+// where one may still come.
 func (n *node) holdUnsure(a *ask, reason string) {
-	if len(n.setup.unsure) >= asksMax {
+	if n.cutOff() || len(n.setup.unsure) >= asksMax {
 		n.bounce(a, reason)
 		return
 	}
--- /dev/null
+++ b/accord/cutoff_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// cutKinds are the ways in which a daemon loses the core's majority.
+var cutKinds = map[string]func(w *world, at string){
+	"both ways":   func(w *world, at string) { w.cutHost(at) },
+	"not heard":   func(w *world, at string) { w.cutFrom(at, sorted(w.nodes), true, false) },
+	"hears not":   func(w *world, at string) { w.cutFrom(at, sorted(w.nodes), false, true) },
+	"two members": func(w *world, at string) { w.cutFrom(at, w.twoMembersBeside(at), true, true) },
+	"two members not heard": func(w *world, at string) {
+		w.cutFrom(at, w.twoMembersBeside(at), false, true)
+	},
+	"one way each": func(w *world, at string) {
+		w.cutFrom(at, w.twoMembersBeside(at)[:1], true, false)
+		w.cutFrom(at, w.twoMembersBeside(at)[1:], false, true)
+	},
+	"clock jumps": func(w *world, at string) {
+		w.cutHost(at)
+		for i := range int64(6) {
+			w.after((1500+3000*i)*1000, func() { w.nodes[at].skewMs += 3_600_000 - 7_200_000*(i%2) })
+		}
+	},
+	"freezes": func(w *world, at string) {
+		w.cutHost(at)
+		for i := range int64(4) {
+			w.after((700+4500*i)*1000, func() { w.nodes[at].freeze(1200 + 900*i) })
+		}
+	},
+}
+
+// cutFrom cuts one daemon from others: what it sends, what it is sent, or both.
+func (w *world) cutFrom(at string, others []string, out, in bool) {
+	for _, other := range others {
+		if other == at {
+			continue
+		}
+		if out {
+			w.oneWay(at, other, true)
+		}
+		if in {
+			w.oneWay(other, at, true)
+		}
+	}
+}
+
+func (w *world) twoMembersBeside(at string) []string {
+	var out []string
+	for _, m := range memberNames(w.nodes[at].sh.n.core) {
+		if m != at && len(out) < 2 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// atQueue is a call at the address of the tests' queue.
+func atQueue(op, id string) evAsk {
+	e := evAsk{Op: op, Host: "one.example", Path: "/a/" + id, Expect: -1}
+	if op == "queue.submit" {
+		e.Body = []byte(`{"steps":[{"name":"s","tasks":[{"name":"t","room":1}]}]}`)
+	}
+	return e
+}
+
+const addressOfQueue = `,"addresses":[{"host":"one.example","prefix":"/a/"}]`
+
+// putAnywhere has an operator put a version at some daemon that takes it.
+func (w *world) putAnywhere(t *testing.T, version, base int64) {
+	t.Helper()
+	for _, name := range []string{"d06", "d07", "d08", "d01"} {
+		e := evAsk{Op: "setup.put", Key: fmt.Sprint(version), Expect: base, Body: queueSetup("a", fmt.Sprintf(`%s,"max_limit_ms":%d`, addressOfQueue, version))}
+		if w.settle(w.nodes[name], e, 4000).status == 200 {
+			return
+		}
+	}
+	t.Fatalf("nobody took version %d", version)
+}
+
+// A daemon that has been without a majority for longer than a lease says so at
+// once to every caller: it hands out no setup, refuses and confirms no order, and
+// says of no job that it is unknown or complete. Back in reach, it serves all of
+// that within a second, by the newest setup.
+func TestCutOffAnswers(t *testing.T) {
+	for _, lastsMs := range []int64{20_000, 200_000} {
+		for _, kind := range sorted(cutKinds) {
+			if lastsMs > 20_000 && kind != "both ways" && kind != "two members" && kind != "freezes" {
+				continue // the same as after 20 s: only what may age with the cut is kept on
+			}
+			for i, at := range []string{"d00", "d05"} {
+				t.Run(fmt.Sprint(lastsMs/1000, "s/", kind, "/", at), func(t *testing.T) {
+					cutOffAnswers(t, 7400+uint64(i), kind, at, lastsMs)
+				})
+			}
+		}
+	}
+}
+
+func cutOffAnswers(t *testing.T, seed uint64, kind, at string, lastsMs int64) {
+	w := served(t, seed)
+	n, version := w.nodes[at], int64(2)
+	w.putAnywhere(t, version, 0)
+	w.run(1000)
+	must.SliceContains(t, []int{200, 201}, w.settle(w.nodes["d07"], atQueue("queue.submit", "j1"), 3000).status)
+	must.True(t, w.until(20_000, func() bool {
+		return gjson.Get(w.settle(w.nodes["d07"], atQueue("queue.state", "j1"), 3000).body, "state").Str == "complete"
+	}))
+	w.run(1000)
+	cutKinds[kind](w, at)
+	cutMs := w.nowMs()
+	probes := map[string]evAsk{
+		"read":           {Op: "setup.get", Expect: -1},
+		"outdated order": {Op: "setup.put", Key: "1", Expect: 0, Body: queueSetup("b", "")},
+		"empty a site":   {Op: "site.empty", Key: "west", Expect: -1},
+		"ready":          {Op: "ready", Expect: -1},
+		"known job":      atQueue("queue.state", "j1"),
+		"unknown job":    atQueue("queue.state", "never"),
+		"unknown queue":  {Op: "queue.state", Host: "two.example", Path: "/b/x", Expect: -1},
+		"cancel":         atQueue("queue.cancel", "never"),
+		"count":          atQueue("queue.state", ""),
+	}
+	open, last := 0, ""
+	probe := func(name string, e evAsk) {
+		sent, awake := w.nowMs(), n.frozenTo
+		open++
+		w.call("caller", n, e, 15_000, func(status int, retryMs int64, b []byte) {
+			open--
+			from := max(sent, awake/1000, n.frozenTo/1000)
+			last = fmt.Sprintf("%s, sent %d ms after the cut, answered after %d ms: %d %s", name, sent-cutMs, w.nowMs()-from, status, b)
+			unsure := name == "submit" && status == 504
+			if sent > cutMs+leaseMs && (status != 503 && !unsure || retryMs <= 0) {
+				t.Error(last)
+			}
+			if w.nowMs()-from > 1000 {
+				t.Error("late: ", last)
+			}
+		})
+	}
+	for i := int64(0); w.nowMs() < cutMs+lastsMs; i++ {
+		for _, name := range sorted(probes) {
+			probe(name, probes[name])
+		}
+		probe("order", evAsk{Op: "setup.put", Key: fmt.Sprint(1000 + i), Expect: version, Body: queueSetup("lost", addressOfQueue)})
+		probe("submit", atQueue("queue.submit", fmt.Sprint("k", i)))
+		w.run(lastsMs / 40)
+		if i%10 == 5 {
+			current := w.settle(w.nodes["d07"], evAsk{Op: "setup.get"}, 3000) // an order from before the lease ended may stand
+			must.Eq(t, 200, current.status)
+			w.putAnywhere(t, max(version, gjson.Get(current.body, "version").Int())+2000, gjson.Get(current.body, "version").Int())
+			version = gjson.Get(current.body, "version").Int() + 2000
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	w.run(2000)
+	must.Zero(t, open, must.Sprint(last))
+	w.back(t, n, version)
+}
+
+// back joins a daemon that was cut off to the others again, and measures when it
+// serves each kind of call.
+func (w *world) back(t *testing.T, n *simNode, version int64) {
+	t.Helper()
+	w.heal()
+	healedMs, served := w.nowMs(), map[string]int64{}
+	try := func(name string, e evAsk, good func(status int, body string) bool) {
+		if served[name] != 0 {
+			return
+		}
+		w.call("caller", n, e, 3000, func(status int, _ int64, b []byte) {
+			if good(status, string(b)) && served[name] == 0 {
+				served[name] = w.nowMs() - healedMs
+			}
+		})
+	}
+	for i := int64(0); i < 100 && len(served) < 5; i++ {
+		try("read", evAsk{Op: "setup.get", Expect: -1}, func(status int, body string) bool {
+			if status == 200 && gjson.Get(body, "version").Int() < version {
+				t.Errorf("an old setup %d ms after the cut: %s", w.nowMs()-healedMs, body)
+			}
+			return status == 200
+		})
+		try("order", evAsk{Op: "site.empty", Key: "east", Expect: -1}, func(status int, _ string) bool { return status == 200 })
+		try("submit", atQueue("queue.submit", fmt.Sprint("m", i)), func(status int, _ string) bool { return status == 200 || status == 201 })
+		try("known job", atQueue("queue.state", "j1"), func(status int, body string) bool {
+			return status == 200 && gjson.Get(body, "state").Str == "complete"
+		})
+		try("put", evAsk{Op: "setup.put", Key: fmt.Sprint(version + 50), Expect: version, Body: queueSetup("a", addressOfQueue)},
+			func(status int, _ string) bool { return status == 200 })
+		w.run(20)
+	}
+	t.Logf("served again, ms after the cut: %v", served)
+	for _, name := range []string{"read", "order", "submit", "known job", "put"} {
+		must.Positive(t, served[name], must.Sprint(name, " is not served"))
+		must.Less(t, 1000, served[name], must.Sprint(name))
+	}
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -8,7 +8,7 @@
 	pollAsideMs   = 400            // daemons beside workers hold no lease; the setup they go by is confirmed this often
 	leaseMs       = 1000           // long enough for five renewals, short enough that urgent work hardly misses its aim
 	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
-	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
+	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift, see leaseHeldMs
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
 	contactMs     = 1500           // an order needs the owner's word this fresh; a cancel must bite in 3 s
 	setupMs       = 1500           // a setup must be confirmed this freshly; an acked one must bite in 2 s
@@ -118,6 +118,17 @@
 	msPerHour = 3600_000
 )
 
+// Of leases.
+const (
+	// leaseHeldMs is how long a holder keeps a lease, from when it asked; members
+	// keep it for leaseMs, from when they granted it, which is later. So a holder's
+	// steady clock may run slower than a member's by a tenth (900 of 1000) before
+	// two could hold one duty. Steady clocks of machines differ by less than a
+	// thousandth; both read whole ms, which takes 2 of the 100; and a freeze or a
+	// sleep counts on both, since they read the boot clock.
+	leaseHeldMs = leaseMs - leaseSlack
+)
+
 // Of batches.
 const (
 	finishByMost    = 720    // hours a batch may be given: a month, within what is kept of jobs
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -141,7 +141,7 @@
 	for _, id := range sorted(n.ops) {
 		o := n.ops[id]
 		switch {
-		case n.now-o.startMs > casMs:
+		case n.now-o.startMs > casMs || o.ask != nil && n.cutOff():
 			n.casEnd(o, casUnknown)
 		case o.phase == 3 && n.now >= o.retryMs, o.phase != 3 && n.now-o.sentMs > casMs/4:
 			n.prepare(o)
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -452,6 +452,7 @@
 
 // adoptSetup compiles a value; it counts only once a poll confirms its ballot.
 func (n *node) adoptSetup(b ballot, d setupDoc) {
+	n.setup.askedMs = 0 // what was asked for has come: a newer one may be asked for at once
 	if d.Version == n.setup.doc.Version && bytes.Equal(d.Doc, n.setup.doc.Doc) {
 		n.setup.ballot = b
 		if !slices.Equal(d.Emptied, n.setup.doc.Emptied) {
@@ -480,7 +481,7 @@
 		switch {
 		case n.setup.confirmedMs >= a.atMs:
 			again = append(again, a)
-		case n.now-a.atMs > handOverMs*2/3:
+		case n.cutOff() || n.now-a.atMs > handOverMs*2/3:
 			n.bounce(a, "the setup is not confirmed here")
 		default:
 			kept = append(kept, a)
