Reads wait for a poll sent after they came, and no order is refused by an old view

Change: polls are numbered, and only one sent after a call confirms for it; only the register refuses an order. TestReadWaitsForALaterPoll.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -17,6 +17,7 @@
 	key    string
 	body   []byte
 	atMs   int64
+	polls  uint64    // sent here before it came: only a later one confirms a setup for it
 	setup  *compiled // of the body, where it is known to be sound
 	host   string    // with path, the address a caller used
 	path   string
@@ -73,7 +74,7 @@
 	}
 	n.count("asks_in")
 	n.again.earn(1)
-	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect})
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
@@ -83,7 +84,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -315,10 +316,6 @@
 		n.answerFaults(a, 400, 0, []fault{{"version", "must be higher than the one it builds on"}})
 		return
 	}
-	if version < n.setup.doc.Version { // surely passed; all else only the register can say
-		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": n.setup.doc.Version}))
-		return
-	}
 	if n.handToCore(a) {
 		return
 	}
@@ -387,7 +384,7 @@
 	}
 	queue, id, ok := c.resolve(a.host, a.path)
 	switch {
-	case !ok && n.setup.confirmedMs >= a.atMs:
+	case !ok && n.setupConfirmedFor(a):
 		n.answer(a, 404, 0, jsonOf(map[string]any{"missing": "queue", "error": "no queue has this address"}))
 		return
 	case !ok || !n.setupFresh():
@@ -450,7 +447,7 @@
 // getSetup tells a setup that was confirmed after it was asked for, so that
 // nobody reads an older one than was acknowledged before.
 func (n *node) getSetup(a *ask) {
-	if n.setup.confirmedMs < a.atMs {
+	if !n.setupConfirmedFor(a) {
 		n.holdUnsure(a, "the setup is not confirmed here")
 		return
 	}
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -32,6 +32,7 @@
 }
 
 type pollRound struct {
+	seq    uint64
 	sentMs int64
 	holds  []dutyAsk
 	duties []*duty // what each of holds was asked for: one let go of since is another
@@ -94,7 +95,7 @@
 	}
 	n.poll.seq++
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
-	r := &pollRound{sentMs: n.now, acks: map[string]*pollAck{}}
+	r := &pollRound{seq: n.poll.seq, sentMs: n.now, acks: map[string]*pollAck{}}
 	n.poll.sent[m.Seq] = r
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
--- a/accord/lease_test.go
+++ b/accord/lease_test.go
@@ -156,7 +156,7 @@
 		must.True(t, w.until(20_000, w.allServed))
 		w.stray = 40
 		for range 120 {
-			leaseFaults[w.rng.IntN(len(leaseFaults))](w, memberNames(w.nodes["d09"].sh.n.core))
+			leaseFaults[w.rng.IntN(len(leaseFaults))](w, w.members())
 			w.heldOnce(t, 50+w.rng.Int64N(400), "slice/east", "slice/west", "slice/mid", "central")
 		}
 		for _, name := range sorted(w.nodes) {
@@ -173,6 +173,17 @@
 	}
 }
 
+// members names the newest core's members.
+func (w *world) members() []string {
+	var set coreSet
+	for _, n := range w.nodes {
+		if n.sh.n.core.Version > set.Version {
+			set = n.sh.n.core
+		}
+	}
+	return memberNames(set)
+}
+
 // seedsOr is how many seeds to run: those asked for, or CI's number.
 func seedsOr(count int) int {
 	if *seedsFlag > 0 {
--- /dev/null
+++ b/accord/linear_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// A poll that was sent in the millisecond in which a read came, but before it,
+// says nothing of what was acknowledged in between.
+func TestReadWaitsForALaterPoll(t *testing.T) {
+	w := served(t, 7500)
+	w.putAnywhere(t, 2, 0)
+	w.run(1000)
+	n := w.nodes["d05"].sh.n
+	n.now, n.poll.nextMs, n.out = n.now+pollMs, 0, nil
+	n.tickPoll()
+	r := n.poll.sent[n.poll.seq]
+	n.onAsk(evAsk{ID: 9, Op: "setup.get", Expect: -1})
+	answered := func() bool {
+		return slices.ContainsFunc(n.out, func(e effect) bool { _, ok := e.(effReply); return ok })
+	}
+	ack := func() {
+		for _, m := range memberNames(n.core) {
+			n.onPollAck(m, &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(r.holds)), Epochs: make([]uint64, len(r.holds)), Setup: n.setup.ballot})
+		}
+		n.tickSetup()
+	}
+	ack()
+	must.False(t, answered())
+	n.poll.nextMs = 0
+	n.tickPoll()
+	ack()
+	must.True(t, answered())
+}
+
+// registerOp is one call of an operator in the history that is judged.
+type registerOp struct {
+	sentUs, doneUs int64 // doneUs 0 while it has no answer
+	read           bool
+	version, base  int64 // of a read: what it gave
+	text           string
+	status         int
+	current        int64 // that a refusal named
+}
+
+// registerHistory collects the calls of all operators.
+type registerHistory struct {
+	w   *world
+	ops []*registerOp
+}
+
+// call has an operator send one call to some daemon; done gets its answer, or
+// none after the time that operators wait.
+func (h *registerHistory) call(from string, op *registerOp, done func()) {
+	e := evAsk{Op: "setup.get", Expect: -1}
+	if !op.read {
+		e = evAsk{Op: "setup.put", Key: fmt.Sprint(op.version), Expect: op.base, Body: fmt.Appendf(nil, `{"note":%q,"queues":[]}`, op.text)}
+	}
+	op.sentUs = h.w.nowUs
+	h.ops = append(h.ops, op)
+	h.w.call(from, h.w.someNode(), e, 1000+h.w.rng.Int64N(2000), func(status int, _ int64, b []byte) {
+		if op.status = status; status != 0 {
+			op.doneUs = h.w.nowUs
+		}
+		switch {
+		case op.read && status == 200:
+			op.version, op.text = gjson.GetBytes(b, "version").Int(), gjson.GetBytes(b, "setup.note").Str
+		case status == 409:
+			op.current = gjson.GetBytes(b, "current").Int()
+		}
+		done()
+	})
+}
+
+// operator reads and writes until the world's time is over: an order builds on
+// what was read last, has an uneven step, and is sent again until it is answered.
+func (h *registerHistory) operator(name string, untilMs int64) {
+	newest, count := int64(0), 0
+	var next func()
+	later := func(do func()) { h.w.after(h.w.rng.Int64N(400_000), do) }
+	read := func() {
+		op := &registerOp{read: true}
+		h.call(name, op, func() {
+			if op.status == 200 {
+				newest = op.version
+			}
+			later(next)
+		})
+	}
+	write := func() {
+		count++
+		version, text, tries := newest+1+h.w.rng.Int64N(3), fmt.Sprint(name, " ", count), 0
+		var try func()
+		try = func() {
+			op := &registerOp{version: version, base: newest, text: text}
+			h.call(name, op, func() {
+				if tries++; op.status != 200 && op.status != 409 && tries < 12 && h.w.nowMs() < untilMs {
+					later(try)
+					return
+				}
+				if op.status == 200 {
+					newest = version
+				}
+				later(next)
+			})
+		}
+		try()
+	}
+	next = func() {
+		if h.w.nowMs() >= untilMs {
+			return
+		}
+		if h.w.rng.IntN(3) == 0 {
+			write()
+		} else {
+			read()
+		}
+	}
+	later(next)
+}
+
+// faults gives every way in which the history breaks the register's word:
+// what was acknowledged is seen by every later read, reads never go back, one
+// document stands under one number, one change builds on one version, what is
+// refused never stands, and a refusal names a version that stands instead.
+func (h *registerHistory) faults() (out []string) {
+	bad := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	show := func(o *registerOp) string { return fmt.Sprintf("%+v", *o) }
+	stood, sent := map[int64]string{}, map[int64]map[string]int64{}
+	builtOn := map[int64]int64{} // base -> the version that was acknowledged on it
+	answered := slices.DeleteFunc(slices.Clone(h.ops), func(o *registerOp) bool { return o.doneUs == 0 })
+	for _, o := range h.ops {
+		if o.read {
+			continue
+		}
+		if sent[o.version] == nil {
+			sent[o.version] = map[string]int64{}
+		}
+		if at, ok := sent[o.version][o.text]; !ok || o.sentUs < at {
+			sent[o.version][o.text] = o.sentUs
+		}
+	}
+	for _, o := range answered {
+		if o.status != 200 || o.read && o.version == 0 {
+			continue
+		}
+		if at, ok := sent[o.version][o.text]; o.read && (!ok || at > o.doneUs) {
+			bad("nobody sent this under this number: %s", show(o))
+		}
+		if text, ok := stood[o.version]; ok && text != o.text {
+			bad("version %d was %q and %q", o.version, text, o.text)
+		}
+		stood[o.version] = o.text
+		if !o.read {
+			if other, ok := builtOn[o.base]; ok && other != o.version {
+				bad("versions %d and %d were both acknowledged on %d", other, o.version, o.base)
+			}
+			builtOn[o.base] = o.version
+		}
+	}
+	slices.SortFunc(answered, func(a, b *registerOp) int { return cmp.Compare(a.doneUs, b.doneUs) })
+	for _, o := range answered {
+		newest := int64(0) // acknowledged or read before this one was sent
+		for _, before := range answered {
+			if before.doneUs < o.sentUs && before.status == 200 {
+				newest = max(newest, before.version)
+			}
+		}
+		switch {
+		case o.read && o.status == 200 && o.version < newest:
+			bad("version %d was known before this read: %s", newest, show(o))
+		case o.status == 409 && (o.current == o.base || o.current < newest || sent[o.current] == nil):
+			bad("a wrong refusal, where %d was known: %s", newest, show(o))
+		case o.status == 409 && stood[o.version] == o.text && o.current == o.version:
+			bad("a change that stands was refused: %s", show(o))
+		}
+	}
+	return out
+}
+
+// registerFaults go on beside the operators: leases' own and lost answers.
+var registerFaults = append([]func(w *world, core []string){
+	func(w *world, _ []string) { // answers are lost on their way to an operator
+		at, to := w.someNode().Name, fmt.Sprint("operator", w.rng.IntN(4))
+		w.oneWay(at, to, true)
+		w.after(w.rng.Int64N(3_000_000), func() { w.oneWay(at, to, false) })
+	},
+	func(w *world, _ []string) { // a daemon is cut off whole, for longer than a lease
+		at, lastsUs := w.someNode().Name, 1_500_000+w.rng.Int64N(3_000_000)
+		out, in := w.rng.IntN(3) != 0, w.rng.IntN(3) != 0
+		w.cutFrom(at, sorted(w.nodes), out, in)
+		w.after(lastsUs, func() {
+			for _, other := range sorted(w.nodes) {
+				w.oneWay(at, other, false)
+				w.oneWay(other, at, false)
+			}
+		})
+	},
+	func(w *world, _ []string) { w.someNode().freeze(2000 + w.rng.Int64N(9000)) },
+}, leaseFaults[:len(leaseFaults)-1]...)
+
+// Operators read and write the setup through daemons that are cut off, frozen,
+// killed and have their clocks moved, with answers lost and delayed: the setup
+// stays one register to all of them.
+func TestSetupIsLinearizable(t *testing.T) {
+	for seed := range uint64(seedsOr(8)) {
+		w := coreWorld(7600+*fromFlag+seed, 3+2*int(seed%2), []string{"east", "west", "mid", "east", "west", "mid"}, 4)
+		must.True(t, w.until(20_000, w.allServed))
+		w.stray = 100
+		h := &registerHistory{w: w}
+		for i := range 4 {
+			h.operator(fmt.Sprint("operator", i), w.nowMs()+60_000)
+		}
+		for range 120 {
+			registerFaults[w.rng.IntN(len(registerFaults))](w, w.members())
+			w.run(100 + w.rng.Int64N(800))
+		}
+		for _, name := range sorted(w.nodes) {
+			w.nodes[name].start()
+		}
+		w.heal()
+		w.run(15_000)
+		counts := map[string]int{}
+		for _, o := range h.ops {
+			counts[fmt.Sprintf("%s %d", map[bool]string{true: "read", false: "write"}[o.read], o.status)]++
+		}
+		t.Logf("seed %d: %v", seed, counts)
+		must.Positive(t, counts["read 200"])
+		must.Positive(t, counts["write 200"])
+		for _, fault := range h.faults() {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -152,6 +152,7 @@
 	doc         setupDoc
 	ballot      ballot
 	confirmedMs int64
+	confirmedBy uint64 // the newest poll that confirmed it
 	askedMs     int64
 	repairMs    int64
 	unsure      []*ask // asks that name a queue not known here, until a newer confirmation
@@ -386,6 +387,11 @@
 // setupFresh tells whether the setup was confirmed at a majority lately.
 func (n *node) setupFresh() bool { return n.now-n.setup.confirmedMs <= setupMs }
 
+// setupConfirmedFor tells whether the setup was confirmed by a poll that was sent
+// after a call came: then no version acknowledged before the call is newer. Polls
+// are counted for this, since times within one millisecond are in no order.
+func (n *node) setupConfirmedFor(a *ask) bool { return n.setup.confirmedBy > a.polls }
+
 // confirmSetup takes a round of answers: where a majority holds the same
 // accepted ballot, that value is chosen, and if it is ours it is confirmed as
 // of the time the round was sent.
@@ -403,7 +409,7 @@
 			continue
 		}
 		if b == n.setup.ballot {
-			n.setup.confirmedMs = max(n.setup.confirmedMs, r.sentMs)
+			n.setup.confirmedMs, n.setup.confirmedBy = max(n.setup.confirmedMs, r.sentMs), max(n.setup.confirmedBy, r.seq)
 		} else if n.setup.ballot.less(b) && n.now-n.setup.askedMs > 300 {
 			n.setup.askedMs = n.now
 			n.send(n.nearestWith(r, b), &readRegMsg{CoreVer: n.core.Version, Reg: "setup"})
@@ -456,7 +462,8 @@
 	if d.Version == n.setup.doc.Version && bytes.Equal(d.Doc, n.setup.doc.Doc) {
 		n.setup.ballot = b
 		if !slices.Equal(d.Emptied, n.setup.doc.Emptied) {
-			n.setup.cur, n.setup.doc, n.setup.confirmedMs = n.setup.cur.withEmptied(d.Emptied), d, -1<<40
+			n.setup.cur, n.setup.doc = n.setup.cur.withEmptied(d.Emptied), d
+			n.setup.confirmedMs, n.setup.confirmedBy = -1<<40, 0
 			n.log("sites_adopted", "emptied", d.Emptied)
 			n.poll.nextMs = 0
 		}
@@ -470,7 +477,8 @@
 			return
 		}
 	}
-	n.setup.cur, n.setup.doc, n.setup.ballot, n.setup.confirmedMs = c.withEmptied(d.Emptied), d, b, -1<<40
+	n.setup.cur, n.setup.doc, n.setup.ballot = c.withEmptied(d.Emptied), d, b
+	n.setup.confirmedMs, n.setup.confirmedBy = -1<<40, 0
 	n.log("setup_adopted", "version", d.Version, "queues", len(c.Queues))
 	n.poll.nextMs = 0
 }
@@ -479,7 +487,7 @@
 	kept, again := n.setup.unsure[:0:0], []*ask{}
 	for _, a := range n.setup.unsure {
 		switch {
-		case n.setup.confirmedMs >= a.atMs:
+		case n.setupConfirmedFor(a):
 			again = append(again, a)
 		case n.cutOff() || n.now-a.atMs > handOverMs*2/3:
 			n.bounce(a, "the setup is not confirmed here")
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -630,7 +630,7 @@
 		return
 	}
 	if n.setup.cur.Queues[j.Queue] == nil {
-		if n.setup.confirmedMs < a.atMs && len(n.setup.unsure) < asksMax {
+		if !n.setupConfirmedFor(a) && len(n.setup.unsure) < asksMax {
 			// A version acknowledged just now may have it: ask the core first.
 			n.setup.unsure = append(n.setup.unsure, a)
 			n.poll.nextMs = 0
--- a/guards.sh
+++ b/guards.sh
@@ -30,13 +30,20 @@
 leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
 a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
 a lease builds on what its granters know|duties.go|n.now, epochs[need-1]|n.now, epochs[0]
+a lease that ran out is not renewed|duties.go|case d.phase == dutyHeld && n.now >= d.untilMs-leaseSlack:|case false:
+a lease belongs to its duty|duties.go|if n.duties[d.name] == d {|if d = n.duties[d.name]; d != nil {
+overtaken polls change nothing|core.go|p.inc == inc && m.Seq < p.seq|false
+passed epochs are not renewed|core.go|if d.Epoch != 0 && d.Epoch < last.Epoch {|if false {
+leases end with their incarnation|siblings.go|n.dropDuty(n.duties[name], "incarnation_raised")|_ = name
+a start takes no older set|siblings.go|c.Version < n.store.set.Version {|false {
+reads by a later poll|setup.go|return n.setup.confirmedBy > a.polls|return n.setup.confirmedMs >= a.atMs
 copied before joining|core.go|if len(j.done) < n.core.majority() {|if false {
 copied from a majority|core.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
 an acceptance belongs to its try|registers.go|o.phase != 2 \|\| m.Ballot != o.ballot|o.phase != 2
 an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
 a lost setup is written back|registers.go|if o.lost = !ok; o.lost {|if o.lost = !ok; o.lost && false {
-unknown queues by a newer setup|asks.go|case !ok && n.setup.confirmedMs >= a.atMs:|case !ok:
+unknown queues by a newer setup|asks.go|case !ok && n.setupConfirmedFor(a):|case !ok:
 one vote for a disk|core.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
 not taken only when surely so|asks.go|a.queue != "" && a.unsure|false
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
