An agent beside its worker takes a raised incarnation as its epoch

Cause: such an agent's epoch is its daemon's incarnation. A daemon that starts with its wall clock set back and gets its worker's beat before any word of its former life numbers the agent below the former one, and kept that number when it raised its own: owners take no word of a lower epoch, so the worker stood idle until the next start, and what it had was given up. Change: the number is raised for such agents too. Placements under the old one are refused from then on, and owners settle them by the agent's list, as after a restart.

--- a/accord/lease_test.go
+++ b/accord/lease_test.go
@@ -302,3 +302,37 @@
 	reduce(n, event{NowMs: 1010, WallMs: wallStart, Body: evTick{}})
 	must.Eq(t, next.Version, n.core.Version)
 }
+
+// A daemon beside a worker that starts again with its wall clock set back numbers
+// its agent below the former one's: owners must hear of the worker all the same.
+func TestAgentOfAClockSetBack(t *testing.T) {
+	b := formBeats(t, 7800, "hakata")
+	b.traffic()
+	b.run(4000)
+	host := b.spots[3]
+	n, worker := b.nodes[host], b.byHost[host].id
+	n.kill(false)
+	n.incs = ^uint64(0) // its next incarnation is far below the last
+	b.run(300)
+	b.cutFrom(host, sorted(b.nodes), true, true) // its worker's beats come before any word of its former life
+	n.start()
+	must.True(t, b.until(4000, func() bool { return n.sh.n.agents[worker] != nil }))
+	b.cuts = map[[2]string]bool{}
+	heard := func() bool {
+		ag := n.sh.n.agents[worker]
+		for _, s := range b.nodes["d00"].sh.n.core.Slices {
+			owner := b.holderOf("slice/" + s)
+			if ag == nil || owner == nil || owner.sh.n.workers[worker] == nil || owner.sh.n.workers[worker].epoch != ag.epoch {
+				return false
+			}
+		}
+		return true
+	}
+	at := b.nowMs()
+	must.True(t, b.until(4000, heard), must.Sprint("its agent is not heard of"))
+	t.Logf("heard after %d ms", b.nowMs()-at)
+	b.run(2000)
+	must.True(t, heard())
+	b.finish(30_000)
+	verdictOfBeats(t, b)
+}
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -132,6 +132,9 @@
 		for _, name := range sorted(n.duties) {
 			n.dropDuty(n.duties[name], "incarnation_raised")
 		}
+		for _, name := range sorted(n.agents) { // those beside their workers: owners hear no lower epoch than before
+			n.agents[name].epoch = n.Inc
+		}
 		n.gossipAt = 0
 	}
 	if s.Name == n.Name || s.Name == "" {
