--- a/accord/history.go
+++ b/accord/history.go
@@ -106,7 +106,7 @@
 // at hand any more: a change by items that built on a version long passed. The
 // register itself is asked, and what it says stands at a majority then.
 func (n *node) findOrder(a *ask) {
-	if n.coreSilent() {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -122,11 +122,6 @@
 	o.order, o.ask = id, a
 }
 
-// coreSilent tells that no majority of the core answered this daemon lately.
-func (n *node) coreSilent() bool {
-	return n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs
-}
-
 // computeTaken leaves the setup as it stands.
 func computeTaken(_ *node, o *casOp) ([]byte, bool) { return o.cur, true }
 
