A gang that asks for one rack keeps that rack's room while it waits for it

An accounting of each job's time, sampled every 50 ms: all late certificate jobs, gangs that ask for one rack, ran over several (147.5 s of 256.0 s of their time, 79.2 s waiting for room; those in aim never ran over several). Work takes three times as long there, and from second 36 to 68 such gangs held two thirds of the fleet's cores, so that urgent jobs queued behind firm work (155.6 s of the late ones' time). A gang took several racks after 1.5 s whatever that costs, and nothing kept room in one rack for it: other firm work took what got free. Takeovers: 11.1 s of the late gangs' time. Change: such a gang keeps the likeliest rack from lesser firm work and waits there for half of what a run over several racks would take longer, 15 s at most. While most of the room is free it takes several after 1.5 s as before. A want carries the estimate of a run. Queueable tasks still run in the kept room, more urgent firm work takes it.

--- a/accord/central.go
+++ b/accord/central.go
@@ -240,7 +240,7 @@
 		}
 		places := f.find(sound)
 		if len(places) == 0 && idle && n.now-ws.firstMs > backfillMs { // no room is kept back from what waited this long while most of it is free
-			f.reserved, f.urgent = nil, true
+			f.reserved, f.urgent, f.anyRack = nil, true, true
 			if places = f.find(sound); len(places) == 0 {
 				places = f.find(fit)
 			}
@@ -271,18 +271,23 @@
 }
 
 // reserve lets a want that waited long keep the likeliest workers from those
-// behind it: one worker for a task, as many as hold it whole for a gang.
+// behind it: one worker for a task, as many as hold it whole for a gang. A gang
+// that waits for one rack keeps workers of one rack, from the beginning: else
+// others take what gets free there.
 func (n *node) reserve(ws *wantState, fit []*firmRoom, reserved map[string]bool, all int) {
-	if n.now-ws.firstMs <= reserveMs {
-		return
-	}
-	most := slices.Clone(fit)
-	slices.SortStableFunc(most, func(a, b *firmRoom) int { return cmp.Compare(b.sure.CPU, a.sure.CPU) })
+	var likely []*firmRoom
+	switch waitedMs := n.now - ws.firstMs; {
+	case ws.Gang && ws.SameRack && waitedMs < n.rackWaitMs(ws):
+		likely = ws.likeliestRack(fit, reserved)
+	case waitedMs > reserveMs:
+		likely = slices.Clone(fit)
+	}
+	slices.SortStableFunc(likely, func(a, b *firmRoom) int { return cmp.Compare(b.sure.CPU, a.sure.CPU) })
 	need := int64(1)
 	if ws.Gang {
 		need = int64(len(ws.Tasks))
 	}
-	for _, r := range most {
+	for _, r := range likely {
 		if need <= 0 || 2*len(reserved) >= all && !ws.Gang {
 			return
 		}
@@ -291,6 +296,61 @@
 	}
 }
 
+// rackWaitMs is how long a gang that asks for one rack waits for one: a part of
+// what its run would take longer over several.
+func (n *node) rackWaitMs(ws *wantState) int64 {
+	longerMs := int64((n.SpreadFactor - 1) * float64(ws.EstMs))
+	return min(max(longerMs*rackWaitShare/100, spreadAfterMs), rackWaitMost)
+}
+
+// byRack groups rooms by the rack they are in.
+func byRack(rooms []*firmRoom) map[string][]*firmRoom {
+	racks := map[string][]*firmRoom{}
+	for _, r := range rooms {
+		racks[r.w.Rack] = append(racks[r.w.Rack], r)
+	}
+	return racks
+}
+
+// wholeIn tells whether workers hold all tasks of a want once nothing else is there.
+func (ws *wantState) wholeIn(rooms []*firmRoom) bool {
+	times := int64(0)
+	for _, r := range rooms {
+		times += ws.timesAt(r.w.Capacity)
+	}
+	return times >= int64(len(ws.Tasks))
+}
+
+// timesAt is how many tasks of a want some room of one worker holds.
+func (ws *wantState) timesAt(room amount) int64 {
+	times := timesIn(ws.Room, room)
+	if ws.PerWorker > 0 {
+		times = min(times, int64(ws.PerWorker))
+	}
+	return times
+}
+
+// likeliestRack gives the rooms of the rack that holds most of a gang already, of
+// those that hold all of it once they are empty and are not reserved.
+func (ws *wantState) likeliestRack(fit []*firmRoom, reserved map[string]bool) []*firmRoom {
+	var best []*firmRoom
+	bestTimes := int64(-1)
+	racks := byRack(slices.DeleteFunc(slices.Clone(fit), func(r *firmRoom) bool { return reserved[r.name] }))
+	for _, name := range sorted(racks) {
+		if !ws.wholeIn(racks[name]) {
+			continue
+		}
+		times := int64(0)
+		for _, r := range racks[name] {
+			times += ws.timesAt(r.sure)
+		}
+		if times > bestTimes {
+			best, bestTimes = racks[name], times
+		}
+	}
+	return best
+}
+
 // timesIn is how often some room fits into another.
 func timesIn(room, in amount) int64 {
 	times := int64(1 << 20)
@@ -309,6 +369,7 @@
 	used     map[string]int32 // tasks of the step on a worker
 	reserved map[string]bool
 	urgent   bool // of the most urgent queues: nothing is kept back from it
+	anyRack  bool // so much room is free that a gang doesn't wait for one rack
 }
 
 type firmPlace struct {
@@ -327,10 +388,7 @@
 		return nil
 	}
 	if f.ws.SameRack {
-		racks, able := map[string][]*firmRoom{}, false
-		for _, r := range fit {
-			racks[r.w.Rack] = append(racks[r.w.Rack], r)
-		}
+		racks, able := byRack(fit), false
 		names := sorted(racks)
 		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(f.nearness(b), f.nearness(a)) })
 		for _, name := range names {
@@ -339,17 +397,9 @@
 			} else {
 				f.undo(p)
 			}
-			room := int64(0)
-			for _, r := range racks[name] {
-				times := timesIn(f.ws.Room, r.w.Capacity)
-				if f.ws.PerWorker > 0 {
-					times = min(times, int64(f.ws.PerWorker))
-				}
-				room += times
-			}
-			able = able || room >= int64(len(open))
+			able = able || f.ws.wholeIn(racks[name])
 		}
-		if able && f.n.now-f.ws.firstMs < spreadAfterMs {
+		if able && f.waitsForRack() {
 			return nil
 		}
 	}
@@ -361,6 +411,15 @@
 	return p
 }
 
+// waitsForRack tells whether a gang still waits for room in one rack.
+func (f *fitting) waitsForRack() bool {
+	waitedMs := f.n.now - f.ws.firstMs
+	if f.anyRack {
+		return waitedMs < spreadAfterMs
+	}
+	return waitedMs < f.n.rackWaitMs(f.ws)
+}
+
 func (f *fitting) nearness(rack string) int {
 	if f.ws.Near != "" && f.ws.Near == rack {
 		return 1
--- /dev/null
+++ b/accord/central_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// rackNode is a node that holds the central scheduler over two racks of three
+// workers with 4 cores each.
+func rackNode(t *testing.T, spreadFactor float64) *node {
+	n := newNode(place{Name: "d0", SpreadFactor: spreadFactor}, nil)
+	n.now = 100_000
+	setup, faults := compileSetup(1, []byte(`{"queues":[{"name":"high","urgency":90},{"name":"mid","urgency":60},{"name":"low","urgency":30}]}`))
+	must.SliceEmpty(t, faults)
+	n.setup.cur = setup
+	n.duties["central"] = &duty{name: "central", epoch: 1, phase: dutyHeld, untilMs: 1 << 40}
+	n.startCentral(n.duties["central"])
+	n.now += rebuildMs
+	for i := range 6 {
+		w := &firmView{syncMsg: syncMsg{Worker: fmt.Sprint("w", i), Rack: fmt.Sprint("r", i/3), Rebuilt: true, Fresh: true, Capacity: amount{CPU: 4000}}}
+		n.central.workers[w.Worker] = w
+	}
+	return n
+}
+
+// occupy gives a worker firm work.
+func occupy(n *node, worker string, cpu int64) {
+	w := n.central.workers[worker]
+	w.firm, w.busy = amount{CPU: cpu}, amount{CPU: cpu}
+}
+
+// grantAfter lets time pass and grants; it gives the workers of a job's grants.
+func grantAfter(n *node, ms int64, job string) map[string]int {
+	n.now += ms
+	n.setup.confirmedMs = n.now
+	for _, w := range n.central.workers {
+		w.heardMs = n.now
+	}
+	n.grantAll(n.central)
+	placed := map[string]int{}
+	for k, ws := range n.central.wants {
+		if k.Job != job {
+			continue
+		}
+		for _, g := range ws.granted {
+			placed[g.worker]++
+		}
+	}
+	return placed
+}
+
+func wantOf(job, queue string, tasks int, cpu, estMs int64) *wantState {
+	ws := &wantState{granted: map[int64]grantState{}, wantMsg: wantMsg{Slice: "s", Job: job, Queue: queue, Room: amount{CPU: cpu}, EstMs: estMs}}
+	for i := range tasks {
+		ws.Tasks = append(ws.Tasks, wantTask{placeID(0, 0, int32(i)), 1})
+	}
+	return ws
+}
+
+func (c *central) add(now int64, ws *wantState) {
+	ws.firstMs, ws.lastMs = now, now
+	c.wants[ws.key()] = ws
+}
+
+// A gang that asks for one rack waits for one as long as that is worth more than
+// a run over several, and no longer.
+func TestGangWaitsForOneRack(t *testing.T) {
+	for name, c := range map[string]struct {
+		spreadFactor  float64
+		estMs, waitMs int64
+	}{
+		"several racks cost little": {1.5, 2000, spreadAfterMs},
+		"several racks cost much":   {3, 5000, 5000},
+		"very long work":            {3, 60_000, rackWaitMost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := rackNode(t, c.spreadFactor)
+			occupy(n, "w0", 3000)
+			occupy(n, "w3", 3000)
+			gang := wantOf("gang", "mid", 3, 3000, c.estMs)
+			gang.Gang, gang.SameRack = true, true
+			n.central.add(n.now, gang)
+			for _, i := range []int{1, 2, 4, 5} { // queueable work, so that the fleet isn't idle
+				n.central.workers[fmt.Sprint("w", i)].busy = amount{CPU: 3000}
+			}
+			must.MapEmpty(t, grantAfter(n, c.waitMs-100, "gang"))
+			must.MapLen(t, 3, grantAfter(n, 100, "gang"))
+		})
+	}
+}
+
+// Room of one rack is kept for a gang that waits for it, whatever gets free
+// there: its own lesser queues' work goes to the other rack, or waits. Work of more
+// urgent queues does not.
+func TestRackIsKeptForGang(t *testing.T) {
+	n := rackNode(t, 3)
+	for i := range 6 {
+		occupy(n, fmt.Sprint("w", i), 3000)
+	}
+	occupy(n, "w1", 0) // so the likeliest rack is r0
+	gang := wantOf("gang", "mid", 3, 3000, 20_000)
+	gang.Gang, gang.SameRack = true, true
+	n.central.add(n.now, gang)
+	n.central.add(n.now, wantOf("single", "low", 1, 3000, 3000))
+	n.central.add(n.now, wantOf("urgent", "high", 1, 400, 3000))
+	must.MapEmpty(t, grantAfter(n, 200, "gang"))
+	must.MapEmpty(t, grantAfter(n, 0, "single"), must.Sprint("it took the kept rack's room"))
+	must.MapLen(t, 1, grantAfter(n, 0, "urgent"))
+	occupy(n, "w4", 0)
+	must.Eq(t, map[string]int{"w4": 1}, grantAfter(n, 200, "single"))
+	occupy(n, "w0", 0)
+	must.MapEmpty(t, grantAfter(n, 200, "gang"))
+	occupy(n, "w2", 0)
+	must.Eq(t, map[string]int{"w0": 1, "w1": 1, "w2": 1}, grantAfter(n, 200, "gang"))
+}
+
+// While most room is free no gang waits for one rack for long: a job must not stand
+// still beside idle workers.
+func TestGangTakesSeveralRacksOfIdleFleet(t *testing.T) {
+	n := rackNode(t, 3)
+	occupy(n, "w0", 3000)
+	occupy(n, "w3", 3000)
+	gang := wantOf("gang", "mid", 3, 3000, 20_000)
+	gang.Gang, gang.SameRack = true, true
+	n.central.add(n.now, gang)
+	must.MapEmpty(t, grantAfter(n, backfillMs, "gang"))
+	must.MapLen(t, 3, grantAfter(n, 100, "gang"))
+}
+
+// Where no rack could ever hold a gang, it doesn't wait for one.
+func TestGangTooLargeForOneRack(t *testing.T) {
+	n := rackNode(t, 3)
+	gang := wantOf("gang", "mid", 5, 3000, 20_000)
+	gang.Gang, gang.SameRack = true, true
+	n.central.add(n.now, gang)
+	must.MapLen(t, 5, grantAfter(n, 100, "gang"))
+}
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -150,7 +150,9 @@
 	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
-	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
+	spreadAfterMs = 1500   // a gang that wants one rack takes several after this, at the earliest
+	rackWaitShare = 50     // percent of what its run takes longer over several that it waits for one
+	rackWaitMost  = 15_000 // ms, and no longer than this
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	lastPercent   = 99     // a worker tells no more of work that has not ended
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -335,6 +335,7 @@
 	Near      string
 	PerWorker int32
 	Used      []usedView // where others of the step are
+	EstMs     int64      // how long a run is expected to take
 }
 
 type wantTask struct {
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -1314,7 +1314,7 @@
 	t := &js.Tasks[i]
 	st := &js.Steps[t.Step]
 	m := &wantMsg{Slice: sl.name, Job: js.ID, Queue: js.Queue, Room: t.Room, Needs: t.Needs, SubmitMs: js.SubmitMs, Avoid: t.Last,
-		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker}
+		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker, EstMs: n.estimateMs(js, t)}
 	from, to_ := i, i+1
 	if st.Alike {
 		from, to_ = js.mates(i)
