Frames name their addressee; responses reach the life that asked, or nobody

Cause: request numbers (askSeq, opSeq, poll seq) begin at 0 in each life and frames named no addressee, so a late answer to an earlier life was taken for the answer to the present request of the same number. Shown first by TestAnswerBelongsToItsLife: a daemon is back within a second and a new caller's job is answered with {"id":"first-4"}, the former caller's, though its owner has not heard of it yet ("taken" for a job that nobody keeps). With the new check taken out that test fails so; with it, it passes. Ruled out: a check of the incarnation. It is the wall clock at the start, which may be set back, and learnSibling raises it within a life.

Change: identity.go. A life is 64 random bits drawn at the start. A frame's head bears the sender's life and one addressee: the name's hash in requests and announcements, the life that asked in responses, nobody in greetings to seed addresses, whose name isn't known yet (gossip and digests only; they hold versioned facts). What is meant for another is dropped and counted as messages_misaddressed or late_answers; so is an answer that comes after its request was given up. A request that is answered later keeps the life of who asked. Numbers within a life never come again, so (life, number) is unique. An answer may still come from any life of the responder: it names the request, and votes, writes and grants were synced, or wait a lease, across its restart.

Rolling restart across the change: the form is 4, with another magic. Frames of form 3 are refused here and ours there, never misread (TestFormerFormIsRefused). The two kinds don't hear each other, as across a cut: the side with a majority of the core serves (operating.md).

Bytes per frame with a name of 16 bytes: poll 96 before, 93 after; answer 80, 77; acknowledged write 85, 82 (magic and version in 4 bytes, kind in 1, the unread incarnation's place taken by the life). TestHeadIsSmall pins the head.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -12,6 +12,7 @@
 type ask struct {
 	id     uint64
 	origin string // "" when it came by HTTP here
+	life   uint64 // of the origin's process: no later one is answered
 	hop    int32
 	op     string
 	key    string
@@ -83,7 +84,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
+	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, life: n.sender.life, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -111,7 +112,7 @@
 		n.reply(a.id, m)
 		return
 	}
-	n.send(a.origin, &m)
+	n.respond(peerLife{a.origin, a.life}, &m)
 }
 
 func (n *node) bounce(a *ask, reason string) {
@@ -152,7 +153,8 @@
 
 func (n *node) onAnswer(from string, m *answerMsg) {
 	p := n.asks[m.ID]
-	if p == nil || p.to != from {
+	if p == nil || p.to != from { // given up on, or handed to another since
+		n.count("late_answers")
 		return
 	}
 	delete(n.asks, m.ID)
--- a/accord/codec.go
+++ b/accord/codec.go
@@ -167,19 +167,22 @@
 	return nil, false
 }
 
+// wireMagic tells frames of this form from all others. Up to the third form a
+// frame began with eight bytes "otterchu" and a version.
 const (
-	wireMagic   uint64 = 0x6f74746572636875 // "otterchu"
-	wireVersion int32  = 3
+	wireForm        = 4
+	wireMagic int32 = 0x6f747700 | wireForm // "otw" and the number of the form
 )
 
-// wireHead stands before every message between daemons.
+// wireHead stands before every message between daemons. It names the sender's
+// life and the addressee, see identity.go.
 type wireHead struct {
-	Magic   uint64
-	Version int32
-	Kind    int32
+	Magic   int32
+	Kind    uint8
 	Cluster uint64 // 0 while the sender knows none
 	From    string
-	Inc     uint64
+	Life    uint64 // of the sender's process
+	To      uint64 // the addressee: addressOf its name, its life in a response, or toAnyone
 }
 
 // seal puts a message and its head into one checksummed frame (without the
@@ -187,14 +190,18 @@
 //
 // Example: frame := sealFrame(head, &pollMsg{Seq: 4})
 func sealFrame(h wireHead, msg any) []byte {
-	h.Magic, h.Version, h.Kind = wireMagic, wireVersion, kindOf(msg)
+	h.Magic, h.Kind = wireMagic, kindOf(msg)
 	b := pack(make([]byte, 4, 256), h)
 	b = pack(b, msg)
 	binary.BigEndian.PutUint32(b, crc32.ChecksumIEEE(b[4:]))
 	return b
 }
 
-// openFrame is the opposite of sealFrame. A frame of another version gives
+// frameKind tells the kind of message in a sealed frame: it stands behind the
+// checksum and the magic.
+func frameKind(frame []byte) uint8 { return frame[8] }
+
+// openFrame is the opposite of sealFrame. A frame of another form gives
 // errForeign, a damaged one errFrame.
 //
 // Example: head, msg, err := openFrame(frame)
@@ -202,13 +209,13 @@
 	if len(b) < 4 || binary.BigEndian.Uint32(b) != crc32.ChecksumIEEE(b[4:]) {
 		return h, nil, errFrame
 	}
+	if len(b) < 8 || int32(binary.BigEndian.Uint32(b[4:])) != wireMagic {
+		return h, nil, errForeign
+	}
 	rest, ok := unpackValue(b[4:], reflect.ValueOf(&h).Elem())
 	if !ok {
 		return h, nil, errFrame
 	}
-	if h.Magic != wireMagic || h.Version != wireVersion {
-		return h, nil, errForeign
-	}
 	t, ok := messageTypes[h.Kind]
 	if !ok {
 		return h, nil, errFrame
--- a/accord/daemon.go
+++ b/accord/daemon.go
@@ -257,7 +257,7 @@
 }
 
 func provideShell(s settings, l *loop, w *wire, d diskParts, c *courier, log logr.Logger, down fx.Shutdowner) *shell {
-	p := place{Name: s.Name, Inc: uint64(time.Now().UnixNano()), Addr: s.Addr, HTTP: s.HTTP, Site: s.Site, Seeds: s.Seeds, Disk: d.disk != nil,
+	p := place{Name: s.Name, Inc: uint64(time.Now().UnixNano()), Life: newLife(), Addr: s.Addr, HTTP: s.HTTP, Site: s.Site, Seeds: s.Seeds, Disk: d.disk != nil,
 		KeepMs: s.KeepHours * msPerHour, SnapshotBytes: snapshotMin, ThresholdMs: s.ThresholdMs, KLowest: int(s.KLowest), TargetSigma: s.TargetSigma,
 		CoreSize: int(s.CoreSize), FirstStart: s.FirstStart, Beside: s.Beside, HoldMostMs: s.HoldMostMs, GangWaitMs: s.GangWaitMs, SaveMs: s.SaveMs, RestoreMs: s.RestoreMs, SpreadFactor: s.SpreadFactor}
 	if d.disk != nil {
--- a/accord/fence_test.go
+++ b/accord/fence_test.go
@@ -20,7 +20,7 @@
 				}
 			}
 		}
-		for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Seed: 1, Body: evMsg{Head: wireHead{From: from, Cluster: n.core.Cluster}, Msg: msg}}) {
+		for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Seed: 1, Body: evMsg{Head: wireHead{From: from, Cluster: n.core.Cluster, To: addressOf(n.Name)}, Msg: msg}}) {
 			if a, ok := e.(effAppend); ok {
 				look(a.Then)
 			} else {
@@ -140,13 +140,13 @@
 	owner.startSlice(&duty{name: "slice/east", epoch: 99})
 	var wrote []record
 	for from, recs := range map[string][]record{"d00": nil, "d01": {finished}} {
-		for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: from}, Msg: &sealedMsg{CoreVer: owner.core.Version, Slice: "east", Epoch: 99, OK: true, Records: recs}}}) {
+		for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: from, To: owner.Life}, Msg: &sealedMsg{CoreVer: owner.core.Version, Slice: "east", Epoch: 99, OK: true, Records: recs}}}) {
 			if s, ok := e.(effSend); ok {
 				if m, ok := s.Msg.(*writeMsg); ok {
 					wrote = m.Records
 				}
 				if m, ok := s.Msg.(*fetchMsg); ok { // the other member is asked for it by name
-					for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: s.To}, Msg: &fetchedMsg{Op: m.Op}}}) {
+					for _, e := range reduce(owner, event{NowMs: owner.now, WallMs: owner.wall, Body: evMsg{Head: wireHead{From: s.To, To: owner.Life}, Msg: &fetchedMsg{Op: m.Op}}}) {
 						if s, ok := e.(effSend); ok {
 							if m, ok := s.Msg.(*writeMsg); ok {
 								wrote = m.Records
--- a/accord/formation_test.go
+++ b/accord/formation_test.go
@@ -364,7 +364,7 @@
 	n := newNode(place{Name: "b", DiskID: 2, Disk: true, FirstStart: true}, newStore())
 	say := func(m *formMsg) *formedMsg {
 		var got *formedMsg
-		for _, e := range reduce(n, event{NowMs: 1000, WallMs: 1000, Body: evMsg{Head: wireHead{From: "a"}, Msg: m}}) {
+		for _, e := range reduce(n, event{NowMs: 1000, WallMs: 1000, Body: evMsg{Head: wireHead{From: "a", To: addressOf("b")}, Msg: m}}) {
 			if a, ok := e.(effAppend); ok {
 				for _, then := range a.Then {
 					if s, ok := then.(effSend); ok && s.To == "a" {
--- a/accord/gossip.go
+++ b/accord/gossip.go
@@ -123,9 +123,9 @@
 	} else {
 		a.Table = append(a.Table, n.self())
 	}
-	n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: a})
+	n.sendAt(from, m.Self.Addr, a)
 	if m.CoreVer < n.core.Version {
-		n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: n.coreWord()})
+		n.sendAt(from, m.Self.Addr, n.coreWord())
 	}
 }
 
--- a/accord/hollow.go
+++ b/accord/hollow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -60,7 +59,7 @@
 	"agents": roleAgent, "central": roleCentral, "asks": roleFront, "reads": roleFront,
 }
 
-func kindName(kind int32) string {
+func kindName(kind uint8) string {
 	if t, ok := messageTypes[kind]; ok {
 		return t.Name()
 	}
@@ -151,7 +150,7 @@
 	if m == nil {
 		return
 	}
-	kind := kindName(int32(binary.BigEndian.Uint32(frame[16:]))) // after checksum, magic and version
+	kind := kindName(frameKind(frame))
 	m.add(flow{kindRoles[kind][0], kind, true}, len(frame))
 }
 
--- /dev/null
+++ b/accord/identity.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"hash/fnv"
+	"reflect"
+)
+
+// Each frame names the process that sent it and the one it is meant for, since
+// names and addresses outlive processes: a daemon may be back within a second,
+// and another machine may get the address of one that is gone. Request numbers
+// count from 0 in each life, so a late response to an earlier life would
+// otherwise be taken for that to a present request of the same number.
+//
+// A life is a random number drawn at the start of a process. It doesn't depend
+// on any clock, and unlike the incarnation it never changes within a process.
+//
+//   - A request or an announcement names the addressee's name. Any life of it
+//     may take that: what must not outlive a process carries an epoch of its own.
+//   - A response names the life that asked. No other takes it, so within a
+//     life's numbers each response finds its own request or none.
+//   - Only greetings may go to whoever listens at a seed's address, whose name
+//     isn't known yet. They tell versioned facts that hold for any reader.
+//
+// Frames of earlier forms begin with another magic and are refused, as ours are
+// by daemons of that time. In a rolling restart across the change the two kinds
+// don't hear each other: each serves while it has a majority of the core, as
+// across a cut of the network, so core members are restarted one by one.
+
+// toAnyone addresses whoever listens at an address.
+const toAnyone uint64 = 0
+
+// peerLife is one process of a daemon.
+type peerLife struct {
+	name string
+	life uint64
+}
+
+// responses are the messages that answer one request of one process.
+var responses = map[reflect.Type]bool{
+	reflect.TypeFor[*pollAck](): true, reflect.TypeFor[*promiseMsg](): true, reflect.TypeFor[*acceptedMsg](): true,
+	reflect.TypeFor[*sealedMsg](): true, reflect.TypeFor[*wroteMsg](): true, reflect.TypeFor[*fetchedMsg](): true,
+	reflect.TypeFor[*answerMsg](): true, reflect.TypeFor[*formedMsg](): true, reflect.TypeFor[*copiedMsg](): true,
+	reflect.TypeFor[*regMsg](): true, reflect.TypeFor[*digestAck](): true,
+}
+
+// greetings are the messages that may go to an address without a name.
+var greetings = map[reflect.Type]bool{reflect.TypeFor[*gossipMsg](): true, reflect.TypeFor[*digestMsg](): true}
+
+func newLife() uint64 { return newSeed() | 1 }
+
+// addressOf is a name as frames bear it, never toAnyone.
+func addressOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64() | 1
+}
+
+// addressed tells whether a message is meant for this process. It counts what isn't.
+func (n *node) addressed(head wireHead, msg any) bool {
+	kind := reflect.TypeOf(msg)
+	switch {
+	case responses[kind]:
+		if head.To == n.Life {
+			return true
+		}
+		n.count("late_answers")
+		return false
+	case head.To == addressOf(n.Name), head.To == toAnyone && greetings[kind]:
+		return true
+	}
+	n.count("messages_misaddressed")
+	return false
+}
+
+// destination is what a message to a daemon bears: its name, or in a response
+// the life whose request is being handled.
+func (n *node) destination(to string, msg any) uint64 {
+	switch {
+	case !responses[reflect.TypeOf(msg)]:
+		return addressOf(to)
+	case to == n.Name:
+		return n.Life
+	case to == n.sender.name:
+		return n.sender.life
+	}
+	return toAnyone // nobody takes a response that answers no request
+}
+
+// respond answers a request that was kept for a while.
+func (n *node) respond(to peerLife, msg any) {
+	e := n.sendEffect(to.name, msg).(effSend)
+	e.Dest = to.life
+	n.emit(e)
+}
+
+// sendAt sends to a daemon at the address that it has just given as its own.
+func (n *node) sendAt(to, addr string, msg any) {
+	n.emit(effSend{To: to, Addr: addr, Dest: n.destination(to, msg), Msg: msg})
+}
--- /dev/null
+++ b/accord/identity_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"reflect"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// jobBody is a job of one short task in the queue that the setup of deployment hakata has.
+func jobBody(queue string) []byte {
+	return fmt.Appendf(nil, `{"queue":%q,"steps":[{"name":"a","tasks":[{"name":"t","room":1,"payload":{"ms":50}}]}]}`, queue)
+}
+
+// idOwnedBy gives a job id whose slice a daemon holds.
+func idOwnedBy(w *world, owner *simNode, prefix string) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%s-%d", prefix, i)
+		if w.holderOf("slice/"+owner.sh.n.sliceOf(id)) == owner {
+			return id
+		}
+	}
+}
+
+// frontAndOwner gives a daemon that owns no slice and one that does.
+func frontAndOwner(t *testing.T, w *world) (front, owner *simNode) {
+	t.Helper()
+	for _, name := range sorted(w.nodes) {
+		n := w.nodes[name]
+		switch {
+		case len(n.sh.n.owned) > 0:
+			owner = n
+		case !n.place.Disk:
+			front = n
+		}
+	}
+	must.NotNil(t, front)
+	must.NotNil(t, owner)
+	return front, owner
+}
+
+// A daemon is back within a second. The answer to a caller of its earlier life
+// comes late, under the number that a new caller's request bears by now. It
+// must not become the new caller's answer: here "taken" for a job that the
+// owner has never heard of.
+func TestAnswerBelongsToItsLife(t *testing.T) {
+	w := formed(t, 1, "hakata")
+	w.run(3000)
+	front, owner := frontAndOwner(t, w)
+	queue := w.dep.SetupOf().Queues[0].Name
+	first, second := idOwnedBy(w, owner, "first"), idOwnedBy(w, owner, "second")
+	handed, withheld := false, 0
+	w.detain = func(from, to string, msg any) int64 {
+		switch m := msg.(type) {
+		case *answerMsg: // of the first life, until the second has handed a request over
+			if from == owner.Name && to == front.Name && !handed {
+				withheld++
+				return 700_000
+			}
+		case *askMsg:
+			if from == front.Name && m.Key == second {
+				handed = true
+				return 400_000 // the owner knows nothing of it while the late answer comes
+			}
+		}
+		return 0
+	}
+	restart := func() {
+		front.kill(false)
+		w.run(100)
+		front.start()
+	}
+	restart() // its numbers begin anew
+	w.until(2000, func() bool { h, _ := front.sh.n.holder("slice/" + front.sh.n.sliceOf(first)); return h == owner.Name })
+	w.ask("caller", front, "job.put", first, jobBody(queue), 5000, func(int, int64, []byte) {})
+	must.True(t, w.until(500, func() bool { return withheld > 0 }), must.Sprint("the owner answered nothing"))
+	numbers := front.sh.n.askSeq
+	restart()
+	must.True(t, w.until(600, func() bool { h, _ := front.sh.n.holder("slice/" + front.sh.n.sliceOf(second)); return h == owner.Name }),
+		must.Sprint("the second life knows no owner in time"))
+	front.sh.n.askSeq = numbers - 1 // workers' reports may have taken numbers: the next one is that of the first caller
+	status, _, body, took := w.asked("caller", front, "job.put", second, jobBody(queue))
+	must.True(t, handed)
+	must.Eq(t, 201, status)
+	must.Eq(t, second, gjson.GetBytes(body, "id").Str, must.Sprintf("the answer after %d ms is another caller's: %s", took, body))
+	must.Positive(t, front.sh.n.counts["late_answers"])
+}
+
+// addressedTo tells whether a daemon takes a message with that addressee.
+func addressedTo(n *node, to uint64, msg any) bool {
+	return n.addressed(wireHead{From: "b", Life: 77, To: to}, msg)
+}
+
+// A message is taken by the one it names only: a request by its name, a
+// response by the life that asked, a greeting by whoever listens.
+func TestMessageBelongsToItsAddressee(t *testing.T) {
+	n := newNode(place{Name: "a", Inc: 5, Life: 1234}, nil)
+	for _, typ := range messageTypes {
+		msg := reflect.New(typ).Interface()
+		response, greeting := responses[reflectPtr(typ)], greetings[reflectPtr(typ)]
+		must.Eq(t, !response, addressedTo(n, addressOf("a"), msg), must.Sprint(typ))
+		must.Eq(t, response, addressedTo(n, 1234, msg), must.Sprint(typ))
+		must.Eq(t, greeting, addressedTo(n, toAnyone, msg), must.Sprint(typ))
+		must.False(t, addressedTo(n, addressOf("b"), msg), must.Sprint(typ))
+		must.False(t, addressedTo(n, 1235, msg), must.Sprint(typ))
+	}
+	n.Inc = 99 // is raised within a life; the life is not
+	must.True(t, addressedTo(n, 1234, &answerMsg{}))
+	must.Positive(t, n.counts["late_answers"])
+	must.Positive(t, n.counts["messages_misaddressed"])
+}
+
+// A response bears the life of the request that it answers, whatever life the
+// asker has by then.
+func TestResponseBelongsToTheLifeThatAsked(t *testing.T) {
+	w := formed(t, 2, "ikenna")
+	n := w.nodes["d01"].sh.n
+	var dest []uint64
+	look := func(effects []effect) {
+		for _, e := range effects {
+			if s, ok := e.(effSend); ok && responses[reflect.TypeOf(s.Msg)] {
+				dest = append(dest, s.Dest)
+			}
+		}
+	}
+	for _, msg := range []any{&pollMsg{CoreVer: n.core.Version}, &prepareMsg{CoreVer: n.core.Version, Reg: "x", Ballot: ballot{1, "b"}},
+		&acceptMsg{CoreVer: n.core.Version, Reg: "x", Ballot: ballot{1, "b"}}, &sealMsg{CoreVer: n.core.Version, Slice: "x", Epoch: 3},
+		&writeMsg{CoreVer: n.core.Version, Slice: "x", Epoch: 3}, &fetchMsg{CoreVer: n.core.Version, Slice: "x"}, &readRegMsg{CoreVer: n.core.Version, Reg: "x"},
+		&copyMsg{CoreVer: n.core.Version}, &digestMsg{Self: sibling{Name: "b"}}, &askMsg{Op: "members"}} {
+		before := len(dest)
+		for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Seed: 1, Body: evMsg{Head: wireHead{From: "b", Life: 4321, To: addressOf(n.Name)}, Msg: msg}}) {
+			if a, ok := e.(effAppend); ok {
+				look(a.Then)
+			} else {
+				look([]effect{e})
+			}
+		}
+		must.Eq(t, before+1, len(dest), must.Sprintf("%T", msg))
+		must.Eq(t, 4321, dest[before], must.Sprintf("%T", msg))
+	}
+}
+
+// The head stays small: each daemon has 3 KB/s for what it says to others.
+func TestHeadIsSmall(t *testing.T) {
+	must.Eq(t, 37+len("edge-fukuoka-a-1"), len(sealFrame(wireHead{From: "edge-fukuoka-a-1", Cluster: 1, Life: 2, To: 3}, &formMsg{}))-len(pack(nil, formMsg{})))
+}
+
+// Frames of the form before are refused, whatever they hold, and not misread.
+func TestFormerFormIsRefused(t *testing.T) {
+	former := struct {
+		Magic         uint64
+		Version, Kind int32
+		Cluster       uint64
+		From          string
+		Inc           uint64
+	}{0x6f74746572636875, 3, 15, 9, "d01", 7}
+	frame := pack(pack(make([]byte, 4), former), answerMsg{ID: 1, Status: 200})
+	binary.BigEndian.PutUint32(frame, crc32.ChecksumIEEE(frame[4:]))
+	_, _, err := openFrame(frame)
+	must.ErrorIs(t, err, errForeign)
+}
--- a/accord/main.go
+++ b/accord/main.go
@@ -53,7 +53,7 @@
 		cmd.Register(c, "operators")
 	}
 	cmd.Register(&command{name: "version", about: "tell the version", do: func(context.Context, *flag.FlagSet) subcommands.ExitStatus {
-		fmt.Printf("accord %s, wire %d\n", version, wireVersion)
+		fmt.Printf("accord %s, wire %d\n", version, wireForm)
 		return exitOK
 	}}, "help")
 	flag.Parse()
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -3,7 +3,7 @@
 import "reflect"
 
 // Messages between daemons. Their numbers are part of the wire form.
-var messageTypes = map[int32]reflect.Type{
+var messageTypes = map[uint8]reflect.Type{
 	1: reflect.TypeFor[gossipMsg](), 2: reflect.TypeFor[pollMsg](), 3: reflect.TypeFor[pollAck](),
 	4: reflect.TypeFor[prepareMsg](), 5: reflect.TypeFor[promiseMsg](), 6: reflect.TypeFor[acceptMsg](),
 	7: reflect.TypeFor[acceptedMsg](), 8: reflect.TypeFor[sealMsg](), 9: reflect.TypeFor[sealedMsg](),
@@ -17,15 +17,15 @@
 	31: reflect.TypeFor[digestAck](),
 }
 
-var messageKinds = func() map[reflect.Type]int32 {
-	m := map[reflect.Type]int32{}
+var messageKinds = func() map[reflect.Type]uint8 {
+	m := map[reflect.Type]uint8{}
 	for k, t := range messageTypes {
 		m[t] = k
 	}
 	return m
 }()
 
-func kindOf(msg any) int32 { return messageKinds[reflect.TypeOf(msg).Elem()] }
+func kindOf(msg any) uint8 { return messageKinds[reflect.TypeOf(msg).Elem()] }
 
 // sibling is what a daemon says of itself and others repeat.
 type sibling struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -13,6 +13,7 @@
 type place struct {
 	Name          string
 	Inc           uint64
+	Life          uint64 // names this process among all that ever ran, see identity.go
 	Addr          string
 	HTTP          string
 	Site          string
@@ -84,6 +85,7 @@
 	effSend struct {
 		To   string // sibling name, or "" for a bare address
 		Addr string
+		Dest uint64 // see wireHead.To
 		Msg  any
 	}
 	// effAppend syncs entries, and only then carries out what waits on them.
@@ -154,6 +156,8 @@
 	setup setupState
 	ready *compiled // came with this event
 
+	sender peerLife // of the message that is being handled
+
 	asks   map[uint64]*pendingAsk
 	reads  map[uint64]*coreRead
 	again  budget // for handing an ask over a second time
@@ -290,9 +294,12 @@
 		}
 		return
 	}
+	if !n.addressed(e.Head, e.Msg) {
+		return
+	}
 	n.count("messages_in")
-	n.ready = e.Ready
-	defer func() { n.ready = nil }()
+	n.ready, n.sender = e.Ready, peerLife{e.Head.From, e.Head.Life}
+	defer func() { n.ready, n.sender = nil, peerLife{} }()
 	if h, ok := messageHandlers[reflect.TypeOf(e.Msg)]; ok {
 		h(n, e.Head.From, e.Msg)
 	}
@@ -310,7 +317,9 @@
 func (n *node) emit(e effect)               { n.out = append(n.out, e) }
 func (n *node) count(name string)           { n.counts[name]++ }
 func (n *node) log(event string, kv ...any) { n.emit(effLog{Event: event, Pairs: kv}) }
-func (n *node) headOf() wireHead            { return wireHead{Cluster: n.core.Cluster, From: n.Name, Inc: n.Inc} }
+func (n *node) headOf() wireHead {
+	return wireHead{Cluster: n.core.Cluster, From: n.Name, Life: n.Life}
+}
 func (n *node) reply(id uint64, a answerMsg) {
 	n.emit(effReply{ID: id, Status: int(a.Status), RetryMs: a.RetryMs, Body: a.Body})
 }
@@ -324,7 +333,7 @@
 		addr = n.Addr
 	}
 	n.count("messages_out")
-	return effSend{To: to, Addr: addr, Msg: msg}
+	return effSend{To: to, Addr: addr, Dest: n.destination(to, msg), Msg: msg}
 }
 
 func (n *node) send(to string, msg any) { n.emit(n.sendEffect(to, msg)) }
--- a/accord/shell.go
+++ b/accord/shell.go
@@ -41,7 +41,11 @@
 
 func init() {
 	effectHandlers = map[reflect.Type]func(*shell, effect){}
-	onEffect(func(s *shell, e effSend) { s.p.Send(s.n.headOf(), e.To, e.Addr, e.Msg) })
+	onEffect(func(s *shell, e effSend) {
+		head := s.n.headOf()
+		head.To = e.Dest
+		s.p.Send(head, e.To, e.Addr, e.Msg)
+	})
 	onEffect(func(s *shell, e effAppend) {
 		s.p.Append(e.Entries, func() {
 			for _, then := range e.Then {
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -117,7 +117,7 @@
 	if m.Back && from != n.Name {
 		// To where it says it is: a daemon that is new at its address, with a
 		// clock set back, is known at its old one until it has heard of that.
-		n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: n.gossip(false)})
+		n.sendAt(from, m.Self.Addr, n.gossip(false))
 	}
 }
 
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -43,7 +43,9 @@
 	freezeOrders int // so many daemons freeze with an order in hand
 	trafficEnds  bool
 	largest      int // bytes of the largest frame so far
-	onNote       func(verdict.Event)
+	// detain tells how many us longer than others a message takes, past those sent after it.
+	detain func(from, to string, msg any) int64
+	onNote func(verdict.Event)
 }
 
 type happening struct {
@@ -267,6 +269,7 @@
 	n.bootUs = n.w.nowUs - 1_000_000 - n.w.rng.Int64N(3_000_000_000)
 	p := n.place
 	p.Inc = n.incs<<32 | uint64(n.w.nowMs())&0xffffffff
+	p.Life = addressOf(fmt.Sprintf("%s life %d", n.Name, n.incs)) // draws nothing, so that a seed's run stays as it was
 	var st *store
 	if p.Disk {
 		st = n.disk.load()
@@ -360,7 +363,7 @@
 	if target == nil {
 		return
 	}
-	n.w.carryTo(n.Name, target.Name, func() {
+	arrive := func() {
 		if !target.up {
 			return
 		}
@@ -370,7 +373,14 @@
 		}
 		n.w.traceOf(h.From, target.Name, h.Kind, len(frame))
 		target.event(evMsg{Head: h, Msg: m})
-	})
+	}
+	if n.w.detain != nil {
+		if us := n.w.detain(n.Name, target.Name, msg); us > 0 {
+			n.w.after(us, arrive)
+			return
+		}
+	}
+	n.w.carryTo(n.Name, target.Name, arrive)
 }
 
 func (n *simNode) Append(entries []logEntry, done func()) { n.disk.append(n, entries, done) }
