Calls that wait for a job being taken in get the answer to their own call

Cause: while an owner looks at a majority whether it knows a new job, calls about the same job wait beside it; enterJob then ran all of them as hand-ins. A cancel or a question for the state that came in that span was answered 400 "is not JSON" (its body is empty), and the cancel was not done: the answer to another kind of call. Shown by TestCallsThatWaitForAJob: 400 where 200 is due, before the change. Change: each waiting call is run as what it is. Where the job is turned away, only who hands it in is told so; for the others there is no such job, as the majority just said.

--- /dev/null
+++ b/accord/entering_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// Calls about a job that come while its owner still looks whether it is known
+// wait for that, and each gets the answer to its own call: a job is cancelled
+// and its state told, not handed in once more.
+func TestCallsThatWaitForAJob(t *testing.T) {
+	w := formed(t, 1, "hakata")
+	w.run(3000)
+	_, owner := frontAndOwner(t, w)
+	id, queue := idOwnedBy(w, owner, "job"), w.dep.SetupOf().Queues[0].Name
+	w.detain = func(_, _ string, msg any) int64 {
+		if _, ok := msg.(*fetchedMsg); ok {
+			return 100_000 // so long the owner looks
+		}
+		return 0
+	}
+	type reply struct {
+		status int
+		body   []byte
+	}
+	got := map[string]reply{}
+	send := func(op string, body []byte) {
+		w.ask("caller", owner, op, id, body, 5000, func(status int, _ int64, b []byte) { got[op] = reply{status, b} })
+		w.run(5)
+	}
+	send("job.put", jobBody(queue))
+	send("job.state", nil)
+	send("job.get", nil)
+	send("job.cancel", nil)
+	must.True(t, w.until(2000, func() bool { return len(got) == 4 }))
+	must.Eq(t, 201, got["job.put"].status)
+	must.Eq(t, 200, got["job.state"].status, must.Sprint(string(got["job.state"].body)))
+	must.SliceContains(t, []string{"pending", "cancelled"}, gjson.GetBytes(got["job.state"].body, "state").Str) // both calls are under way
+	must.Eq(t, 200, got["job.get"].status, must.Sprint(string(got["job.get"].body)))
+	must.Eq(t, 200, got["job.cancel"].status, must.Sprint(string(got["job.cancel"].body)))
+	status, _, body, _ := w.asked("caller", owner, "job.state", id, nil)
+	must.Eq(t, 200, status)
+	must.Eq(t, "cancelled", gjson.GetBytes(body, "state").Str)
+}
+
+// Where the job is turned away in the end, so are only those who hand it in:
+// for the others there is no such job.
+func TestCallsThatWaitForATurnedAwayJob(t *testing.T) {
+	w := formed(t, 1, "hakata")
+	w.run(3000)
+	_, owner := frontAndOwner(t, w)
+	id, queue := idOwnedBy(w, owner, "job"), w.dep.SetupOf().Queues[0].Name
+	w.detain = func(_, _ string, msg any) int64 {
+		if _, ok := msg.(*fetchedMsg); ok {
+			return 100_000
+		}
+		return 0
+	}
+	got := map[string]int{}
+	send := func(op string, body []byte) {
+		w.ask("caller", owner, op, id, body, 5000, func(status int, _ int64, _ []byte) { got[op] = status })
+		w.run(5)
+	}
+	send("job.put", jobBody(queue))
+	send("job.state", nil)
+	send("job.cancel", nil)
+	owner.sh.n.setup.confirmedMs = -1 << 40 // the setup isn't confirmed when the look has ended
+	w.detain = func(_, _ string, msg any) int64 {
+		if _, ok := msg.(*pollAck); ok {
+			return 2_000_000
+		}
+		return 0
+	}
+	must.True(t, w.until(2000, func() bool { return len(got) == 3 }))
+	must.Eq(t, map[string]int{"job.put": 503, "job.state": 404, "job.cancel": 404}, got)
+}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -654,18 +654,14 @@
 	q := n.setup.cur.Queues[j.Queue]
 	wall := n.poll.medianWall(n)
 	if q == nil || wall == 0 || !n.setupFresh() {
-		for _, a := range f.asks {
-			n.bounce(a, "the setup or the core's time is not confirmed here")
-		}
+		n.turnAway(f, func(a *ask) { n.bounce(a, "the setup or the core's time is not confirmed here") })
 		return
 	}
 	size := len(j.kept())
 	c := &askContext{job: j, queue: q, live: sl.liveBy[j.Queue], all: len(sl.jobs), bytes: sl.bytes + size, base: q.Urgency <= n.setup.cur.Lowest && len(n.setup.cur.Queues) > 1, batch: q.Batch != nil}
 	if b := interpret(c); b != nil {
 		n.count("jobs_bounced")
-		for _, a := range f.asks {
-			n.answerFaults(a, int(b.status), b.retryMs, b.faults)
-		}
+		n.turnAway(f, func(a *ask) { n.answerFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
 	}
 	j.SubmitMs = wall
@@ -679,8 +675,20 @@
 	n.count("jobs_entered")
 	n.touch(sl, js)
 	n.whenCommitted(js, waiter{version: 1, ask: a, status: 201})
-	for _, again := range f.asks[1:] {
-		n.putJob(sl, again)
+	for _, other := range f.asks[1:] { // the same job again, or its state, or its end
+		jobOps[other.op](n, sl, other)
+	}
+}
+
+// turnAway answers all who wait for a new job that isn't taken: who hands it in
+// is told why, and for the others there is no such job.
+func (n *node) turnAway(f *fetchOp, tell func(*ask)) {
+	for _, a := range f.asks {
+		if a.op == "job.put" {
+			tell(a)
+		} else {
+			n.answerMissing(a)
+		}
 	}
 }
 
