A cancel whose outcome isn't known is answered 504, and no refusal hides a done call

Cause: "not taken" (503, 429) was kept from callers only for hand-ins whose first try may have been done.

Change: ask.outcomeUnknown says in one place which refusals can't be passed on after an earlier try: 503, 429, 404, 400 of a hand-in, 503 and 429 of a cancel; they become 504. A call that is done here but not yet durable counts as unsure, too. The door's own time-out of a cancel is 504 as that of a hand-in. Calls without an address (the product's own interface, each safe to repeat) are as they were.

TestRefusalIsSure lists the rule; guards.sh: its row points at the new text.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -23,7 +23,7 @@
 	path   string
 	expect int64  // the version a setup builds on; -1 for one less than its own
 	queue  string // the queue that the address belongs to
-	unsure bool   // handed over and not answered: it may have been done
+	unsure bool   // it may have been done: handed over and not answered, or under way here
 	byAddr bool   // it came with an address: an unknown job is told apart from an unknown queue
 }
 
@@ -100,9 +100,8 @@
 	if status >= 400 {
 		n.count("asks_bounced")
 	}
-	if a.op == "job.put" && a.queue != "" && a.unsure && (status == 503 || status == 429 || status == 404) {
-		// "Not taken" is only said when it is surely so.
-		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same job again"})
+	if a.outcomeUnknown(status) {
+		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same call again"})
 	}
 	if a.byAddr && a.origin == "" && status == 404 && a.queue != "" {
 		status, body = 410, jsonOf(map[string]any{"missing": "job", "error": "no such job"})
@@ -115,6 +114,22 @@
 	n.respond(peerLife{a.origin, a.life}, &m)
 }
 
+// outcomeUnknown tells that a refusal can't be passed on as it is: an earlier try
+// of this call may have been done all the same. "Not taken" is only said when
+// it is surely so. That another job has the id stands, whoever says so.
+func (a *ask) outcomeUnknown(status int) bool {
+	if a.queue == "" || !a.unsure {
+		return false
+	}
+	switch a.op {
+	case "job.put":
+		return status == 503 || status == 429 || status == 404 || status == 400
+	case "job.cancel":
+		return status == 503 || status == 429
+	}
+	return false
+}
+
 func (n *node) bounce(a *ask, reason string) {
 	n.answer(a, 503, 1000, jsonOf(map[string]any{"error": reason}))
 }
--- a/accord/door.go
+++ b/accord/door.go
@@ -110,7 +110,7 @@
 	}
 	d.loop.post(func(s *shell) { delete(s.p.(*realPorts).waiting, e.ID) })
 	status := 503
-	if e.Op == "queue.submit" { // it may be kept all the same
+	if e.Op == "queue.submit" || e.Op == "queue.cancel" { // it may be done all the same
 		status = 504
 	}
 	return effReply{Status: status, RetryMs: 1000, Body: []byte(`{"error":"this daemon gave no answer"}`)}
--- /dev/null
+++ b/accord/outcome_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"testing"
+
+	"otterchute/verdict"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// A refusal is passed on only where no earlier try of the call can have been done.
+func TestRefusalIsSure(t *testing.T) {
+	for _, c := range []struct {
+		op, queue string
+		unsure    bool
+		status    int
+		want      int
+	}{
+		{"job.put", "q", false, 503, 503}, {"job.put", "q", false, 429, 429}, {"job.put", "q", false, 400, 400},
+		{"job.put", "q", true, 503, 504}, {"job.put", "q", true, 429, 504}, {"job.put", "q", true, 404, 504}, {"job.put", "q", true, 400, 504},
+		{"job.put", "q", true, 409, 409}, {"job.put", "q", true, 201, 201}, {"job.put", "q", true, 200, 200},
+		{"job.cancel", "q", true, 503, 504}, {"job.cancel", "q", true, 429, 504}, {"job.cancel", "q", false, 503, 503},
+		{"job.cancel", "q", true, 404, 404}, {"job.cancel", "q", true, 409, 409}, {"job.cancel", "q", true, 200, 200},
+		{"job.state", "q", true, 503, 503}, // nothing is done by it
+		{"job.put", "", true, 503, 503},    // the product's own interface: each call is safe to repeat
+	} {
+		n := newNode(place{Name: "a"}, nil)
+		n.answer(&ask{id: 1, op: c.op, queue: c.queue, unsure: c.unsure}, c.status, 0, nil)
+		must.Eq(t, c.want, n.out[0].(effReply).Status, must.Sprintf("%+v", c))
+	}
+}
+
+// addressedWorld gives a fleet with one queue at an address, a daemon that takes
+// the calls and another that owns slices.
+func addressedWorld(t *testing.T) (w *world, front, owner *simNode) {
+	t.Helper()
+	w = served(t, 11)
+	status := w.settle(w.nodes["d00"], evAsk{Op: "setup.put", Key: "1", Expect: -1,
+		Body: queueSetup("q", `,"addresses":[{"host":"h.example","prefix":"/p/"}]`)}, 5000).status
+	must.Eq(t, 200, status)
+	w.run(2000)
+	front, owner = frontAndOwner(t, w)
+	return w, front, owner
+}
+
+// startsNamed is how many runs of a job were begun at workers.
+func (w *world) startsNamed(job string) (starts int) {
+	for _, e := range w.history {
+		if e.Kind == verdict.Start && e.Job == job {
+			starts++
+		}
+	}
+	return starts
+}
+
+// exchange is one message on its way in a call that is handed over.
+type exchange struct {
+	name string
+	is   func(msg any) bool
+}
+
+var exchanges = []exchange{
+	{"request", func(m any) bool { a, ok := m.(*askMsg); return ok && (a.Op == "job.put" || a.Op == "job.cancel") }},
+	{"look", func(m any) bool { _, ok := m.(*fetchMsg); return ok }},
+	{"looked", func(m any) bool { _, ok := m.(*fetchedMsg); return ok }},
+	{"write", func(m any) bool { w, ok := m.(*writeMsg); return ok && len(w.Records) > 0 }},
+	{"written", func(m any) bool { _, ok := m.(*wroteMsg); return ok }},
+	{"answer", func(m any) bool { _, ok := m.(*answerMsg); return ok }},
+}
+
+// faults are what happens when a message of an exchange is sent. Each gives
+// how long that message takes in us; lost is for messages that never arrive.
+const lost = int64(1) << 50
+
+var exchangeFaults = []struct {
+	name string
+	do   func(w *world, front, owner *simNode) int64
+}{
+	{"message lost", func(*world, *simNode, *simNode) int64 { return lost }},
+	{"message late", func(*world, *simNode, *simNode) int64 { return 2_500_000 }},
+	{"owner killed", func(w *world, _, owner *simNode) int64 {
+		w.after(1, func() { owner.kill(false); w.after(300_000, owner.start) })
+		return 0
+	}},
+	{"owner without power", func(w *world, _, owner *simNode) int64 {
+		w.after(1, func() { owner.kill(true); w.after(900_000, owner.start) })
+		return 0
+	}},
+	{"owner killed after it", func(w *world, _, owner *simNode) int64 {
+		w.after(1500, func() { owner.kill(false); w.after(300_000, owner.start) })
+		return 0
+	}},
+	{"owner frozen", func(w *world, _, owner *simNode) int64 {
+		w.after(1, func() { owner.freeze(4000) })
+		return 0
+	}},
+	{"front killed", func(w *world, front, _ *simNode) int64 {
+		w.after(1, func() { front.kill(false); w.after(300_000, front.start) })
+		return 0
+	}},
+}
+
+// At each message of a call that is handed over, that message is lost or late,
+// or one of the two daemons goes and comes back. The caller's word and the
+// owner's records are compared: "taken" is kept, "not taken" isn't there and
+// never ran, all else is told as unknown, and the same call sent again makes
+// the job once.
+func TestHandedOverCallsAtEachStep(t *testing.T) {
+	for _, step := range exchanges {
+		for _, fault := range exchangeFaults {
+			t.Run(step.name+"/"+fault.name, func(t *testing.T) {
+				w, front, owner := addressedWorld(t)
+				id := idOwnedBy(w, owner, "job")
+				struck := false
+				w.detain = func(_, _ string, msg any) int64 {
+					if struck || !step.is(msg) {
+						return 0
+					}
+					struck = true
+					return fault.do(w, front, owner)
+				}
+				send := func(to *simNode) int {
+					return w.settle(to, evAsk{Op: "queue.submit", Host: "h.example", Path: "/p/" + id, Expect: -1,
+						Body: []byte(`{"steps":[{"name":"a","count":1,"room":1,"estimate_ms":50}]}`)}, 4000).status
+				}
+				first := send(front)
+				if !struck {
+					t.Skip("no such message in this exchange")
+				}
+				w.run(6000)
+				w.detain = nil
+				known := func() (status int, state string) {
+					for range 20 {
+						got := w.settle(w.nodes["d00"], evAsk{Op: "queue.state", Host: "h.example", Path: "/p/" + id, Expect: -1}, 3000)
+						if got.status == 200 || got.status == 410 {
+							return got.status, gjson.Get(got.body, "state").Str
+						}
+						w.run(500)
+					}
+					return 0, ""
+				}
+				status, _ := known()
+				switch first {
+				case 200, 201:
+					must.Eq(t, 200, status, must.Sprint("taken, and not known"))
+				case 429, 503:
+					must.Eq(t, 410, status, must.Sprint("not taken, and known"))
+					must.Zero(t, w.startsNamed(id), must.Sprint("not taken, and started"))
+				case 504, 0: // the caller knows that it doesn't know
+				default:
+					t.Fatalf("answered %d", first)
+				}
+				second := send(w.nodes["d01"])
+				t.Logf("first answered %d, then %d", first, second)
+				must.SliceContains(t, []int{200, 201}, second)
+				must.True(t, w.until(20_000, func() bool { return w.startsNamed(id) > 0 }), must.Sprint("it was taken and never runs"))
+				holders := 0
+				for _, n := range w.nodes {
+					for _, sl := range n.sh.n.owned {
+						if sl.jobs[id] != nil || sl.finished[id] != nil {
+							holders++
+						}
+					}
+				}
+				must.Eq(t, 1, holders, must.Sprint("the job stands more or less than once"))
+				must.Eq(t, 1, w.startsNamed(id), must.Sprint("its task was started more than once"))
+			})
+		}
+	}
+}
+
+// The same for a cancel: "done" stands, and the same call sent again ends the
+// job, which never starts after that.
+func TestHandedOverCancelAtEachStep(t *testing.T) {
+	for _, step := range exchanges {
+		if step.name == "look" || step.name == "looked" {
+			continue // the owner holds the job
+		}
+		for _, fault := range exchangeFaults {
+			t.Run(step.name+"/"+fault.name, func(t *testing.T) {
+				w, front, owner := addressedWorld(t)
+				id := idOwnedBy(w, owner, "job")
+				call := func(to *simNode, op string) answered {
+					return w.settle(to, evAsk{Op: op, Host: "h.example", Path: "/p/" + id, Expect: -1,
+						Body: []byte(`{"steps":[{"name":"a","count":1,"room":1,"lasting":true}]}`)}, 4000)
+				}
+				must.Eq(t, 201, call(front, "queue.submit").status)
+				must.True(t, w.until(20_000, func() bool { return w.startsNamed(id) > 0 }))
+				struck := false
+				w.detain = func(_, _ string, msg any) int64 {
+					if struck || !step.is(msg) {
+						return 0
+					}
+					struck = true
+					return fault.do(w, front, owner)
+				}
+				first := call(front, "queue.cancel").status
+				must.True(t, struck)
+				w.run(6000)
+				w.detain = nil
+				state := func() string {
+					for range 20 {
+						if got := call(w.nodes["d00"], "queue.state"); got.status == 200 {
+							return gjson.Get(got.body, "state").Str
+						}
+						w.run(500)
+					}
+					return ""
+				}
+				switch first {
+				case 200:
+					must.Eq(t, "cancelled", state())
+				case 429, 503:
+					must.Eq(t, "running", state(), must.Sprint("not done, and done"))
+				case 504, 0:
+				default:
+					t.Fatalf("answered %d", first)
+				}
+				second := call(w.nodes["d01"], "queue.cancel").status
+				t.Logf("first answered %d, then %d", first, second)
+				must.Eq(t, 200, second)
+				must.Eq(t, "cancelled", state())
+				starts := w.startsNamed(id)
+				w.run(8000)
+				must.Eq(t, starts, w.startsNamed(id), must.Sprint("started after it was cancelled"))
+			})
+		}
+	}
+}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -614,6 +614,7 @@
 	}
 	if f := sl.entering[a.key]; f != nil {
 		if len(f.asks) > 16 {
+			a.unsure = true // the others may have it taken in
 			n.bounce(a, "too many of the same ask")
 			return
 		}
@@ -694,6 +695,7 @@
 
 func (n *node) whenCommitted(js *jobState, w waiter) {
 	if len(js.waiters) > 64 {
+		w.ask.unsure = true // it is done, but not yet durable
 		n.bounce(w.ask, "too many of the same ask")
 		return
 	}
--- a/guards.sh
+++ b/guards.sh
@@ -39,7 +39,7 @@
 one vote for a disk|core.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
 a response belongs to its life|identity.go|if head.To == n.Life {|if true {
 a request belongs to its addressee|identity.go|case head.To == addressOf(n.Name), |case true, 
-not taken only when surely so|asks.go|a.queue != "" && a.unsure|false
+not taken only when surely so|asks.go|a.queue == "" \|\| !a.unsure|true
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
 void live records are not finished jobs|slices.go|if f.best.Live {|if false {
 setup is fresh|setup.go|n.now-n.setup.confirmedMs <= setupMs|true
