--- a/accord/beats_test.go
+++ b/accord/beats_test.go
@@ -92,3 +92,37 @@
 }
 
 func jsonTo(b []byte, out any) error { return json.Unmarshal(b, out) }
+
+// An order leaves in one answer only, whether that answer arrived or not: not in
+// the answer to the same beat sent again, nor to an earlier one that comes late,
+// nor to later ones.
+func TestBeatOrderIsGivenOnce(t *testing.T) {
+	key := attemptKey{"j1", placeID(0, 0, 0), 1}
+	for _, c := range []struct {
+		name  string
+		lists string // of the next beat
+		state int8
+	}{{"the answer arrived", running("j1", 0, 1, 0), heldRunning}, {"the answer was lost", "", heldEnded}} {
+		n, beat := pinned(t)
+		beat(100, "")
+		ag := n.agents["w1"]
+		h := &held{state: heldOrdered, orderSeq: ag.repSeq + 1, confirmedMs: n.now + 60_000, spec: orderSpec{Key: key, Payload: []byte(`"text"`)}}
+		ag.held[key], ag.outbox = h, []*held{h}
+		must.Len(t, 1, beat(50, "").Start, must.Sprint(c.name))
+		for seq := range int64(2) { // the same beat again and those before it, over other connections
+			for _, e := range reduce(n, event{NowMs: n.now, WallMs: 1, Seed: 1, Body: evAsk{ID: 77, Op: "worker.beat", Key: "w1", Expect: -1,
+				Body: fmt.Appendf(nil, `{"seq":%d,"site":"east","capacity":{"cpu":8000}}`, seq+1)}}) {
+				if r, ok := e.(effReply); ok {
+					var a beatAnswer
+					must.NoError(t, jsonTo(r.Body, &a))
+					must.Len(t, 0, a.Start, must.Sprint(c.name, " ", seq))
+					must.Zero(t, a.HoldMs)
+				}
+			}
+		}
+		must.Eq(t, heldOrdered, h.state)
+		must.Len(t, 0, beat(50, c.lists).Start, must.Sprint(c.name))
+		must.Eq(t, c.state, h.state, must.Sprint(c.name))
+		must.Len(t, 0, beat(50, c.lists).Start, must.Sprint(c.name))
+	}
+}
