--- a/accord/asks.go
+++ b/accord/asks.go
@@ -12,6 +12,7 @@
 type ask struct {
 	id     uint64
 	origin string // "" when it came by HTTP here
+	life   uint64 // of the origin's process: no later one is answered
 	hop    int32
 	op     string
 	key    string
@@ -24,7 +25,7 @@
 	expect int64  // the version a setup builds on; -1 for one less than its own
 	digest []byte // SHA-256 of an operator's order as it was sent, where that isn't the setup itself
 	queue  string // the queue that the address belongs to
-	unsure bool   // handed over and not answered: it may have been done
+	unsure bool   // it may have been done: handed over and not answered, or under way here
 	byAddr bool   // it came with an address: an unknown job is told apart from an unknown queue
 }
 
@@ -85,7 +86,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: m.ID, origin: from, life: n.sender.life, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -101,9 +102,8 @@
 	if status >= 400 {
 		n.count("asks_bounced")
 	}
-	if a.op == "job.put" && a.queue != "" && a.unsure && (status == 503 || status == 429 || status == 404) {
-		// "Not taken" is only said when it is surely so.
-		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same job again"})
+	if a.outcomeUnknown(status) {
+		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same call again"})
 	}
 	if a.byAddr && a.origin == "" && status == 404 && a.queue != "" {
 		status, body = 410, jsonOf(map[string]any{"missing": "job", "error": "no such job"})
@@ -113,7 +113,23 @@
 		n.reply(a.id, m)
 		return
 	}
-	n.send(a.origin, &m)
+	n.respond(peerLife{a.origin, a.life}, &m)
+}
+
+// outcomeUnknown tells that a refusal can't be passed on as it is: an earlier try
+// of this call may have been done all the same. "Not taken" is only said when
+// it is surely so. That another job has the id stands, whoever says so.
+func (a *ask) outcomeUnknown(status int) bool {
+	if a.queue == "" || !a.unsure {
+		return false
+	}
+	switch a.op {
+	case "job.put":
+		return status == 503 || status == 429 || status == 404 || status == 400
+	case "job.cancel":
+		return status == 503 || status == 429
+	}
+	return false
 }
 
 func (n *node) bounce(a *ask, reason string) {
@@ -154,7 +170,8 @@
 
 func (n *node) onAnswer(from string, m *answerMsg) {
 	p := n.asks[m.ID]
-	if p == nil || p.to != from {
+	if p == nil || p.to != from { // given up on, or handed to another since
+		n.count("late_answers")
 		return
 	}
 	delete(n.asks, m.ID)
--- a/accord/ballot_test.go
+++ b/accord/ballot_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"os"
+	"reflect"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -37,9 +38,15 @@
 }
 
 // sentBy carries out an event and gives what is sent then, synced writes included.
+// The message is addressed to the present life, whichever it was meant for: ballots
+// must be safe without the check of addressees.
 func sentBy(n *node, from string, msg any) []effSend {
+	head := wireHead{From: from, Cluster: 9, To: addressOf(n.Name)}
+	if responses[reflect.TypeOf(msg)] {
+		head.To = n.Life
+	}
 	var out []effSend
-	for _, e := range reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: wireHead{From: from, Cluster: 9}, Msg: msg}}) {
+	for _, e := range reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: head, Msg: msg}}) {
 		switch x := e.(type) {
 		case effSend:
 			out = append(out, x)
--- a/guards.sh
+++ b/guards.sh
@@ -37,18 +37,20 @@
 leases end with their incarnation|siblings.go|n.dropDuty(n.duties[name], "incarnation_raised")|_ = name
 a start takes no older set|siblings.go|c.Version < n.store.set.Version {|false {
 reads by a later poll|setup.go|return n.setup.confirmedBy > a.polls|return n.setup.confirmedMs >= a.atMs
-copied before joining|membership.go|if len(j.done) < n.core.majority() {|if false {
+copied before joining|membership.go|if len(j.done) >= need {|if true {
 a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
 a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
 finished jobs go by the time of a majority|core.go|if len(n.poll.clocks) < n.core.majority() {|if false {
-copied from a majority|membership.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
+copied from a majority|membership.go|if len(j.done) >= need {|if len(j.done) >= 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
 an acceptance belongs to its try|registers.go|o.phase != 2 \|\| m.Ballot != o.ballot|o.phase != 2
 an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
 a lost setup is written back|registers.go|if o.lost = !ok; o.lost {|if o.lost = !ok; o.lost && false {
 unknown queues by a newer setup|asks.go|case !ok && n.setupConfirmedFor(a):|case !ok:
 one vote for a disk|formation.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
-not taken only when surely so|asks.go|a.queue != "" && a.unsure|false
+a response belongs to its life|identity.go|if head.To == n.Life {|if true {
+a request belongs to its addressee|identity.go|case head.To == addressOf(n.Name), |case true, 
+not taken only when surely so|asks.go|a.queue == "" \|\| !a.unsure|true
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
 void live records are not finished jobs|slices.go|if f.best.Live {|if false {
 setup is fresh|setup.go|n.now-n.setup.confirmedMs <= setupMs|true
