What was confirmed before a freeze confirms nothing after it

Cause: a daemon that froze between a poll and its answers took them, seconds later, for a confirmation, and answered a read that had come before the freeze by it. The caller has long turned elsewhere; still the check belongs after the freeze, not before. Change: a confirmation must also be fresh when it is used.

--- a/accord/cutoff_test.go
+++ b/accord/cutoff_test.go
@@ -202,3 +202,57 @@
 		must.Less(t, 1000, served[name], must.Sprint(name))
 	}
 }
+
+// A daemon that freezes past its lease in the middle of a call checks again when
+// it wakes: it gives no setup that is older than what was acknowledged meanwhile.
+func TestReadThroughAFreeze(t *testing.T) {
+	for seed := range uint64(6) {
+		for _, at := range []string{"d01", "d05"} {
+			w := served(t, 7900+seed)
+			w.putAnywhere(t, 2, 0)
+			w.run(1000)
+			n := w.nodes[at]
+			var got []answered
+			w.call("caller", n, evAsk{Op: "setup.get", Expect: -1}, 20_000, func(status int, _ int64, b []byte) {
+				got = append(got, answered{status, string(b)})
+			})
+			must.True(t, w.stepUntil(1000, func() bool { return len(n.sh.n.setup.unsure) > 0 }))
+			polls := n.sh.n.poll.seq
+			must.True(t, w.stepUntil(1000, func() bool { return n.sh.n.poll.seq > polls }))
+			n.freeze(9000) // its poll is on its way: the answers wait for it
+			w.run(2000)
+			w.putAnywhere(t, 3, 2)
+			must.True(t, w.until(12_000, func() bool { return len(got) > 0 }))
+			if got[0].status == 200 {
+				must.Eq(t, int64(3), gjson.Get(got[0].body, "version").Int(), must.Sprint(at))
+			} else {
+				must.Eq(t, 503, got[0].status)
+			}
+		}
+	}
+}
+
+// An owner that freezes past its lease while it looks whether a job is known does
+// not say that it is unknown: a new owner may have accepted it since.
+func TestUnknownJobThroughAFreeze(t *testing.T) {
+	for seed := range uint64(6) {
+		w := served(t, 7920+seed)
+		w.putAnywhere(t, 2, 0)
+		w.run(1000)
+		owner := w.holderOf("slice/" + w.nodes["d00"].sh.n.sliceOf("j9"))
+		var got []answered
+		w.call("caller", owner, atQueue("queue.state", "j9"), 20_000, func(status int, _ int64, b []byte) {
+			got = append(got, answered{status, string(b)})
+		})
+		sl := owner.sh.n.owned[w.nodes["d00"].sh.n.sliceOf("j9")]
+		must.True(t, w.stepUntil(1000, func() bool { return len(sl.fetches) > 0 }))
+		owner.freeze(9000)
+		w.run(4000)
+		must.True(t, w.until(4000, func() bool {
+			status := w.settle(w.nodes["d07"], atQueue("queue.submit", "j9"), 1000).status
+			return status == 200 || status == 201
+		}))
+		must.True(t, w.until(12_000, func() bool { return len(got) > 0 }))
+		must.SliceContains(t, []int{200, 503}, got[0].status, must.Sprint(got[0]))
+	}
+}
--- a/accord/linear_test.go
+++ b/accord/linear_test.go
@@ -10,32 +10,52 @@
 	"github.com/tidwall/gjson"
 )
 
-// A poll that was sent in the millisecond in which a read came, but before it,
-// says nothing of what was acknowledged in between.
-func TestReadWaitsForALaterPoll(t *testing.T) {
-	w := served(t, 7500)
+// readingNode gives a daemon that has just sent a poll, and what has the core
+// confirm its setup for its newest poll; read tells whether a read was answered.
+func readingNode(t *testing.T, seed uint64) (n *node, confirm func(), read func(status int) bool) {
+	w := served(t, seed)
 	w.putAnywhere(t, 2, 0)
 	w.run(1000)
-	n := w.nodes["d05"].sh.n
+	n = w.nodes["d05"].sh.n
 	n.now, n.poll.nextMs, n.out = n.now+pollMs, 0, nil
 	n.tickPoll()
-	r := n.poll.sent[n.poll.seq]
-	n.onAsk(evAsk{ID: 9, Op: "setup.get", Expect: -1})
-	answered := func() bool {
-		return slices.ContainsFunc(n.out, func(e effect) bool { _, ok := e.(effReply); return ok })
-	}
-	ack := func() {
+	confirm = func() {
+		r := n.poll.sent[n.poll.seq]
 		for _, m := range memberNames(n.core) {
 			n.onPollAck(m, &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(r.holds)), Epochs: make([]uint64, len(r.holds)), Setup: n.setup.ballot})
 		}
 		n.tickSetup()
 	}
-	ack()
-	must.False(t, answered())
+	read = func(status int) bool {
+		return slices.ContainsFunc(n.out, func(e effect) bool { r, ok := e.(effReply); return ok && r.Status == status })
+	}
+	return n, confirm, read
+}
+
+// A poll that was sent in the millisecond in which a read came, but before it,
+// says nothing of what was acknowledged in between.
+func TestReadWaitsForALaterPoll(t *testing.T) {
+	n, confirm, read := readingNode(t, 7500)
+	n.onAsk(evAsk{ID: 9, Op: "setup.get", Expect: -1})
+	confirm()
+	must.False(t, read(200))
+	n.poll.nextMs = 0
+	n.tickPoll()
+	confirm()
+	must.True(t, read(200))
+}
+
+// Where a daemon froze between a poll and its answers, these confirm nothing for
+// a call that is answered after it woke.
+func TestReadIsCheckedAfterAFreeze(t *testing.T) {
+	n, confirm, read := readingNode(t, 7501)
+	n.onAsk(evAsk{ID: 9, Op: "setup.get", Expect: -1})
 	n.poll.nextMs = 0
 	n.tickPoll()
-	ack()
-	must.True(t, answered())
+	n.now, n.wokeMs = n.now+9000, n.now+9000
+	confirm()
+	must.False(t, read(200))
+	must.True(t, read(503))
 }
 
 // registerOp is one call of an operator in the history that is judged.
@@ -176,8 +196,8 @@
 			bad("version %d was known before this read: %s", newest, show(o))
 		case o.status == 409 && (o.current == o.base || o.current < newest || sent[o.current] == nil):
 			bad("a wrong refusal, where %d was known: %s", newest, show(o))
-		case o.status == 409 && stood[o.version] == o.text && o.current == o.version:
-			bad("a change that stands was refused: %s", show(o))
+		case o.status == 409 && stood[o.version] == o.text:
+			bad("a change that was accepted is refused: %s", show(o))
 		}
 	}
 	return out
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -397,8 +397,11 @@
 
 // setupConfirmedFor tells whether the setup was confirmed by a poll that was sent
 // after a call came: then no version acknowledged before the call is newer. Polls
-// are counted for this, since times within one millisecond are in no order.
-func (n *node) setupConfirmedFor(a *ask) bool { return n.setup.confirmedBy > a.polls }
+// are counted for this, since times within one millisecond are in no order. After
+// a freeze what was confirmed before it is old, though the call is older still.
+func (n *node) setupConfirmedFor(a *ask) bool {
+	return n.setup.confirmedBy > a.polls && n.setupFresh()
+}
 
 // confirmSetup takes a round of answers: where a majority holds the same
 // accepted ballot, that value is chosen, and if it is ours it is confirmed as
--- a/guards.sh
+++ b/guards.sh
@@ -37,6 +37,7 @@
 leases end with their incarnation|siblings.go|n.dropDuty(n.duties[name], "incarnation_raised")|_ = name
 a start takes no older set|siblings.go|c.Version < n.store.set.Version {|false {
 reads by a later poll|setup.go|return n.setup.confirmedBy > a.polls|return n.setup.confirmedMs >= a.atMs
+reads are checked after a freeze|setup.go|confirmedBy > a.polls && n.setupFresh()|confirmedBy > a.polls
 copied before joining|membership.go|if len(j.done) < n.core.majority() {|if false {
 a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
 a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
