--- a/accord/beatjudge_test.go
+++ b/accord/beatjudge_test.go
@@ -115,20 +115,19 @@
 }
 
 type seenJob struct {
-	id               string
-	spec             *beatJob
-	queue            *beatQueue
-	sentMs, ackedMs  int64
-	acked            bool
-	taken            bool // some try had no clear refusal
-	cancelSent       bool
-	cancelMs         int64 // acknowledged; -1 not
-	cancelSentMs     int64
-	completeMs       int64 // first shown so; -1 not
-	runs             map[taskName][]*seenRun
-	saved            map[string]taskName
-	gangSaved        map[[3]int64]string // what the members of a run were told to go on from
-	ended, endedKnow int
+	id              string
+	spec            *beatJob
+	queue           *beatQueue
+	sentMs, ackedMs int64
+	acked           bool
+	taken           bool // some try had no clear refusal
+	cancelSent      bool
+	cancelMs        int64 // acknowledged; -1 not
+	cancelSentMs    int64
+	completeMs      int64 // first shown so; -1 not
+	runs            map[taskName][]*seenRun
+	saved           map[string]taskName
+	gangSaved       map[[3]int64]string // what the members of a run were told to go on from
 }
 
 type seenWorker struct {
--- a/accord/beatworld_test.go
+++ b/accord/beatworld_test.go
@@ -389,7 +389,6 @@
 	stopping bool
 	effort   *beatEffort
 	gone     bool
-	wireStep string // as the daemon wrote it
 }
 
 // beatEffort is the work of a run, or of a whole gang, whose members begin
--- a/accord/brief_test.go
+++ b/accord/brief_test.go
@@ -28,19 +28,6 @@
 	return 0
 }
 
-// holdersOf gives who holds each of some duties, each daemon once.
-func (w *world) holdersOf(duties ...string) []*simNode {
-	var out []*simNode
-	seen := map[string]bool{}
-	for _, d := range duties {
-		if n := w.holderOf(d); n != nil && !seen[n.Name] {
-			seen[n.Name] = true
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // stays demands that usual work goes on: at least a quarter of it in each 4 s.
 func (w *world) stays(t *testing.T, what string, fromMs, toMs int64, usual int) {
 	t.Helper()
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -162,7 +162,6 @@
 	queued   int64
 	rankMs   int64
 	silentMs int64
-	addedMs  int64 // estimates of what was placed there since its last word
 }
 
 var jobOps map[string]func(*node, *slice, *ask)
