--- a/accord/ballot_test.go
+++ b/accord/ballot_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"os"
+	"reflect"
 	"testing"
 
 	"otterchute/register"
@@ -39,9 +40,15 @@
 }
 
 // sentBy carries out an event and gives what is sent then, synced writes included.
+// The message is addressed to the present life, whichever it was meant for: ballots
+// must be safe without the check of addressees.
 func sentBy(n *node, from string, msg any) []effSend {
+	head := wireHead{From: from, Cluster: 9, To: addressOf(n.Name)}
+	if responses[reflect.TypeOf(msg)] {
+		head.To = n.Life
+	}
 	var out []effSend
-	for _, e := range reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: wireHead{From: from, Cluster: 9}, Msg: msg}}) {
+	for _, e := range reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: head, Msg: msg}}) {
 		switch x := e.(type) {
 		case effSend:
 			out = append(out, x)
@@ -175,7 +182,7 @@
 	for _, ask := range []any{&register.Prepare{Op: 1, SetVersion: 1, Register: "setup", Ballot: b},
 		&register.Accept{Op: 1, SetVersion: 1, Register: "setup", Ballot: b, Value: []byte("v")}} {
 		n := q.members["a"]
-		effects := reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: wireHead{From: "p", Cluster: 9}, Msg: ask}})
+		effects := reduce(n, event{NowMs: n.now + 1, Seed: 1, Body: evMsg{Head: wireHead{From: "p", Cluster: 9, To: addressOf("a")}, Msg: ask}})
 		must.Len(t, 1, effects)
 		kept, ok := effects[0].(effAppend)
 		must.True(t, ok)
--- a/accord/core.go
+++ b/accord/core.go
@@ -20,12 +20,16 @@
 	startMs int64           // when this member began to hear clocks
 	grants  map[string]*grant
 	clocks  map[string]clockSeen // of all daemons that poll here; never stored
+	polled  map[string]pollSeen  // the newest poll of each daemon; never stored
 	logged  int64                // bytes of entries since the last snapshot, about
 }
 
 // clockSeen is a daemon's wall clock minus this member's steady one.
 type clockSeen struct{ offset, atMs int64 }
 
+// pollSeen is the newest poll that was heard of a daemon, and of which life.
+type pollSeen struct{ inc, seq uint64 }
+
 type sliceStore struct {
 	sealed uint64
 	served uint64 // the last owner known to have all live jobs committed under its epoch: older live records are void
@@ -87,7 +91,7 @@
 )
 
 func newStore() *store {
-	return &store{refused: map[uint64]bool{}, regs: map[string]*register.Acceptor{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}}
+	return &store{refused: map[uint64]bool{}, regs: map[string]*register.Acceptor{}, slices: map[string]*sliceStore{}, grants: map[string]*grant{}, clocks: map[string]clockSeen{}, polled: map[string]pollSeen{}}
 }
 
 func (s *store) reg(name string) *register.Acceptor {
@@ -213,10 +217,12 @@
 }
 
 // copyCursor is a place in a store's dump: nothing yet, a slice's live records
-// (Chunk 0), or its finished ones from a chunk on.
+// (Chunk 0), or its finished ones from a chunk on. Chunks are numbered anew in
+// each life of a daemon, so a cursor says nothing in another than its own.
 type copyCursor struct {
 	Slice string
 	Chunk uint64
+	Life  uint64
 }
 
 // part gives some entries of the dump, and where to go on; an empty cursor at
@@ -254,14 +260,14 @@
 		for _, id := range sorted(x.live) {
 			out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
 		}
-		return out, copyCursor{c.Slice, x.past.first}
+		return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
 	}
 	chunks, from := x.past.since(c.Chunk, most)
 	for _, ch := range chunks {
 		out = append(out, logEntry{Kind: entryChunk, Name: c.Slice, Value: ch.frames})
 	}
 	if from != 0 {
-		return out, copyCursor{c.Slice, from}
+		return out, copyCursor{Slice: c.Slice, Chunk: from}
 	}
 	for _, id := range sorted(x.unsure) {
 		out = append(out, logEntry{Kind: entryUnsure, Name: c.Slice, Rec: record{ID: id}})
@@ -269,8 +275,10 @@
 	return out, after(c.Slice)
 }
 
+// learnSet keeps a newer set on this disk, but not one that lacks it: a former
+// member must know after a restart, too, that it was one.
 func (s *store) learnSet(n *node, c coreSet) {
-	if c.Version > s.set.Version {
+	if c.Version > s.set.Version && (c.has(n.Name, n.DiskID) || !s.set.has(n.Name, n.DiskID)) {
 		n.keep([]logEntry{{Kind: entrySet, Value: pack(nil, c)}})
 	}
 }
@@ -367,6 +375,11 @@
 		return
 	}
 	st, inc := n.store, m.Inc
+	if p := st.polled[from]; p.inc == inc && m.Seq < p.seq {
+		n.count("polls_overtaken") // what it holds or releases may have changed since
+		return
+	}
+	st.polled[from] = pollSeen{inc, m.Seq}
 	// What a message took on its way, or waited here, makes a clock seem late,
 	// never early: the latest reading of the last seconds is the truest.
 	if c, known := st.clocks[from]; !known || m.WallMs-n.now >= c.offset || n.now-c.atMs > clockOldMs {
@@ -385,6 +398,9 @@
 			g.holder == "" && (g.successor == from || g.successor == "") || n.over(g.holder, g.inc, g.addr)
 		last := st.lastHolder(d.Name)
 		ok := free && (n.now >= st.guardMs || last.Holder == "" || n.over(last.Holder, last.Inc, last.Addr))
+		if d.Epoch != 0 && d.Epoch < last.Epoch { // it lost the duty and doesn't know
+			ok = false
+		}
 		if ok {
 			st.grants[d.Name] = &grant{holder: from, inc: inc, addr: addr, epoch: d.Epoch, untilMs: n.now + leaseMs}
 		}
@@ -456,17 +472,26 @@
 	return all[(len(all)-1)/2] + n.now
 }
 
+// dropKept lets go of finished records past their keeping. Where less than a
+// majority of the core has told its time here, one wrong clock might be all there is.
+func (n *node) dropKept() {
+	if len(n.poll.clocks) < n.core.majority() {
+		return
+	}
+	cutMs := n.poll.medianWall(n) - n.KeepMs
+	for _, name := range sorted(n.store.slices) {
+		if n.store.slices[name].past.stale(cutMs) {
+			n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
+		}
+	}
+}
+
 func (n *node) tickStore() {
 	if !n.inCore() || n.poll.medianWall(n) == 0 {
 		return
 	}
-	if n.now%10_000 < tickMs { // finished records past their keeping go
-		cutMs := n.poll.medianWall(n) - n.KeepMs
-		for _, name := range sorted(n.store.slices) {
-			if n.store.slices[name].past.stale(cutMs) {
-				n.keep([]logEntry{{Kind: entryDrop, Name: name, Epoch: uint64(cutMs)}})
-			}
-		}
+	if n.now%10_000 < tickMs {
+		n.dropKept()
 	}
 	// Members take their snapshots at different lengths of the log, so that
 	// they don't all write one at the same time.
--- /dev/null
+++ b/accord/lease_test.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// holders names the daemons that may act on a duty at this moment: those whose
+// own clock says that their lease still runs, whether they are frozen or not.
+func (w *world) holders(duty string) []string {
+	var out []string
+	for _, name := range sorted(w.nodes) {
+		n := w.nodes[name]
+		if !n.up {
+			continue
+		}
+		if d := n.sh.n.duties[duty]; d != nil && d.phase == dutyHeld && n.steadyMs() < d.untilMs-leaseSlack {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// heldOnce runs the world on and demands that never two daemons hold a duty.
+func (w *world) heldOnce(t *testing.T, ms int64, duties ...string) {
+	t.Helper()
+	for end := w.nowMs() + ms; w.nowMs() < end; w.run(2) {
+		for _, duty := range duties {
+			if held := w.holders(duty); len(held) > 1 {
+				t.Fatalf("at %d ms %s is held by %v", w.nowMs(), duty, held)
+			}
+		}
+	}
+}
+
+// stepUntil runs the world on, one happening at a time, until something holds.
+func (w *world) stepUntil(ms int64, holds func() bool) bool {
+	for end := w.nowMs() + ms; w.nowMs() < end && !holds(); {
+		w.step()
+	}
+	return holds()
+}
+
+// oneWay cuts what one host sends another, or joins it again.
+func (w *world) oneWay(from, to string, cut bool) {
+	if cut {
+		w.cuts[[2]string{from, to}] = true
+	} else {
+		delete(w.cuts, [2]string{from, to})
+	}
+}
+
+// A member that started anew forgets its grants, and its register may lack the
+// newest epoch. Its grant must then not help a second holder to the duty, though
+// another member that did not grant the first one's lease knows that epoch.
+func TestLeaseOutlivesARestartedMember(t *testing.T) {
+	for seed := range uint64(6) {
+		w := served(t, 7100+seed)
+		first, second := w.nodes["d05"], w.nodes["d06"]
+		const name = "slice/spare"
+		w.oneWay("d05", "d02", true) // its poll reaches d00 and d01 only
+		first.sh.n.want(name)
+		d := first.sh.n.duties[name]
+		must.True(t, w.stepUntil(1000, func() bool { return d.phase == dutyCas }))
+		w.oneWay("d05", "d02", false) // its accept reaches d01 and d02 only
+		must.True(t, w.stepUntil(100, func() bool { return first.sh.n.accepts("duty/" + name) }))
+		w.oneWay("d05", "d00", true)
+		must.True(t, w.stepUntil(100, func() bool { return d.phase == dutyHeld }))
+		w.oneWay("d05", "d02", true) // no renewal gets there
+		w.nodes["d00"].kill(false)
+		w.nodes["d00"].start()
+		second.sh.n.want(name)
+		w.heldOnce(t, 3000, name)
+		w.heal()
+		w.run(2 * leaseMs)
+		second.sh.n.want(name)
+		must.True(t, w.until(1000, func() bool { return second.sh.n.holds(name) }))
+		w.heldOnce(t, 1000, name)
+	}
+}
+
+// accepts tells whether a change of a register is in its second round.
+func (n *node) accepts(reg string) bool {
+	for _, id := range sorted(n.ops) {
+		if o := n.ops[id]; o.Register == reg {
+			return o.ValueBallot() == o.Ballot
+		}
+	}
+	return false
+}
+
+// leaseFaults are what goes wrong around leases, each for a moment.
+var leaseFaults = []func(w *world, core []string){
+	func(w *world, core []string) { // a member forgets its grants
+		n := w.nodes[w.some(core)]
+		if n.up {
+			n.kill(w.rng.IntN(2) == 0)
+		}
+		n.start()
+	},
+	func(w *world, _ []string) { // a daemon is back at once, now and then with its wall clock set back
+		n := w.someNode()
+		if n.up {
+			n.kill(false)
+		}
+		if n.incs > 1 && w.rng.IntN(3) == 0 {
+			n.incs -= 2
+		}
+		n.start()
+	},
+	func(w *world, core []string) { // a way is cut, one way
+		from, to := w.someNode().Name, w.some(core)
+		if w.rng.IntN(2) == 0 {
+			from, to = to, from
+		}
+		w.oneWay(from, to, true)
+		w.after(w.rng.Int64N(2_500_000), func() { w.oneWay(from, to, false) })
+	},
+	func(w *world, core []string) { // a member is cut off from one half of the others
+		at := w.some(core)
+		for _, other := range sorted(w.nodes) {
+			if other != at && w.rng.IntN(2) == 0 {
+				w.oneWay(at, other, true)
+				w.after(w.rng.Int64N(2_500_000), func() { w.oneWay(at, other, false) })
+			}
+		}
+	},
+	func(w *world, _ []string) { w.someNode().freeze(100 + w.rng.Int64N(3000)) },
+	func(w *world, _ []string) {
+		for _, duty := range []string{"slice/east", "slice/west", "slice/mid", "central"} {
+			if n := w.holderOf(duty); n != nil && w.rng.IntN(2) == 0 {
+				n.freeze(500 + w.rng.Int64N(2000))
+			}
+		}
+	},
+	func(w *world, _ []string) { w.someNode().skewMs += w.rng.Int64N(40_000) - 20_000 },
+	func(w *world, _ []string) { // a holder hands a duty on
+		if n := w.holderOf("slice/" + w.some([]string{"east", "west", "mid"})); n != nil {
+			for _, name := range sorted(n.sh.n.duties) {
+				if d := n.sh.n.duties[name]; d.phase == dutyHeld && kindOfDuty(name) == "slice" {
+					n.sh.n.resign(d, w.someNode().Name)
+				}
+			}
+		}
+	},
+}
+
+// Whatever is cut, frozen, restarted, delayed or has its clock moved, never two
+// daemons may act on one duty, at cores of three and of five.
+func TestLeaseIsHeldOnce(t *testing.T) {
+	for seed := range uint64(seedsOr(6)) {
+		w := coreWorld(7200+*fromFlag+seed, 3+2*int(seed%2), []string{"east", "west", "mid", "east", "west", "mid"}, 4)
+		must.True(t, w.until(20_000, w.allServed))
+		w.stray = 40
+		for range 120 {
+			leaseFaults[w.rng.IntN(len(leaseFaults))](w, w.members())
+			w.heldOnce(t, 50+w.rng.Int64N(400), "slice/east", "slice/west", "slice/mid", "central")
+		}
+		for _, name := range sorted(w.nodes) {
+			w.nodes[name].start()
+		}
+		w.heal()
+		must.True(t, w.until(20_000, w.allServed), must.Sprint(seed))
+		taken, raised := 0, 0
+		for _, line := range w.logs {
+			taken += strings.Count(line, " duty_taken ")
+			raised += strings.Count(line, " incarnation_raised ")
+		}
+		t.Logf("seed %d: duties taken %d times, incarnations raised %d times", seed, taken, raised)
+	}
+}
+
+// members names the newest core's members.
+func (w *world) members() []string {
+	var set coreSet
+	for _, n := range w.nodes {
+		if n.sh.n.core.Version > set.Version {
+			set = n.sh.n.core
+		}
+	}
+	return memberNames(set)
+}
+
+// seedsOr is how many seeds to run: those asked for, or CI's number.
+func seedsOr(count int) int {
+	if *seedsFlag > 0 {
+		return *seedsFlag
+	}
+	return count
+}
+
+// A daemon that raises its incarnation looks to the core as if its former life
+// were over, though it is the same process: it lets go of its leases first.
+func TestLeaseEndsWithItsIncarnation(t *testing.T) {
+	w := served(t, 7300)
+	first, second := w.nodes["d05"], w.nodes["d06"]
+	const name = "slice/spare"
+	first.sh.n.want(name)
+	must.True(t, w.until(2000, func() bool { return first.sh.n.holds(name) }))
+	said := first.sh.n.self()
+	said.Inc++
+	for _, other := range sorted(w.nodes) { // a daemon that is back tells of a life with a later clock
+		if other != "d05" {
+			w.nodes[other].sh.n.learnSibling(said)
+		}
+	}
+	first.event(evMsg{Head: wireHead{From: "d07", Cluster: first.sh.n.core.Cluster}, Msg: &gossipMsg{Self: w.nodes["d07"].sh.n.self(), Table: []sibling{said}}})
+	must.Greater(t, said.Inc, first.sh.n.Inc)
+	w.cutHost("d05")
+	second.sh.n.want(name)
+	w.heldOnce(t, 3000, name)
+	must.True(t, w.until(1000, func() bool { return second.sh.n.holds(name) }))
+}
+
+// A grant that was asked for before a duty was let go says nothing of the duty
+// when it is wanted again.
+func TestLeaseAskedForBeforeItWasReleased(t *testing.T) {
+	w := served(t, 7301)
+	n := w.nodes["d05"].sh.n
+	const name = "slice/spare"
+	n.want(name)
+	must.True(t, w.until(2000, func() bool { return n.holds(name) }))
+	n.poll.nextMs = 0
+	n.tickPoll()
+	asked := n.poll.sent[n.poll.seq]
+	i := slices.IndexFunc(asked.holds, func(h dutyAsk) bool { return h.Name == name })
+	n.dropDuty(n.duties[name], "released")
+	n.want(name)
+	for _, m := range memberNames(n.core) {
+		a := &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(asked.holds)), Epochs: make([]uint64, len(asked.holds))}
+		a.Granted[i] = true
+		n.onPollAck(m, a)
+	}
+	must.Eq(t, dutyWanted, n.duties[name].phase)
+}
+
+// A lease that has run out is not brought back by a late grant, even before the
+// tick that drops it: others may have held the duty in between.
+func TestLeaseThatRanOutIsNotRenewed(t *testing.T) {
+	w := served(t, 7302)
+	n := w.nodes["d05"].sh.n
+	const name = "slice/spare"
+	n.want(name)
+	must.True(t, w.until(2000, func() bool { return n.holds(name) }))
+	epoch := n.duties[name].epoch
+	n.now += 850
+	n.poll.nextMs = 0
+	n.tickPoll()
+	asked := n.poll.sent[n.poll.seq]
+	n.now += 150
+	for _, m := range memberNames(n.core) {
+		a := &pollAck{Seq: n.poll.seq, CoreVer: n.core.Version, Granted: make([]bool, len(asked.holds)), Epochs: make([]uint64, len(asked.holds))}
+		for i := range a.Granted {
+			a.Granted[i] = true
+		}
+		n.onPollAck(m, a)
+	}
+	must.False(t, n.holds(name))
+	must.True(t, n.duties[name] == nil || n.duties[name].epoch != epoch)
+}
+
+// A member takes no release and renews no lease from a poll that a later one of
+// the same life has overtaken, and renews none under an epoch that has passed.
+func TestLeasePollsOutOfOrder(t *testing.T) {
+	n, say := coreMemberOf(t)
+	poll := func(from string, seq, epoch uint64, released bool) *pollAck {
+		m := &pollMsg{Inc: 1, Seq: seq, CoreVer: n.core.Version, Holds: []dutyAsk{{Name: "slice/some", Epoch: epoch}}}
+		if released {
+			m.Holds, m.Releases = nil, []release{{Name: "slice/some", Successor: "x09"}}
+		}
+		a, _ := say(from, m).(*pollAck)
+		return a
+	}
+	must.True(t, poll("x08", 5, 0, false).Granted[0])
+	must.Nil(t, poll("x08", 4, 0, true)) // held up on its way: the duty was taken anew since
+	must.False(t, poll("x09", 1, 0, false).Granted[0])
+	must.True(t, poll("x08", 6, 4, false).Granted[0])
+	n.store.reg("duty/slice/some").Value = pack(nil, dutyView{Name: "slice/some", Holder: "x09", Inc: 1, Epoch: 5})
+	must.False(t, poll("x08", 7, 4, false).Granted[0])
+}
+
+// A member that starts anew keeps to the core set on its disk, though a daemon
+// that missed the last change speaks to it first.
+func TestRestartedMemberKeepsItsCoreSet(t *testing.T) {
+	w := served(t, 7303)
+	member := w.nodes["d01"]
+	older := member.sh.n.core
+	next := older
+	next.Version++
+	tell := func(c coreSet) evMsg {
+		return evMsg{Head: wireHead{From: "d09", Cluster: older.Cluster}, Msg: &gossipMsg{Self: sibling{Name: "d09", Inc: 1, Beat: 1}, Core: c}}
+	}
+	member.event(tell(next))
+	w.run(50)
+	member.kill(false)
+	n := newNode(member.place, member.disk.load())
+	reduce(n, event{NowMs: 1000, WallMs: wallStart, Body: tell(older)})
+	must.NotEq(t, older.Version, n.core.Version)
+	reduce(n, event{NowMs: 1010, WallMs: wallStart, Body: evTick{}})
+	must.Eq(t, next.Version, n.core.Version)
+}
+
+// A daemon beside a worker that starts again with its wall clock set back numbers
+// its agent below the former one's: owners must hear of the worker all the same.
+func TestAgentOfAClockSetBack(t *testing.T) {
+	b := formBeats(t, 7800, "hakata")
+	b.traffic()
+	b.run(4000)
+	host := b.spots[3]
+	n, worker := b.nodes[host], b.byHost[host].id
+	n.kill(false)
+	n.incs = ^uint64(0) // its next incarnation is far below the last
+	b.run(300)
+	b.cutFrom(host, sorted(b.nodes), true, true) // its worker's beats come before any word of its former life
+	n.start()
+	must.True(t, b.until(4000, func() bool { return n.sh.n.agents[worker] != nil }))
+	b.cuts = map[[2]string]bool{}
+	heard := func() bool {
+		ag := n.sh.n.agents[worker]
+		for _, s := range b.nodes["d00"].sh.n.core.Slices {
+			owner := b.holderOf("slice/" + s)
+			if ag == nil || owner == nil || owner.sh.n.workers[worker] == nil || owner.sh.n.workers[worker].epoch != ag.epoch {
+				return false
+			}
+		}
+		return true
+	}
+	at := b.nowMs()
+	must.True(t, b.until(4000, heard), must.Sprint("its agent is not heard of"))
+	t.Logf("heard after %d ms", b.nowMs()-at)
+	b.run(2000)
+	must.True(t, heard())
+	b.finish(30_000)
+	verdictOfBeats(t, b)
+}
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -7,7 +7,7 @@
 )
 
 // Messages between daemons. Their numbers are part of the wire form.
-var messageTypes = map[int32]reflect.Type{
+var messageTypes = map[uint8]reflect.Type{
 	1: reflect.TypeFor[gossipMsg](), 2: reflect.TypeFor[pollMsg](), 3: reflect.TypeFor[pollAck](),
 	4: reflect.TypeFor[register.Prepare](), 5: reflect.TypeFor[register.Promise](), 6: reflect.TypeFor[register.Accept](),
 	7: reflect.TypeFor[register.Accepted](), 8: reflect.TypeFor[sealMsg](), 9: reflect.TypeFor[sealedMsg](),
@@ -21,15 +21,15 @@
 	31: reflect.TypeFor[digestAck](),
 }
 
-var messageKinds = func() map[reflect.Type]int32 {
-	m := map[reflect.Type]int32{}
+var messageKinds = func() map[reflect.Type]uint8 {
+	m := map[reflect.Type]uint8{}
 	for k, t := range messageTypes {
 		m[t] = k
 	}
 	return m
 }()
 
-func kindOf(msg any) int32 { return messageKinds[reflect.TypeOf(msg).Elem()] }
+func kindOf(msg any) uint8 { return messageKinds[reflect.TypeOf(msg).Elem()] }
 
 // sibling is what a daemon says of itself and others repeat.
 type sibling struct {
@@ -302,6 +302,7 @@
 	Near      string
 	PerWorker int32
 	Used      []usedView // where others of the step are
+	EstMs     int64      // how long a run is expected to take
 }
 
 type wantTask struct {
--- a/accord/reduce.go
+++ b/accord/reduce.go
@@ -15,7 +15,7 @@
 type place struct {
 	Name          string
 	Inc           uint64
-	Life          uint64 // drawn at random by each process: unlike Inc it comes from no clock and never changes
+	Life          uint64 // names this process among all that ever ran, see identity.go: unlike Inc it comes from no clock and never changes
 	Addr          string
 	HTTP          string
 	Site          string
@@ -72,9 +72,12 @@
 		Stop    bool
 		Outcome string // see orderOutcomes
 	}
+	// evDisk tells what became of the disk: it failed, it works again with
+	// all that was held up written, or it lost entries that were synced.
 	evDisk struct {
-		Failed string
-		SyncMs int64
+		Failed    string
+		Recovered bool
+		Lost      bool
 	}
 	evStop struct{}
 	// evSeeds brings other addresses to find the fleet by.
@@ -88,6 +91,7 @@
 	effSend struct {
 		To   string // sibling name, or "" for a bare address
 		Addr string
+		Dest uint64 // see wireHead.To
 		Msg  any
 	}
 	// effAppend syncs entries, and only then carries out what waits on them.
@@ -148,9 +152,13 @@
 	formKey   string // the empty disks seen
 	formSince int64  // since when they are the same
 	joining   *joining
-	ops       map[uint64]*casOp
-	opSeq     uint64
-	proposer  register.Proposer
+	// newcomer: this disk came into a fleet that isn't new, most likely in the
+	// place of a member that went or is about to. It doesn't wait as long as a
+	// disk that stood by before; if that member is back it becomes a spare.
+	newcomer bool
+	ops      map[uint64]*casOp
+	opSeq    uint64
+	proposer register.Proposer
 
 	poll   pollState
 	duties map[string]*duty
@@ -159,6 +167,8 @@
 	setup setupState
 	ready *compiled // came with this event
 
+	sender peerLife // of the message that is being handled
+
 	asks   map[uint64]*pendingAsk
 	reads  map[uint64]*coreRead
 	again  budget // for handing an ask over a second time
@@ -180,7 +190,7 @@
 }
 
 func newNode(p place, st *store) *node {
-	return &node{place: p, store: st, counts: map[string]int64{}, siblings: map[string]*siblingState{},
+	return &node{place: p, store: st, newcomer: st != nil && st.set.Version == 0 && !p.FirstStart, counts: map[string]int64{}, siblings: map[string]*siblingState{},
 		ops: map[uint64]*casOp{}, proposer: register.Proposer{Name: p.Name, Life: p.Life, Timing: casTiming}, duties: map[string]*duty{}, views: map[string]dutyView{},
 		asks: map[uint64]*pendingAsk{}, reads: map[uint64]*coreRead{}, owned: map[string]*slice{}, agents: map[string]*agent{},
 		workers: map[string]*workerView{}, learned: map[string]*estimate{}, poll: pollState{sent: map[uint64]*pollRound{}, slowMs: map[string]int64{}},
@@ -295,27 +305,23 @@
 		}
 		return
 	}
+	if !n.addressed(e.Head, e.Msg) {
+		return
+	}
 	n.count("messages_in")
-	n.ready = e.Ready
-	defer func() { n.ready = nil }()
+	n.ready, n.sender = e.Ready, peerLife{e.Head.From, e.Head.Life}
+	defer func() { n.ready, n.sender = nil, peerLife{} }()
 	if h, ok := messageHandlers[reflect.TypeOf(e.Msg)]; ok {
 		h(n, e.Head.From, e.Msg)
 	}
 }
 
-func (n *node) onDisk(e evDisk) {
-	n.syncMs = e.SyncMs
-	if e.Failed != "" && n.diskFailed == "" {
-		// A core member whose disk fails stops counting itself.
-		n.diskFailed = e.Failed
-		n.log("disk_failed", "reason", e.Failed)
-	}
-}
-
 func (n *node) emit(e effect)               { n.out = append(n.out, e) }
 func (n *node) count(name string)           { n.counts[name]++ }
 func (n *node) log(event string, kv ...any) { n.emit(effLog{Event: event, Pairs: kv}) }
-func (n *node) headOf() wireHead            { return wireHead{Cluster: n.core.Cluster, From: n.Name, Inc: n.Inc} }
+func (n *node) headOf() wireHead {
+	return wireHead{Cluster: n.core.Cluster, From: n.Name, Life: n.Life}
+}
 func (n *node) reply(id uint64, a answerMsg) {
 	n.emit(effReply{ID: id, Status: int(a.Status), RetryMs: a.RetryMs, Body: a.Body})
 }
@@ -329,7 +335,7 @@
 		addr = n.Addr
 	}
 	n.count("messages_out")
-	return effSend{To: to, Addr: addr, Msg: msg}
+	return effSend{To: to, Addr: addr, Dest: n.destination(to, msg), Msg: msg}
 }
 
 func (n *node) send(to string, msg any) { n.emit(n.sendEffect(to, msg)) }
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -90,6 +90,9 @@
 func (n *node) tickOps() {
 	for _, id := range sorted(n.ops) {
 		o := n.ops[id]
+		if o.ask != nil && n.cutOff() {
+			o.Abandon()
+		}
 		n.proposer.Observe(n.poll.setup.Round)
 		n.sendAll(o.Tick(n.core.registerSet(), n.now))
 		n.endCas(o)
--- a/guards.sh
+++ b/guards.sh
@@ -29,8 +29,26 @@
 old epochs are fenced|core.go|if m.Epoch != x.sealed {|if false {
 leases exclude|core.go|ok := free && (n.now >= st.guardMs|ok := true \|\| free && (n.now >= st.guardMs
 a started member waits a lease|core.go|ok := free && (n.now >= st.guardMs|ok := free && (true \|\| n.now >= st.guardMs
-copied before joining|core.go|if len(j.done) < n.core.majority() {|if false {
-copied from a majority|core.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
+a lease builds on what its granters know|duties.go|n.now, epochs[need-1]|n.now, epochs[0]
+a lease that ran out is not renewed|duties.go|case d.phase == dutyHeld && n.now >= d.untilMs-leaseSlack:|case false:
+a lease belongs to its duty|duties.go|if n.duties[d.name] == d {|if d = n.duties[d.name]; d != nil {
+overtaken polls change nothing|core.go|p.inc == inc && m.Seq < p.seq|false
+passed epochs are not renewed|core.go|if d.Epoch != 0 && d.Epoch < last.Epoch {|if false {
+leases end with their incarnation|siblings.go|n.dropDuty(n.duties[name], "incarnation_raised")|_ = name
+a start takes no older set|siblings.go|c.Version < n.store.set.Version {|false {
+reads by a later poll|setup.go|return n.setup.confirmedBy > a.polls|return n.setup.confirmedMs >= a.atMs
+reads are checked after a freeze|setup.go|confirmedBy > a.polls && n.setupFresh()|confirmedBy > a.polls
+copied before joining|membership.go|if len(j.done) >= need {|if true {
+a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
+a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
+finished jobs go by the time of a majority|core.go|if len(n.poll.clocks) < n.core.majority() {|if false {
+copied from a majority|membership.go|if len(j.done) >= need {|if len(j.done) >= 1 {
+an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
+unknown queues by a newer setup|asks.go|case !ok && n.setupConfirmedFor(a):|case !ok:
+one vote for a disk|formation.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
+a response belongs to its life|identity.go|if head.To == n.Life {|if true {
+a request belongs to its addressee|identity.go|case head.To == addressOf(n.Name), |case true, 
+not taken only when surely so|asks.go|a.queue == "" \|\| !a.unsure|true
 an answer belongs to its try|../register/proposer.go|o.phase != preparing \|\| m.Ballot != o.Ballot|o.phase != preparing
 an acceptance belongs to its try|../register/proposer.go|o.phase != accepting \|\| m.Ballot != o.Ballot|o.phase != accepting
 a ballot belongs to its life|../register/proposer.go|Proposer: p.Name, Life: p.Life}|Proposer: p.Name}
@@ -44,11 +62,7 @@
 an order is known again|history.go|found = o == id|found = false
 an order that was forgotten is not refused|history.go|if !cur.Taken.covers(o.order) {|if false {
 orders have the base in their identity|history.go|id := orderID{Version: base + int64(rise), Base: base}|id := orderID{Version: base + int64(rise)}
-an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
 a refusal is written back|../register/proposer.go|\t\to.atEnd = Refused\n|\t\to.outcome = Refused\n\t\treturn nil\n
-unknown queues by a newer setup|asks.go|case !ok && n.setup.confirmedMs >= a.atMs:|case !ok:
-one vote for a disk|core.go|case n.store.cluster != 0 \|\| n.core.Cluster != 0: // bound to another|case false:
-not taken only when surely so|asks.go|a.queue != "" && a.unsure|false
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
 void live records are not finished jobs|slices.go|if f.best.Live {|if false {
 setup is fresh|setup.go|n.now-n.setup.confirmedMs <= setupMs|true
--- a/register/proposer.go
+++ b/register/proposer.go
@@ -111,6 +111,13 @@
 // Outcome tells how it ended, or that it hasn't.
 func (o *Operation) Outcome() Outcome { return o.outcome }
 
+// Abandon ends an operation whose outcome nobody waits for any more.
+func (o *Operation) Abandon() {
+	if o.outcome == Pending {
+		o.outcome = Unknown
+	}
+}
+
 // Current is the value that the last try read.
 func (o *Operation) Current() []byte { return o.current }
 
