A member that was away is brought up to date until it has synced what it lacks

Found: by the rule that a copy meets a majority of those left, nothing that was acknowledged needs the returned member for durability: one loss at a time leaves one of the two that hold it, and the newcomer copies from both. What it lacked did harm all the same: - Records it missed were sent once, and forgotten before it acknowledged them; a lost message left it without them for good.

A member takes a configuration that it reads from another also as an acceptor, as if the proposer's accept had come late, unless it promised more. Half-way repair waits until all had time to answer its first poll.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"net"
 	"slices"
@@ -210,9 +211,10 @@
 	limitMs int64
 }
 
-// onRead answers with what a majority holds: of two members' words the lower
-// version, for the higher may yet be lost. Absence it does not tell: only an
-// owner can say that a job is unknown.
+// onRead answers with a state that a majority holds. Where two members differ, the
+// later one may yet be lost and the earlier one be long past, at a member that
+// was away: only a third one's word tells. Absence it does not tell: only an owner
+// can say that a job is unknown.
 func (n *node) onRead(r *coreRead, op uint64, from string, records []record) {
 	var rec record
 	if len(records) == 1 {
@@ -228,7 +230,17 @@
 		all = append(all, rec)
 	}
 	slices.SortFunc(all, func(a, b record) int { return cmp.Or(cmp.Compare(b.Epoch, a.Epoch), cmp.Compare(b.Version, a.Version)) })
-	if j, ok := jobOf(all[need-1]); ok {
+	at := need - 1
+	for at < len(all) && !bytes.Equal(all[at-need+1].Value, all[at].Value) {
+		at++
+	}
+	if at == len(all) { // no majority agrees
+		if len(all) < len(n.core.Members) {
+			return
+		}
+		at = need - 1
+	}
+	if j, ok := jobOf(all[at]); ok {
 		delete(n.reads, op)
 		n.count("states_from_core")
 		if r.ask.queue != "" && j.Queue != r.ask.queue {
--- /dev/null
+++ b/accord/catchup.go
@@ -0,0 +1,127 @@
+package main
+
+import "maps"
+
+// memberLag is what one core member lacks of a slice's records that a majority
+// holds: it was away, or a message to it was lost. The owner sends these again in
+// bounded parts, each once the one before is synced there, so that the member
+// holds all again soon after its return and counts for the next loss.
+type memberLag struct {
+	missed map[string]int64 // record -> the newest version that the member lacks
+	part   map[string]int64 // of those, what is on its way
+	seq    uint64           // of the write that brings the part
+	sentMs int64
+}
+
+// noteMissed remembers by name what a member did not acknowledge, so that one
+// that is gone for long costs little.
+func (sl *slice) noteMissed(member string, records []record) {
+	lag := sl.lag[member]
+	if lag == nil {
+		lag = &memberLag{missed: map[string]int64{}}
+		sl.lag[member] = lag
+	}
+	for _, r := range records {
+		if _, known := lag.missed[r.ID]; known || len(lag.missed) < finishedMax {
+			lag.missed[r.ID] = max(lag.missed[r.ID], r.Version)
+		}
+	}
+}
+
+// tickCatchUp sends a part to each member that lacks records, or sends it again.
+func (n *node) tickCatchUp(sl *slice) {
+	for _, member := range sorted(sl.lag) {
+		lag := sl.lag[member]
+		switch {
+		case len(lag.missed) == 0:
+			delete(sl.lag, member)
+		case n.live(member) && n.core.hasName(member) && (lag.part == nil || n.now-lag.sentMs >= writeRetry):
+			n.sendMissed(sl, member, lag)
+		}
+	}
+}
+
+// sendMissed sends the next part of what a member lacks.
+func (n *node) sendMissed(sl *slice, member string, lag *memberLag) {
+	sl.writeSeq++
+	lag.seq, lag.sentMs, lag.part = sl.writeSeq, n.now, map[string]int64{}
+	w := &writeMsg{CoreVer: n.core.Version, Slice: sl.name, Epoch: sl.epoch, Seq: lag.seq}
+	size := 0
+	for _, id := range sorted(lag.missed) {
+		if size > chunkBytes {
+			break
+		}
+		if sl.dirty[id] {
+			continue // its next version is on its way
+		}
+		r, known := sl.recordOf(id)
+		if !known { // it is finished for so long that only the core knows it
+			delete(lag.missed, id)
+			continue
+		}
+		lag.part[id] = lag.missed[id]
+		w.Records = append(w.Records, r)
+		size += entryBytes + len(r.Value)
+	}
+	if len(w.Records) == 0 {
+		lag.part = nil
+		return
+	}
+	n.count("catch_up_parts")
+	n.send(member, w)
+}
+
+// recordOf gives a job's record as the owner has it.
+func (sl *slice) recordOf(id string) (record, bool) {
+	if js := sl.jobs[id]; js != nil {
+		return record{ID: id, Epoch: sl.epoch, Version: js.Version, Live: js.DoneMs == 0, DoneMs: js.DoneMs, Value: js.kept()}, true
+	}
+	j := sl.finished[id]
+	if j == nil {
+		return record{}, false
+	}
+	// A finished record never changes again.
+	return record{ID: id, Epoch: sl.epoch, Version: finishedVersion, Live: j.DoneMs == 0, Settled: true, DoneMs: j.DoneMs, Value: j.kept()}, true
+}
+
+const finishedVersion = 1 << 60 // above that of any live record
+
+// onCaughtUp takes a member's word that a part is synced there, and sends the next.
+func (n *node) onCaughtUp(sl *slice, member string, seq uint64) {
+	lag := sl.lag[member]
+	if lag == nil || lag.part == nil || lag.seq != seq {
+		return
+	}
+	part := lag.part
+	maps.DeleteFunc(lag.missed, func(id string, version int64) bool {
+		sent, ok := part[id]
+		return ok && version <= sent
+	})
+	if lag.part = nil; len(lag.missed) > 0 {
+		n.sendMissed(sl, member, lag)
+	}
+}
+
+// hasName tells whether a daemon is a member, with whatever disk.
+func (c coreSet) hasName(name string) bool {
+	for _, m := range c.Members {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// acceptLate keeps a register's value that another member has accepted and this
+// one has not: the same as the proposer's own message, come late. Until then one
+// of the others would have to be asked whenever the third is away.
+func (n *node) acceptLate(m *regMsg) {
+	if !n.inCore() {
+		return
+	}
+	r := n.store.reg(m.Reg)
+	if r.accepted.less(m.Ballot) && !m.Ballot.less(r.promised) {
+		n.count("registers_caught_up")
+		n.keep([]logEntry{{Kind: entryAccept, Name: m.Reg, Ballot: m.Ballot, Value: m.Value}})
+	}
+}
--- /dev/null
+++ b/accord/catchup_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+)
+
+// largeSetup is a configuration of so many queues, each with a path of its own.
+func largeSetup(queues int) []byte {
+	var b bytes.Buffer
+	b.WriteString(`{"queues":[{"name":"q","urgency":1}`)
+	for i := range queues {
+		fmt.Fprintf(&b, `,{"name":"q%d","urgency":%d,"addresses":[{"host":"host%d.example","prefix":"/p%x/"}],"selector":{"tier":["tier-%x"]}}`, i, i%9, i%40, i*7919, i*104729)
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+// order has one more configuration taken.
+func (s *seatWorld) order(body []byte) {
+	s.t.Helper()
+	next := s.version + 1
+	must.True(s.t, s.until(15_000, func() bool {
+		return s.settle(s.asker(), evAsk{Op: "setup.put", Key: fmt.Sprint(next), Expect: -1, Body: body}, 3000).status == 200
+	}), s.why())
+	s.version = next
+}
+
+// accept has so many more jobs taken.
+func (s *seatWorld) accept(count int) {
+	s.t.Helper()
+	for range count {
+		id := fmt.Sprint("job", len(s.jobs))
+		must.True(s.t, s.until(15_000, func() bool {
+			status := s.settle(s.asker(), evAsk{Op: "job.put", Key: id, Expect: -1, Body: []byte(`{"queue":"q","steps":[{"name":"s","tasks":[{"name":"t","room":1}]}]}`)}, 3000).status
+			return status == 200 || status == 201
+		}), s.why())
+		s.jobs = append(s.jobs, id)
+	}
+}
+
+// cancel ends some jobs that were taken.
+func (s *seatWorld) cancel(ids []string) {
+	s.t.Helper()
+	for _, id := range ids {
+		must.True(s.t, s.until(15_000, func() bool {
+			return s.settle(s.asker(), evAsk{Op: "job.cancel", Key: id, Expect: -1}, 3000).status < 300
+		}), s.why())
+	}
+}
+
+// lacks tells what a member holds in an older state than another one.
+func (s *seatWorld) lacks(member, other *simNode) (out []string) {
+	mine, theirs := member.sh.n.store, other.sh.n.store
+	if a, b := mine.reg("setup").accepted, theirs.reg("setup").accepted; a.less(b) {
+		out = append(out, fmt.Sprint("setup ", a, " < ", b))
+	}
+	for _, name := range sorted(theirs.slices) {
+		for _, id := range s.jobs {
+			want, there := theirs.slices[name].get(id)
+			got, here := mine.slice(name).get(id)
+			if there && (!here || got.Live != want.Live || want.Live && older(got, want)) {
+				out = append(out, name+" "+id)
+			}
+		}
+	}
+	return out
+}
+
+// A member that was away for hundreds of changes, some of them large, and for
+// jobs that came and ended, holds all again four seconds after its return. When
+// then another one loses its disk while the third loses power, all is there, and
+// nothing older is told.
+func TestMemberCatchesUp(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newSeatWorld(t, 40+seed, 3)
+		core := s.newestSet().Members
+		first := int(seed) % 3
+		away, wiped, dark := s.nodes[core[first].Name], s.nodes[core[(first+1)%3].Name], s.nodes[core[(first+2)%3].Name]
+		s.accept(20)
+		away.kill(true)
+		for i := range 300 {
+			if i%100 == 50 {
+				s.order(largeSetup(1500))
+			} else {
+				s.order(queueSetup("q", fmt.Sprintf(`,"quota":%d`, 1+i)))
+			}
+			if i%3 == 0 {
+				s.accept(1)
+			}
+		}
+		s.cancel(s.jobs[5:60])
+		last := s.settle(s.asker(), evAsk{Op: "setup.get"}, 2000).body
+		before := dark.sh.n.store.reg("setup").accepted
+		away.start()
+		s.run(4000)
+		must.Eq(t, before, dark.sh.n.store.reg("setup").accepted, s.why()) // it isn't written anew for all, nor read by all
+		must.SliceEmpty(t, s.lacks(away, dark), s.why())
+		must.SliceEmpty(t, s.lacks(away, wiped), s.why())
+		wiped.kill(true)
+		wiped.wipe()
+		dark.kill(true)
+		s.after(400_000, wiped.start)
+		s.after(600_000, dark.start)
+		for range 40 { // whoever answers tells the newest
+			s.run(100)
+			if r := s.settle(s.asker(), evAsk{Op: "setup.get"}, 1000); r.status == 200 {
+				must.Eq(t, gjson.Get(last, "version").Int(), gjson.Get(r.body, "version").Int())
+			}
+			if r := s.settle(s.asker(), evAsk{Op: "job.get", Key: s.jobs[30], Expect: -1}, 1000); r.status == 200 {
+				must.Eq(t, "cancelled", gjson.Get(r.body, "state").Str, must.Sprint(r.body))
+			}
+		}
+		s.keepsAll()
+		for _, id := range s.jobs[5:60] {
+			r := s.settle(s.asker(), evAsk{Op: "job.get", Key: id, Expect: -1}, 2000)
+			must.Eq(t, "cancelled", gjson.Get(r.body, "state").Str, must.Sprint(r.body))
+		}
+	}
+}
+
+// What a member lacks is sent again until it is synced there, in bounded parts.
+func TestCatchUpSurvivesLostMessages(t *testing.T) {
+	s := newSeatWorld(t, 50, 3)
+	core := s.newestSet().Members
+	away, other := s.nodes[core[2].Name], s.nodes[core[0].Name]
+	away.kill(true)
+	s.accept(200)
+	s.run(1500)
+	away.start()
+	s.until(3000, func() bool { return s.total("catch_up_parts") > 0 })
+	away.kill(true) // with the part in hand
+	s.run(200)
+	away.start()
+	s.run(4000)
+	must.SliceEmpty(t, s.lacks(away, other), s.why())
+}
+
+// A state is told from the core only where a majority agrees on it: not from a
+// member that has been away, nor from one that alone has a later one.
+func TestCoreReadNeedsAgreement(t *testing.T) {
+	s := newSeatWorld(t, 60, 3)
+	n := s.asker().sh.n
+	stored := func(version int64, state int8) record {
+		j := job{ID: "j", Queue: "q", State: state, SubmitMs: 1, DoneMs: map[int8]int64{jobCancelled: 9}[state], Version: version}
+		return record{ID: "j", Epoch: 4, Version: version, Live: true, Value: j.kept()}
+	}
+	members := memberNames(n.core)
+	read := func(answers ...record) string {
+		n.asks, n.out = map[uint64]*pendingAsk{}, nil
+		r := &coreRead{ask: &ask{id: 1, op: "job.get", key: "j"}, got: map[string]record{}, limitMs: n.now + readMs}
+		n.reads[7] = r
+		for i, a := range answers {
+			n.onRead(r, 7, members[i], []record{a})
+		}
+		for _, e := range n.out {
+			if reply, ok := e.(effReply); ok && reply.Status == 200 {
+				return gjson.GetBytes(reply.Body, "state").Str
+			}
+		}
+		return ""
+	}
+	old, now := stored(2, jobRunning), stored(9, jobCancelled)
+	must.Eq(t, "cancelled", read(now, now))
+	must.Eq(t, "", read(now, old))
+	must.Eq(t, "", read(old, now))
+	must.Eq(t, "cancelled", read(now, old, now))
+	must.Eq(t, "cancelled", read(old, now, now))
+	must.Eq(t, "running", read(old, now, old))
+}
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -410,9 +410,10 @@
 		}
 		return
 	}
-	if len(r.acks) == len(n.core.Members) || n.now-n.setup.confirmedMs > pollAsideMs*2 {
+	if len(r.acks) == len(n.core.Members) || n.now-max(n.setup.confirmedMs, n.poll.firstMs) > pollAsideMs*2 {
 		// The members differ: somebody's change stopped half way. Any daemon
-		// may finish it; core members do, at random, so that few compete.
+		// may finish it; core members do, at random, so that few compete. One
+		// that was away hears all first: it may be the only one that differs.
 		if n.inCore() && n.now >= n.setup.repairMs {
 			n.setup.repairMs = n.now + 200 + n.rand().Int64N(600)
 			n.startCas("setup", "read", nil, 0)
@@ -440,6 +441,7 @@
 }
 
 func (n *node) onReg(_ string, m *regMsg) {
+	n.acceptLate(m)
 	if m.Reg != "setup" || !n.setup.ballot.less(m.Ballot) {
 		return
 	}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -29,7 +29,7 @@
 	dirty    map[string]bool
 	writeSeq uint64
 	writes   map[uint64]*writeBatch
-	lag      map[string]map[string]bool // member -> records it has not acknowledged
+	lag      map[string]*memberLag // member -> records it has not acknowledged
 	fetches  map[uint64]*fetchOp
 	entering map[string]*fetchOp
 	lateMs   map[string]int64 // when the record of a job was last read for a late end
@@ -176,7 +176,7 @@
 	name := strings.TrimPrefix(d.name, "slice/")
 	n.owned[name] = &slice{name: name, epoch: d.epoch, startMs: n.now, sealed: map[string]map[string]record{}, doubts: map[string]map[string]bool{},
 		doubtOp: map[uint64]string{}, best: map[string]record{}, jobs: map[string]*jobState{}, finished: map[string]*job{}, dirty: map[string]bool{}, loading: map[string]bool{},
-		writes: map[uint64]*writeBatch{}, lag: map[string]map[string]bool{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, absent: map[string]bool{}, lateMs: map[string]int64{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}}
+		writes: map[uint64]*writeBatch{}, lag: map[string]*memberLag{}, fetches: map[uint64]*fetchOp{}, entering: map[string]*fetchOp{}, absent: map[string]bool{}, lateMs: map[string]int64{}, liveBy: map[string]int{}, placed: map[string]map[placedAt]amount{}, load: map[string]amount{}}
 	n.sendSeals(n.owned[name])
 }
 
@@ -339,6 +339,7 @@
 		return
 	}
 	if b == nil {
+		n.onCaughtUp(sl, from, m.Seq)
 		return
 	}
 	b.acked[from] = true
@@ -435,49 +436,10 @@
 			if b.acked[m.Name] {
 				continue
 			}
-			if sl.lag[m.Name] == nil {
-				sl.lag[m.Name] = map[string]bool{}
-			}
-			for _, r := range b.records {
-				if len(sl.lag[m.Name]) < finishedMax {
-					sl.lag[m.Name][r.ID] = true
-				}
-			}
-		}
-	}
-	if n.now%(2*writeRetry) >= tickMs {
-		return
-	}
-	for _, m := range sorted(sl.lag) {
-		if !n.live(m) || !slices.ContainsFunc(n.core.Members, func(c coreMember) bool { return c.Name == m }) {
-			continue
-		}
-		w := &writeMsg{CoreVer: n.core.Version, Slice: sl.name, Epoch: sl.epoch}
-		for _, id := range sorted(sl.lag[m]) {
-			if len(w.Records) >= 500 {
-				break
-			}
-			var j *job
-			if sl.dirty[id] {
-				continue // its next version is on its way
-			}
-			if js := sl.jobs[id]; js != nil {
-				j = &js.job
-			} else if j = sl.finished[id]; j == nil {
-				delete(sl.lag[m], id)
-				continue
-			}
-			v := j.Version
-			if j.DoneMs != 0 && sl.jobs[id] == nil {
-				v = 1 << 60 // a finished record never changes again
-			}
-			w.Records = append(w.Records, record{ID: id, Epoch: sl.epoch, Version: v, Live: j.DoneMs == 0, Settled: sl.jobs[id] == nil, DoneMs: j.DoneMs, Value: j.kept()})
-			delete(sl.lag[m], id)
-		}
-		if len(w.Records) > 0 {
-			n.send(m, w)
+			sl.noteMissed(m.Name, b.records)
 		}
 	}
+	n.tickCatchUp(sl)
 }
 
 // fetchRecord reads one record at a majority: whoever calls goes on once it is known.
