A slice's live records are copied in parts of 256 KiB too

Cause: finished records went in parts, live ones in one message of up to 24 MiB. How long a whole rejoin takes with such a slice was not measured.

The cursor names the last record copied. One that comes under an earlier name meanwhile needs no copy: it is acknowledged by members of the set that lacks the newcomer, which is a majority of the set after it too.

--- a/accord/archive_test.go
+++ b/accord/archive_test.go
@@ -155,7 +155,7 @@
 	n.core = coreSet{Cluster: 1, Version: 1, Members: []coreMember{{"d00", 0}}}
 	st.cluster = 1
 	took("seal", func() { n.onSeal("d01", &sealMsg{CoreVer: 1, Slice: "east", Epoch: 9}) })
-	took("a part of a copy", func() { n.onCopy("d01", &copyMsg{CoreVer: 1, At: copyCursor{"mid", 5}}) })
+	took("a part of a copy", func() { n.onCopy("d01", &copyMsg{CoreVer: 1, At: copyCursor{Slice: "mid", Chunk: 5}}) })
 	took("drop of an hour", func() {
 		for _, s := range slices {
 			st.apply(logEntry{Kind: entryDrop, Name: s, Epoch: uint64(wallStart + 3_600_000)})
--- a/accord/core.go
+++ b/accord/core.go
@@ -224,10 +224,11 @@
 }
 
 // copyCursor is a place in a store's dump: nothing yet, a slice's live records
-// (Chunk 0), or its finished ones from a chunk on.
+// after one of them (Chunk 0), or its finished ones from a chunk on.
 type copyCursor struct {
 	Slice string
 	Chunk uint64
+	After string
 }
 
 // part gives some entries of the dump, and where to go on; an empty cursor at
@@ -261,18 +262,14 @@
 	}
 	x := s.slice(c.Slice)
 	if c.Chunk == 0 {
-		out = append(out, logEntry{Kind: entrySeal, Name: c.Slice, Epoch: x.sealed}, logEntry{Kind: entryServed, Name: c.Slice, Epoch: x.served})
-		for _, id := range sorted(x.live) {
-			out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
-		}
-		return out, copyCursor{c.Slice, x.past.first}
+		return x.livePart(c, most)
 	}
 	chunks, from := x.past.since(c.Chunk, most)
 	for _, ch := range chunks {
 		out = append(out, logEntry{Kind: entryChunk, Name: c.Slice, Value: ch.frames})
 	}
 	if from != 0 {
-		return out, copyCursor{c.Slice, from}
+		return out, copyCursor{Slice: c.Slice, Chunk: from}
 	}
 	for _, id := range sorted(x.unsure) {
 		out = append(out, logEntry{Kind: entryUnsure, Name: c.Slice, Rec: record{ID: id}})
@@ -282,6 +279,26 @@
 
 // learnSet keeps a newer set on this disk, but not one that lacks it: a former
 // member must know after a restart, too, that it was one.
+// livePart gives some of a slice's live records, in the order of their names. One
+// that comes under an earlier name meanwhile is acknowledged without the copy.
+func (x *sliceStore) livePart(c copyCursor, most int) (out []logEntry, next copyCursor) {
+	if c.After == "" {
+		out = append(out, logEntry{Kind: entrySeal, Name: c.Slice, Epoch: x.sealed}, logEntry{Kind: entryServed, Name: c.Slice, Epoch: x.served})
+	}
+	size := 0
+	for _, id := range sorted(x.live) {
+		if id <= c.After {
+			continue
+		}
+		if size >= most {
+			return out, copyCursor{Slice: c.Slice, After: out[len(out)-1].Rec.ID}
+		}
+		out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
+		size += entryBytes + len(x.live[id].Value)
+	}
+	return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
+}
+
 func (s *store) learnSet(n *node, c coreSet) {
 	if c.Version > s.set.Version && (c.has(n.Name, n.DiskID) || !s.set.has(n.Name, n.DiskID)) {
 		n.keep([]logEntry{{Kind: entrySet, Value: pack(nil, c)}})
