--- a/accord/asks.go
+++ b/accord/asks.go
@@ -13,17 +13,20 @@
 type ask struct {
 	id     uint64
 	origin string // "" when it came by HTTP here
+	life   uint64 // of the origin's process: no later one is answered
 	hop    int32
 	op     string
 	key    string
 	body   []byte
 	atMs   int64
+	polls  uint64    // sent here before it came: only a later one confirms a setup for it
 	setup  *compiled // of the body, where it is known to be sound
 	host   string    // with path, the address a caller used
 	path   string
 	expect int64  // the version a setup builds on; -1 for one less than its own
+	digest []byte // SHA-256 of an operator's order as it was sent, where that isn't the setup itself
 	queue  string // the queue that the address belongs to
-	unsure bool   // handed over and not answered: it may have been done
+	unsure bool   // it may have been done: handed over and not answered, or under way here
 	byAddr bool   // it came with an address: an unknown job is told apart from an unknown queue
 }
 
@@ -41,14 +44,14 @@
 		"worker.report": (*node).mapReport, "worker.beat": (*node).takeBeat, "worker.gone": (*node).workerGone, "worker.lost": (*node).mapLost,
 		"queue.submit": (*node).resolveAddress, "queue.state": (*node).resolveAddress, "queue.cancel": (*node).resolveAddress,
 		"job.state": (*node).mapJob,
-		"setup.put": (*node).putSetup, "setup.get": (*node).getSetup,
+		"setup.put": (*node).putSetup, "setup.taken": (*node).findOrder, "setup.get": (*node).getSetup,
 		"setup.where": (*node).whereSetup, "site.empty": (*node).setSite, "site.open": (*node).setSite, "ready": (*node).getReady,
 		"members": (*node).getMembers, "workers": (*node).getWorkers, "soundness": (*node).getSoundness,
 	}
 }
 
 // mapSetups are the calls of operators, who turn to another daemon after a second.
-var mapSetups = map[string]bool{"setup.put": true, "site.empty": true, "site.open": true}
+var mapSetups = map[string]bool{"setup.put": true, "setup.taken": true, "site.empty": true, "site.open": true}
 
 // budget bounds what this daemon does beyond the first try, for all asks
 // together: under a crowd that sends again and again the fleet's own work must
@@ -74,7 +77,7 @@
 	}
 	n.count("asks_in")
 	n.again.earn(1)
-	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect, digest: e.Digest})
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
@@ -84,7 +87,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: m.ID, origin: from, life: n.sender.life, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -100,9 +103,8 @@
 	if status >= 400 {
 		n.count("asks_bounced")
 	}
-	if a.op == "job.put" && a.queue != "" && a.unsure && (status == 503 || status == 429 || status == 404) {
-		// "Not taken" is only said when it is surely so.
-		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same job again"})
+	if a.outcomeUnknown(status) {
+		status, body = 504, jsonOf(map[string]any{"error": "outcome unknown: send the same call again"})
 	}
 	if a.byAddr && a.origin == "" && status == 404 && a.queue != "" {
 		status, body = 410, jsonOf(map[string]any{"missing": "job", "error": "no such job"})
@@ -112,7 +114,23 @@
 		n.reply(a.id, m)
 		return
 	}
-	n.send(a.origin, &m)
+	n.respond(peerLife{a.origin, a.life}, &m)
+}
+
+// outcomeUnknown tells that a refusal can't be passed on as it is: an earlier try
+// of this call may have been done all the same. "Not taken" is only said when
+// it is surely so. That another job has the id stands, whoever says so.
+func (a *ask) outcomeUnknown(status int) bool {
+	if a.queue == "" || !a.unsure {
+		return false
+	}
+	switch a.op {
+	case "job.put":
+		return status == 503 || status == 429 || status == 404 || status == 400
+	case "job.cancel":
+		return status == 503 || status == 429
+	}
+	return false
 }
 
 func (n *node) bounce(a *ask, reason string) {
@@ -148,12 +166,13 @@
 	}
 	n.asks[n.askSeq] = &pendingAsk{ask: a, to: to, limitMs: limitMs}
 	n.count("asks_handed_over")
-	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: body, Queue: a.queue, Expect: a.expect})
+	n.send(to, &askMsg{ID: n.askSeq, Origin: n.Name, Hop: a.hop + 1, WaitMs: handOverMs, Op: a.op, Key: a.key, Body: body, Queue: a.queue, Expect: a.expect, Digest: a.digest})
 }
 
 func (n *node) onAnswer(from string, m *answerMsg) {
 	p := n.asks[m.ID]
-	if p == nil || p.to != from {
+	if p == nil || p.to != from { // given up on, or handed to another since
+		n.count("late_answers")
 		return
 	}
 	delete(n.asks, m.ID)
@@ -176,14 +195,14 @@
 	n.again.earn(againTick * againShare)
 	n.fresh.earn(readsTick * againShare)
 	for _, id := range sorted(n.asks) {
-		if p := n.asks[id]; n.now >= p.limitMs {
+		if p := n.asks[id]; n.unanswered(p) {
 			delete(n.asks, id)
 			p.ask.unsure = true
 			n.giveUpOn(p.ask, "the daemon that settles this did not answer")
 		}
 	}
 	for _, id := range sorted(n.reads) {
-		if r := n.reads[id]; n.now >= r.limitMs {
+		if r := n.reads[id]; n.now >= r.limitMs || n.cutOff() {
 			delete(n.reads, id)
 			n.bounce(r.ask, "neither the owner nor the core answered")
 		}
@@ -193,7 +212,7 @@
 // giveUpOn is for asks that no owner settles now: a job's state can still be
 // had from the core, anything else is bounced.
 func (n *node) giveUpOn(a *ask, reason string) {
-	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || !n.fresh.spend() {
+	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || n.cutOff() || !n.fresh.spend() {
 		n.bounce(a, reason)
 		return
 	}
@@ -307,8 +326,10 @@
 	n.mapSlice(a, slice)
 }
 
+// putSetup has a whole setup accepted. Only the register can say whether it was
+// accepted before, or lost: what this daemon itself knows may be old.
 func (n *node) putSetup(a *ask) {
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -319,23 +340,16 @@
 			return
 		}
 	}
-	version, base := a.setup.Version, a.expect
-	if base < 0 {
-		base = version - 1
-	}
-	if version <= base {
-		n.answerFaults(a, 400, 0, []fault{{"version", "must be higher than the one it builds on"}})
-		return
-	}
-	if version < n.setup.doc.Version { // surely passed; all else only the register can say
-		n.answer(a, 409, 0, jsonOf(map[string]any{"error": "another version stands", "current": n.setup.doc.Version}))
+	id, faults := orderOf(a)
+	if len(faults) > 0 {
+		n.answerFaults(a, 400, 0, faults)
 		return
 	}
 	if n.handToCore(a) {
 		return
 	}
-	o := n.startCas("setup", "setup", a.body, base)
-	o.want, o.ask = version, a
+	o := n.startCas("setup", "setup", a.body, 0)
+	o.order, o.ask = id, a
 }
 
 // handToCore passes a change of the setup on to a core member that answers
@@ -376,7 +390,7 @@
 		n.answerFaults(a, 400, 0, []fault{{"site", "must be a name"}})
 		return
 	}
-	if n.core.Cluster == 0 || n.now-n.poll.okMs > contactMs {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -399,7 +413,7 @@
 	}
 	queue, id, ok := c.resolve(a.host, a.path)
 	switch {
-	case !ok && n.setup.confirmedMs >= a.atMs:
+	case !ok && n.setupConfirmedFor(a):
 		n.answer(a, 404, 0, jsonOf(map[string]any{"missing": "queue", "error": "no queue has this address"}))
 		return
 	case !ok || !n.setupFresh():
@@ -418,9 +432,10 @@
 	}
 }
 
-// holdUnsure keeps an ask until a newer confirmation of the setup, for a while.
+// holdUnsure keeps an ask until a newer confirmation of the setup, for a while,
+// where one may still come.
 func (n *node) holdUnsure(a *ask, reason string) {
-	if len(n.setup.unsure) >= asksMax {
+	if n.cutOff() || len(n.setup.unsure) >= asksMax {
 		n.bounce(a, reason)
 		return
 	}
@@ -461,7 +476,7 @@
 // getSetup tells a setup that was confirmed after it was asked for, so that
 // nobody reads an older one than was acknowledged before.
 func (n *node) getSetup(a *ask) {
-	if n.setup.confirmedMs < a.atMs {
+	if !n.setupConfirmedFor(a) {
 		n.holdUnsure(a, "the setup is not confirmed here")
 		return
 	}
--- a/accord/diskread.go
+++ b/accord/diskread.go
@@ -44,7 +44,7 @@
 	for at := 0; at+recordHead <= len(b); at++ {
 		// Cheap looks first: checksums at each byte would take minutes.
 		number := binary.BigEndian.Uint64(b[at+8:])
-		if number <= torn || number-torn > batchesMax || b[at+16] > 1 {
+		if number <= torn || number-torn > batchesMax || b[at+recordMarkAt]>>formatShift != diskFormat {
 			continue
 		}
 		if _, _, _, size := readRecord(b[at:]); size > 0 {
@@ -143,6 +143,9 @@
 		if err != nil {
 			return nil, errors.Wrap(errDisk, err.Error())
 		}
+		if otherFormat(b) {
+			return nil, errDiskFormat
+		}
 		batch, whole := readSnapshot(b, st.apply)
 		if !whole {
 			return nil, errDamaged
@@ -176,6 +179,9 @@
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
+	if otherFormat(b) {
+		return errDiskFormat
+	}
 	sound, batch, err := readRecords(b, d.batch, st.apply)
 	if err != nil {
 		return err
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -2,13 +2,15 @@
 
 // All constants of the daemon stand here, each with its unit in the name and
 // the reason for its size.
+const setupVersionMax = 1 << 50 // a version's bound: exact as a number in JSON
+
 const (
 	tickMs        = 100            // the reducer's heartbeat; every wait below is a multiple
 	pollMs        = 200            // lease renewals; five tries fit in one lease
 	pollAsideMs   = 400            // daemons beside workers hold no lease; the setup they go by is confirmed this often
 	leaseMs       = 1000           // long enough for five renewals, short enough that urgent work hardly misses its aim
 	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
-	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
+	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift, see leaseHeldMs
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
 	contactMs     = 1500           // an order needs the owner's word this fresh; a cancel must bite in 3 s
 	setupMs       = 1500           // a setup must be confirmed this freshly; an acked one must bite in 2 s
@@ -84,6 +86,8 @@
 	againTick     = 1         // and so many a tick, that few asks need not wait
 	readsTick     = 10        // states read from the core a tick: 100 a second for each daemon
 	budgetMost    = 100       // what either budget saves up for a burst
+	ordersKept    = 4096      // identities of accepted setups, some 33 bytes each: a storm makes hundreds in a day
+	pastShown     = 50        // accepted setups that operators are shown
 	bodyMax       = 1 << 20   // bytes of a job's body
 	setupMax      = 16 << 20  // bytes of a setup
 	frameMax      = 64 << 20  // bytes of one message between daemons
@@ -125,6 +129,17 @@
 	msPerHour = 3600_000
 )
 
+// Of leases.
+const (
+	// leaseHeldMs is how long a holder keeps a lease, from when it asked; members
+	// keep it for leaseMs, from when they granted it, which is later. So a holder's
+	// steady clock may run slower than a member's by a tenth (900 of 1000) before
+	// two could hold one duty. Steady clocks of machines differ by less than a
+	// thousandth; both read whole ms, which takes 2 of the 100; and a freeze or a
+	// sleep counts on both, since they read the boot clock.
+	leaseHeldMs = leaseMs - leaseSlack
+)
+
 // Of batches.
 const (
 	finishByMost    = 720    // hours a batch may be given: a month, within what is kept of jobs
@@ -157,7 +172,9 @@
 	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
-	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
+	spreadAfterMs = 1500   // a gang that wants one rack takes several after this, at the earliest
+	rackWaitShare = 50     // percent of what its run takes longer over several that it waits for one
+	rackWaitMost  = 15_000 // ms, and no longer than this
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	lastPercent   = 99     // a worker tells no more of work that has not ended
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -1,9 +1,12 @@
 package main
 
-import "reflect"
+import (
+	"cmp"
+	"reflect"
+)
 
 // Messages between daemons. Their numbers are part of the wire form.
-var messageTypes = map[int32]reflect.Type{
+var messageTypes = map[uint8]reflect.Type{
 	1: reflect.TypeFor[gossipMsg](), 2: reflect.TypeFor[pollMsg](), 3: reflect.TypeFor[pollAck](),
 	4: reflect.TypeFor[prepareMsg](), 5: reflect.TypeFor[promiseMsg](), 6: reflect.TypeFor[acceptMsg](),
 	7: reflect.TypeFor[acceptedMsg](), 8: reflect.TypeFor[sealMsg](), 9: reflect.TypeFor[sealedMsg](),
@@ -17,15 +20,15 @@
 	31: reflect.TypeFor[digestAck](),
 }
 
-var messageKinds = func() map[reflect.Type]int32 {
-	m := map[reflect.Type]int32{}
+var messageKinds = func() map[reflect.Type]uint8 {
+	m := map[reflect.Type]uint8{}
 	for k, t := range messageTypes {
 		m[t] = k
 	}
 	return m
 }()
 
-func kindOf(msg any) int32 { return messageKinds[reflect.TypeOf(msg).Elem()] }
+func kindOf(msg any) uint8 { return messageKinds[reflect.TypeOf(msg).Elem()] }
 
 // sibling is what a daemon says of itself and others repeat.
 type sibling struct {
@@ -62,13 +65,16 @@
 	DiskID uint64
 }
 
+// ballot names one try to change a register. No two tries share one: within a
+// life of a proposer the round only rises, and no two lives share their number.
 type ballot struct {
 	Round uint64
-	Name  string
+	Name  string // of the proposer
+	Life  uint64 // of the proposer, see place.Life
 }
 
 func (b ballot) less(o ballot) bool {
-	return b.Round < o.Round || b.Round == o.Round && b.Name < o.Name
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Name, o.Name), cmp.Compare(b.Life, o.Life)) < 0
 }
 
 type dutyAsk struct {
@@ -207,6 +213,7 @@
 	Body   []byte
 	Queue  string // the queue whose address the caller used; "" when it used none
 	Expect int64  // the version that a setup builds on
+	Digest []byte // of an operator's order, where it isn't that of the body
 }
 
 type answerMsg struct {
@@ -335,6 +342,7 @@
 	Near      string
 	PerWorker int32
 	Used      []usedView // where others of the step are
+	EstMs     int64      // how long a run is expected to take
 }
 
 type wantTask struct {
--- a/accord/registers.go
+++ b/accord/registers.go
@@ -7,10 +7,10 @@
 type casOp struct {
 	id      uint64
 	reg     string
-	kind    string // names what is computed and what follows, see casKinds
-	arg     []byte // the wanted value or its part
-	expect  int64  // the version the value must have, where the kind asks
-	want    int64  // the version it is to have then, where the kind asks
+	kind    string  // names what is computed and what follows, see casKinds
+	arg     []byte  // the wanted value or its part
+	expect  int64   // the version the value must have, where the kind asks
+	order   orderID // an operator's, where the kind asks
 	ballot  ballot
 	phase   int8 // 1 prepare, 2 accept, 3 waiting for a retry
 	yes, no map[string]bool
@@ -48,6 +48,7 @@
 		"core":  {compute: computeCore, done: (*node).coreChanged},
 		"duty":  {compute: computeDuty, done: (*node).dutyTaken},
 		"setup": {compute: computeSetup, done: (*node).setupChanged},
+		"taken": {compute: computeTaken, done: (*node).takenRead},
 		"empty": {compute: computeSites, done: (*node).sitesChanged},
 		"open":  {compute: computeSites, done: (*node).sitesChanged},
 	}
@@ -66,8 +67,8 @@
 		return
 	}
 	o.tries++
-	round := max(o.ballot.Round, o.top, n.poll.setup.Round) + 1
-	o.ballot, o.phase = ballot{Round: round, Name: n.Name}, 1
+	n.lastRound = max(n.lastRound, o.top, n.poll.setup.Round) + 1
+	o.ballot, o.phase = ballot{Round: n.lastRound, Name: n.Name, Life: n.Life}, 1
 	o.yes, o.no, o.best, o.cur, o.sentMs = map[string]bool{}, map[string]bool{}, ballot{}, nil, n.now
 	for _, m := range n.core.Members {
 		n.send(m.Name, &prepareMsg{Op: o.id, CoreVer: n.core.Version, Reg: o.reg, Ballot: o.ballot})
@@ -141,7 +142,7 @@
 	for _, id := range sorted(n.ops) {
 		o := n.ops[id]
 		switch {
-		case n.now-o.startMs > casMs:
+		case n.now-o.startMs > casMs || o.ask != nil && n.cutOff():
 			n.casEnd(o, casUnknown)
 		case o.phase == 3 && n.now >= o.retryMs, o.phase != 3 && n.now-o.sentMs > casMs/4:
 			n.prepare(o)
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -117,17 +117,24 @@
 	if m.Back && from != n.Name {
 		// To where it says it is: a daemon that is new at its address, with a
 		// clock set back, is known at its old one until it has heard of that.
-		n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: n.gossip(false)})
+		n.sendAt(from, m.Self.Addr, n.gossip(false))
 	}
 }
 
 func (n *node) learnSibling(s sibling) {
 	if s.Name == n.Name && (s.Inc > n.Inc || s.Inc == n.Inc && (s.Beat > n.beat || s.Addr != n.Addr)) {
 		// An earlier life of this daemon began by a later clock, or another
-		// process has our name: only above it are we heard. Leases taken
-		// under the old number end by themselves.
+		// process has our name: only above it are we heard. To the core the
+		// old number's life is over once it hears of the new one, see over:
+		// so the leases taken under the old number are let go of first.
 		n.log("incarnation_raised", "from", n.Inc, "above", s.Inc)
 		n.Inc = s.Inc + 1
+		for _, name := range sorted(n.duties) {
+			n.dropDuty(n.duties[name], "incarnation_raised")
+		}
+		for _, name := range sorted(n.agents) { // those beside their workers: owners hear no lower epoch than before
+			n.agents[name].epoch = n.Inc
+		}
 		n.gossipAt = 0
 	}
 	if s.Name == n.Name || s.Name == "" {
@@ -158,6 +165,9 @@
 	if c.Cluster == 0 || n.core.Cluster != 0 && c.Cluster != n.core.Cluster || c.Version <= n.core.Version {
 		return
 	}
+	if n.store != nil && c.Cluster == n.store.set.Cluster && c.Version < n.store.set.Version {
+		return // at a start, before the set on disk was taken up
+	}
 	was, first := n.inCore(), n.core.Cluster == 0
 	settles := len(c.Members) == n.coreGoal() && len(n.core.Members) > n.coreGoal() && c.Members[len(c.Members)-1].Name == n.Name
 	n.awaitPolls(c)
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -162,7 +162,6 @@
 	queued   int64
 	rankMs   int64
 	silentMs int64
-	addedMs  int64 // estimates of what was placed there since its last word
 }
 
 var jobOps map[string]func(*node, *slice, *ask)
@@ -576,6 +575,7 @@
 	}
 	if f := sl.entering[a.key]; f != nil {
 		if len(f.asks) > 16 {
+			a.unsure = true // the others may have it taken in
 			n.bounce(a, "too many of the same ask")
 			return
 		}
@@ -592,7 +592,7 @@
 		return
 	}
 	if n.setup.cur.Queues[j.Queue] == nil {
-		if n.setup.confirmedMs < a.atMs && len(n.setup.unsure) < asksMax {
+		if !n.setupConfirmedFor(a) && len(n.setup.unsure) < asksMax {
 			// A version acknowledged just now may have it: ask the core first.
 			n.setup.unsure = append(n.setup.unsure, a)
 			n.poll.nextMs = 0
@@ -616,18 +616,14 @@
 	q := n.setup.cur.Queues[j.Queue]
 	wall := n.poll.medianWall(n)
 	if q == nil || wall == 0 || !n.setupFresh() {
-		for _, a := range f.asks {
-			n.bounce(a, "the setup or the core's time is not confirmed here")
-		}
+		n.turnAway(f, func(a *ask) { n.bounce(a, "the setup or the core's time is not confirmed here") })
 		return
 	}
 	size := len(j.kept())
 	c := &askContext{job: j, queue: q, live: sl.liveBy[j.Queue], all: len(sl.jobs), bytes: sl.bytes + size, base: q.Urgency <= n.setup.cur.Lowest && len(n.setup.cur.Queues) > 1, batch: q.Batch != nil}
 	if b := interpret(c); b != nil {
 		n.count("jobs_bounced")
-		for _, a := range f.asks {
-			n.answerFaults(a, int(b.status), b.retryMs, b.faults)
-		}
+		n.turnAway(f, func(a *ask) { n.answerFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
 	}
 	j.SubmitMs = wall
@@ -641,13 +637,26 @@
 	n.count("jobs_entered")
 	n.touch(sl, js)
 	n.whenCommitted(js, waiter{version: 1, ask: a, status: 201})
-	for _, again := range f.asks[1:] {
-		n.putJob(sl, again)
+	for _, other := range f.asks[1:] { // the same job again, or its state, or its end
+		jobOps[other.op](n, sl, other)
+	}
+}
+
+// turnAway answers all who wait for a new job that isn't taken: who hands it in
+// is told why, and for the others there is no such job.
+func (n *node) turnAway(f *fetchOp, tell func(*ask)) {
+	for _, a := range f.asks {
+		if a.op == "job.put" {
+			tell(a)
+		} else {
+			n.answerMissing(a)
+		}
 	}
 }
 
 func (n *node) whenCommitted(js *jobState, w waiter) {
 	if len(js.waiters) > 64 {
+		w.ask.unsure = true // it is done, but not yet durable
 		n.bounce(w.ask, "too many of the same ask")
 		return
 	}
@@ -872,8 +881,12 @@
 		return
 	}
 	if state, ended := js.verdict(); ended {
+		wall := n.poll.medianWall(n)
+		if wall == 0 {
+			return // how long the job is kept counts from its end: that waits for the fleet's time
+		}
 		n.touch(sl, js)
-		js.State, js.DoneMs = state, max(n.poll.medianWall(n), 1)
+		js.State, js.DoneMs = state, wall
 		n.count("jobs_" + jobNames[state])
 		n.batchEnded(js)
 		return
@@ -1276,7 +1289,7 @@
 	t := &js.Tasks[i]
 	st := &js.Steps[t.Step]
 	m := &wantMsg{Slice: sl.name, Job: js.ID, Queue: js.Queue, Room: t.Room, Needs: t.Needs, SubmitMs: js.SubmitMs, Avoid: t.Last,
-		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker}
+		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker, EstMs: n.estimateMs(js, t)}
 	from, to_ := i, i+1
 	if st.Alike {
 		from, to_ = js.mates(i)
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -44,6 +44,11 @@
 	trafficEnds  bool
 	largest      int // bytes of the largest frame so far
 	onNote       func(verdict.Event)
+	resetUs      map[[2]string]int64 // when the connections one way were last reset
+	answerLoss   map[string]float64  // by caller, the share of answers lost on their way
+	onAnswer     []func(sentAnswer) (over bool)
+	// detain tells how many us longer than others a message takes, past those sent after it.
+	detain func(from, to string, msg any) int64
 }
 
 type happening struct {
@@ -77,7 +82,8 @@
 
 func newWorld(seed uint64, dep verdict.Deployment) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, cuts: map[[2]string]bool{},
-		lastUs: map[[2]string]int64{}, hold: map[[2]string]int64{}, dep: dep, jobs: map[string]*simJob{}, syncUs: map[string]int64{}, msgs: map[string]int{}, trace: 14695981039346656037}
+		lastUs: map[[2]string]int64{}, hold: map[[2]string]int64{}, dep: dep, jobs: map[string]*simJob{}, syncUs: map[string]int64{},
+		resetUs: map[[2]string]int64{}, answerLoss: map[string]float64{}, msgs: map[string]int{}, trace: 14695981039346656037}
 	var seeds []string
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7000", i))
@@ -153,6 +159,7 @@
 		w.holdUp(way, do)
 		return
 	}
+	leftUs := w.nowUs
 	at := w.nowUs + 150 + w.rng.Int64N(400) + w.hold[way]
 	if from == to {
 		at = w.nowUs + 5
@@ -164,10 +171,12 @@
 		w.lastUs[way] = at
 	}
 	w.after(at-w.nowUs, func() {
-		if !w.cuts[way] {
-			do()
-		} else {
+		switch {
+		case w.resetUs[way] > leftUs: // gone with its connection
+		case w.cuts[way]:
 			w.holdUp(way, do)
+		default:
+			do()
 		}
 	})
 }
@@ -254,10 +263,15 @@
 	asks     map[uint64]func(int, int64, []byte)
 	askSeq   uint64
 	incs     uint64
+	removed  bool // its machine is gone for good
 }
 
 func (n *simNode) start() {
-	if n.up {
+	if n.up || n.removed {
+		return
+	}
+	if wait := n.disk.stallUs - n.w.nowUs; n.Disk && wait > 0 { // its log can't be read before
+		n.w.after(wait, n.start)
 		return
 	}
 	n.up, n.frozenTo, n.inbox = true, 0, nil
@@ -267,6 +281,7 @@
 	n.bootUs = n.w.nowUs - 1_000_000 - n.w.rng.Int64N(3_000_000_000)
 	p := n.place
 	p.Inc = n.incs<<32 | uint64(n.w.nowMs())&0xffffffff
+	p.Life = addressOf(fmt.Sprintf("%s life %d", n.Name, n.gen)) // draws nothing, so that a seed's run stays as it was
 	var st *store
 	if p.Disk {
 		st = n.disk.load()
@@ -360,7 +375,7 @@
 	if target == nil {
 		return
 	}
-	n.w.carryTo(n.Name, target.Name, func() {
+	arrive := func() {
 		if !target.up {
 			return
 		}
@@ -370,7 +385,14 @@
 		}
 		n.w.traceOf(h.From, target.Name, h.Kind, len(frame))
 		target.event(evMsg{Head: h, Msg: m})
-	})
+	}
+	if n.w.detain != nil {
+		if us := n.w.detain(n.Name, target.Name, msg); us > 0 {
+			n.w.after(us, arrive)
+			return
+		}
+	}
+	n.w.carryTo(n.Name, target.Name, arrive)
 }
 
 func (n *simNode) Append(entries []logEntry, done func()) { n.disk.append(n, entries, done) }
@@ -430,19 +452,23 @@
 	})
 }
 
-// simDisk keeps what was appended; only what was synced outlives a power loss.
+// simDisk stands in for the log in disk.go: a batch is written and synced before
+// the next one begins. What waits behind it is in memory only; of a batch under
+// way a power loss leaves any first part; and after a write that failed all is
+// held up until a later try succeeds.
 type simDisk struct {
-	w       *world
-	host    string
-	entries [][]byte
-	synced  int
-	syncing bool
-	waiting []func()
-	wipes   int
-	full    bool  // takes no writes
-	failed  bool  // a write failed, and is tried again
-	stallUs int64 // no sync ends before
-	folded  int   // entries that snapshots took the place of, less what these take
+	w        *world
+	host     string
+	entries  [][]byte
+	synced   int
+	syncing  bool
+	batchEnd int // where the batch under way ends, counted with what was folded
+	waiting  []func()
+	wipes    int
+	folded   int // entries that snapshots took the place of, less what these take
+	full     bool
+	failed   bool  // a write failed, and is tried again
+	stallUs  int64 // nothing is answered before
 }
 
 func (d *simDisk) load() *store {
@@ -463,7 +489,7 @@
 		d.entries = append(d.entries, pack(nil, e))
 	}
 	d.waiting = append(d.waiting, done)
-	if len(entries) == 0 && !d.syncing && d.synced == len(d.entries) {
+	if len(entries) == 0 && !d.syncing && !d.failed && d.synced == len(d.entries) {
 		d.release(len(d.waiting))
 		return
 	}
@@ -475,27 +501,37 @@
 		return
 	}
 	d.syncing = true
-	upTo, calls := len(d.entries), len(d.waiting)
-	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() { d.syncEnds(n, upTo, calls) })
+	d.batchEnd = d.folded + len(d.entries)
+	calls := len(d.waiting)
+	if d.full {
+		n.later(100, func() { d.fail(n, errDiskFull) })
+		return
+	}
+	n.later(500+d.w.syncUs[d.host]+d.w.rng.Int64N(1500), func() { d.syncEnds(n, calls) })
 }
 
-func (d *simDisk) syncEnds(n *simNode, upTo, calls int) {
+func (d *simDisk) syncEnds(n *simNode, calls int) {
 	if wait := d.stallUs - d.w.nowUs; wait > 0 {
-		n.later(wait, func() { d.syncEnds(n, upTo, calls) })
+		n.later(wait, func() { d.syncEnds(n, calls) })
 		return
 	}
-	d.syncing = false
 	if d.full {
-		d.failed = true
-		n.event(evDisk{Failed: "no space left"})
-		n.later(diskRetryMs*1000, func() { d.again(n, 2*diskRetryMs) })
+		d.fail(n, errDiskFull)
 		return
 	}
-	d.synced = max(d.synced, min(upTo, len(d.entries)))
+	d.syncing = false
+	d.synced = max(d.synced, min(d.batchEnd-d.folded, len(d.entries)))
 	d.release(calls)
 	d.sync(n)
 }
 
+// fail tells the daemon; all that waits is held up until a later try.
+func (d *simDisk) fail(n *simNode, reason string) {
+	d.failed, d.syncing = true, false
+	n.event(evDisk{Failed: reason})
+	n.later(diskRetryMs*1000, func() { d.again(n, 2*diskRetryMs) })
+}
+
 // again tries a failed disk anew, as diskrecovery.go does.
 func (d *simDisk) again(n *simNode, nextMs int64) {
 	if d.full || d.stallUs > d.w.nowUs {
@@ -523,8 +559,11 @@
 	}
 	wipes := d.wipes
 	n.later(20_000, func() {
-		if d.wipes != wipes || d.full {
-			return // of a disk that was emptied meanwhile, or has no room
+		if d.wipes != wipes {
+			return // of a disk that was emptied meanwhile
+		}
+		if d.full || d.failed || d.stallUs > d.w.nowUs {
+			return // it failed; the log still holds all
 		}
 		old := at - d.folded // another snapshot may have come before this one
 		d.entries = append(dump, d.entries[old:]...)
@@ -533,10 +572,38 @@
 	})
 }
 
+// plant puts entries on the disk, synced, beside what its daemon writes.
+func (d *simDisk) plant(entries ...logEntry) {
+	for _, e := range entries {
+		d.entries = append(d.entries, pack(nil, e))
+	}
+	d.synced = len(d.entries)
+}
+
+// written is how many entries were handed to the operating system.
+func (d *simDisk) written() int {
+	if d.syncing || d.failed {
+		return max(d.synced, min(d.batchEnd-d.folded, len(d.entries)))
+	}
+	return d.synced
+}
+
+// tear leaves any first part of what was written and not synced.
+func (d *simDisk) tear() {
+	kept := d.written()
+	if kept > d.synced {
+		kept = d.synced + d.w.rng.IntN(kept-d.synced+1)
+	}
+	d.entries = d.entries[:kept]
+}
+
+// stop ends the process that writes here. What it had not yet written is gone,
+// and with power any last part of what was not yet synced.
 func (d *simDisk) stop(power bool) {
 	if power || d.failed {
-		d.entries = d.entries[:d.synced]
+		d.tear()
 	}
+	d.entries = d.entries[:min(len(d.entries), d.written())]
 	d.synced = len(d.entries)
 	d.syncing, d.waiting, d.failed = false, nil, false
 }
@@ -563,6 +630,9 @@
 		to.awake(func() {
 			to.askSeq++
 			to.asks[to.askSeq] = func(status int, retryMs int64, b []byte) {
+				if w.answerLeaves(sentAnswer{from, to, e, status}) {
+					return
+				}
 				w.carryTo(to.Name, from, func() { finish(status, retryMs, b) })
 			}
 			e.ID = to.askSeq
