--- a/accord/codec.go
+++ b/accord/codec.go
@@ -170,7 +170,7 @@
 // wireMagic tells frames of this form from all others. Up to the third form a
 // frame began with eight bytes "otterchu" and a version.
 const (
-	wireForm        = 6
+	wireForm        = 7
 	wireMagic int32 = 0x6f747700 | wireForm // "otw" and the number of the form
 )
 
--- a/accord/core.go
+++ b/accord/core.go
@@ -217,11 +217,13 @@
 }
 
 // copyCursor is a place in a store's dump: nothing yet, a slice's live records
-// (Chunk 0), or its finished ones from a chunk on. Chunks are numbered anew in
-// each life of a daemon, so a cursor says nothing in another than its own.
+// after one of them (Chunk 0), or its finished ones from a chunk on. Chunks are
+// numbered anew in each life of a daemon, so a cursor says nothing in another
+// than its own.
 type copyCursor struct {
 	Slice string
 	Chunk uint64
+	After string
 	Life  uint64
 }
 
@@ -256,11 +258,7 @@
 	}
 	x := s.slice(c.Slice)
 	if c.Chunk == 0 {
-		out = append(out, logEntry{Kind: entrySeal, Name: c.Slice, Epoch: x.sealed}, logEntry{Kind: entryServed, Name: c.Slice, Epoch: x.served})
-		for _, id := range sorted(x.live) {
-			out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
-		}
-		return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
+		return x.livePart(c, most)
 	}
 	chunks, from := x.past.since(c.Chunk, most)
 	for _, ch := range chunks {
@@ -277,6 +275,26 @@
 
 // learnSet keeps a newer set on this disk, but not one that lacks it: a former
 // member must know after a restart, too, that it was one.
+// livePart gives some of a slice's live records, in the order of their names. One
+// that comes under an earlier name meanwhile is acknowledged without the copy.
+func (x *sliceStore) livePart(c copyCursor, most int) (out []logEntry, next copyCursor) {
+	if c.After == "" {
+		out = append(out, logEntry{Kind: entrySeal, Name: c.Slice, Epoch: x.sealed}, logEntry{Kind: entryServed, Name: c.Slice, Epoch: x.served})
+	}
+	size := 0
+	for _, id := range sorted(x.live) {
+		if id <= c.After {
+			continue
+		}
+		if size >= most {
+			return out, copyCursor{Slice: c.Slice, After: out[len(out)-1].Rec.ID}
+		}
+		out = append(out, logEntry{Kind: entryRecord, Name: c.Slice, Rec: x.live[id]})
+		size += entryBytes + len(x.live[id].Value)
+	}
+	return out, copyCursor{Slice: c.Slice, Chunk: x.past.first}
+}
+
 func (s *store) learnSet(n *node, c coreSet) {
 	if c.Version > s.set.Version && (c.has(n.Name, n.DiskID) || !s.set.has(n.Name, n.DiskID)) {
 		n.keep([]logEntry{{Kind: entrySet, Value: pack(nil, c)}})
@@ -301,11 +319,11 @@
 		return
 	}
 	r := n.store.reg(m.Reg)
-	value := r.Value
-	if m.Reg == "setup" {
-		value = n.setup.forReaders.of(r)
+	value, whole := r.Value, true
+	if m.Reg == "setup" && !n.core.hasName(from) {
+		value, whole = n.setup.forReaders.of(r), false
 	}
-	n.keep(nil, n.sendEffect(from, &regMsg{Reg: m.Reg, Ballot: r.Accepted, Value: value}))
+	n.keep(nil, n.sendEffect(from, &regMsg{Reg: m.Reg, Ballot: r.Accepted, Value: value, Whole: whole}))
 }
 
 func (n *node) onSeal(from string, m *sealMsg) {
--- a/accord/messages.go
+++ b/accord/messages.go
@@ -390,6 +390,7 @@
 	Reg    string
 	Ballot ballot
 	Value  []byte
+	Whole  bool // as it was accepted; readers get a setup without the history of its orders
 }
 
 // logEntry is one synced change of a core member's state.
