--- a/accord/membership_test.go
+++ b/accord/membership_test.go
@@ -397,3 +397,49 @@
 		s.keepsAll()
 	}
 }
+
+// The newest member of a set that is larger than full copies anew from f+1 others
+// under that set before the leaving one is removed: what these acknowledged
+// between its first copy and their hearing of the larger set is in no other copy.
+func TestCopiedAgainBeforeRemoval(t *testing.T) {
+	n := newNode(place{Name: "d", Addr: "d:1", Disk: true, DiskID: 4}, newStore())
+	n.store.cluster = 9
+	n.core = coreSet{Cluster: 9, Version: 2, Members: []coreMember{{"a", 1}, {"b", 2}, {"c", 3}, {"d", 4}}}
+	nowMs := int64(1000)
+	for i, name := range []string{"a", "b", "c"} {
+		n.siblings[name] = &siblingState{sibling: sibling{Name: name, Addr: name + ":1", Disk: true, DiskID: uint64(i + 1), Leaving: name == "c"}, heardMs: nowMs}
+	}
+	var asked []*copyMsg
+	removes := false
+	var step func(body any)
+	step = func(body any) {
+		effects := reduce(n, event{NowMs: nowMs, WallMs: nowMs, Body: body})
+		for len(effects) > 0 {
+			e := effects[0]
+			effects = effects[1:]
+			switch e := e.(type) {
+			case effAppend:
+				effects = append(effects, e.Then...)
+			case effSend:
+				switch m := e.Msg.(type) {
+				case *copyMsg:
+					asked = append(asked, m)
+				case *prepareMsg:
+					removes = removes || m.Reg == "core"
+				case *copiedMsg:
+					step(evMsg{Head: wireHead{From: n.Name}, Msg: m})
+				}
+			}
+		}
+	}
+	step(evTick{})
+	must.Len(t, 3, asked)
+	must.Eq(t, 2, asked[0].CoreVer)
+	must.False(t, removes)
+	step(evMsg{Head: wireHead{From: "a"}, Msg: &copiedMsg{Op: asked[0].Op}})
+	nowMs += tickMs
+	step(evTick{})
+	must.False(t, removes)
+	step(evMsg{Head: wireHead{From: "b"}, Msg: &copiedMsg{Op: asked[0].Op}})
+	must.True(t, removes)
+}
