--- a/guards.sh
+++ b/guards.sh
@@ -63,6 +63,17 @@
 an order that was forgotten is not refused|history.go|if !cur.Taken.covers(o.order) {|if false {
 orders have the base in their identity|history.go|id := orderID{Version: base + int64(rise), Base: base}|id := orderID{Version: base + int64(rise)}
 a refusal is written back|../register/proposer.go|\t\to.atEnd = Refused\n|\t\to.outcome = Refused\n\t\treturn nil\n
+a leaving member waits for its successor|duties.go|if n.leaving == 0 \|\| n.seatAwaited() {|if n.leaving == 0 {
+copied again before a member leaves|membership.go|if at == newest \|\| n.copied(j, n.core.majority()-1) {|if true {
+a successor that stalls is taken out|membership.go|late := n.leaving != 0 && n.now-n.leaving > seatMs-seatUndoMs|late := false
+the surest loss goes first|membership.go|if now > state && n.now-j.goneMs|if at < 0 && n.now-j.goneMs
+a failing disk keeps its seat for a while|membership.go|case !s.Disk:\n\t\treturn seatFailed|case !s.Disk:\n\t\treturn seatLeaving
+a member that restarts keeps its seat|membership.go|n.quiet(m.Name) && n.now-s.heardMs > quietMs|n.now-s.heardMs > gossipMs
+a former member starts over|membership.go|if n.store.set.has(n.Name, n.DiskID) {|if false {
+a failed disk stops voting|siblings.go|n.store != nil && n.diskFailed == "" && n.store.cluster|n.store != nil && n.store.cluster
+a newcomer grants no lease before its set is full|siblings.go|(!was \|\| settles)|(!was)
+a member's silence counts since it joined|siblings.go|	n.awaitPolls(c)|
+a change begins anew under another set|siblings.go|	n.restartOps()|
 void live records are not loaded|slices.go|if r.Live && r.Epoch < sl.served {|if r.Live && false {
 void live records are not finished jobs|slices.go|if f.best.Live {|if false {
 setup is fresh|setup.go|n.now-n.setup.confirmedMs <= setupMs|true
@@ -94,7 +105,7 @@
 P
   then echo "STALE     $name: its text is no longer in $file"; continue; fi
   out=$(cd "$copy" && a=0 && { go test -vet=off -timeout 240s ./register 2>&1 || a=1; } && go test -c -vet=off -o accord/t ./accord && cd accord &&
-    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Batch[A-M]' 2>&1 || a=1; } &&
+    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Members|Repairs|Seat|CopiedAgain|FullDisk|FailedDisk|Batch[A-M]' 2>&1 || a=1; } &&
     { timeout 240 ./t -test.timeout 200s -test.run Campaign -seeds "${SEEDS:-12}" 2>&1 || a=1; } && exit $a)
   if [ $? -eq 0 ]; then echo "UNNOTICED $name"; else
     rules=$(echo "$out" | grep -oE '(twice_at_once|again_after_well|over_room|before_its_steps|before_due|lacks_label|outside_group|past_failures|after_cancel|runs_on_after_cancel|leaving_worker|emptied_site|job_forgotten|failed_without_cause|complete_too_early|setup_lost|setup_acked_twice|run_not_sent) at|jobs (still )?open|[0-9] of [0-9]+ jobs|panic|build failed|core is not whole' | sed -E 's/ at//; s/^[0-9].*/jobs open/; s/jobs still open/jobs open/' | sort | uniq -c | sort -rn | head -4 | awk '{c=$1; $1=""; printf "%s x%s,", $0, c}')
