A state read from the core doesn't take an end back

Cause: while a slice has no owner in reach, a state is told from two members' records, by the lower version. Where one of them had missed the end of a job that the owner had told already, the job was told as running again.

Change: where one has the job as finished and the other as live, the answer waits for the members that have not answered yet, within the bound that such a read has (500 ms, then 503). If no other holds the end, nobody was told of it, and the job is told as live.

Test: TestStateFromCoreDoesNotGoBack; before, it failed with running after finished, live. After: passes, with the scenarios that cut, kill or freeze owners and read states (TestScenarios/.*(owner|read|state|cut), TestCrowdThatResends).

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -212,8 +212,10 @@
 }
 
 // onRead answers with what a majority holds: of two members' words the lower
-// version, for the higher may yet be lost. Absence it does not tell: only an
-// owner can say that a job is unknown.
+// version, for the higher may yet be lost. But where only one of the two holds the
+// job as finished it waits for the others: the end may have been told already, and
+// mustn't be taken back. Absence it does not tell: only an owner can say that a job
+// is unknown.
 func (n *node) onRead(r *coreRead, op uint64, from string, records []record) {
 	var rec record
 	if len(records) == 1 {
@@ -229,6 +231,9 @@
 		all = append(all, rec)
 	}
 	slices.SortFunc(all, func(a, b record) int { return cmp.Or(cmp.Compare(b.Epoch, a.Epoch), cmp.Compare(b.Version, a.Version)) })
+	if low := all[need-1]; low.Live && !all[0].Live && len(r.got) < n.coreGoal() {
+		return
+	}
 	if j, ok := jobOf(all[need-1]); ok {
 		delete(n.reads, op)
 		n.count("states_from_core")
--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
 )
 
 // killCore ends all core members at once and gives what starts them again.
@@ -194,3 +195,41 @@
 		must.Zero(t, len(w.nodes[name].sh.n.store.slice("mid").past.index), must.Sprint(name))
 	}
 }
+
+// A state from the core tells an end that was told before: where one member holds the
+// job as finished and another as live, only those who have not answered yet can say.
+func TestStateFromCoreDoesNotGoBack(t *testing.T) {
+	w := formed(t, 4, "ikenna")
+	n := w.nodes["d05"].sh.n
+	held := func(state int8, version, doneMs int64) []record {
+		j := &job{ID: "j", Queue: "q", State: state, Version: version, DoneMs: doneMs}
+		return []record{{ID: "j", Epoch: 1, Version: version, Live: doneMs == 0, DoneMs: doneMs, Value: j.kept()}}
+	}
+	live, finished := held(jobRunning, 3, 0), held(jobComplete, 5, wallStart)
+	for _, c := range []struct {
+		answers [][]record
+		want    string
+	}{
+		{[][]record{finished, live, finished}, "complete"},
+		{[][]record{live, finished, finished}, "complete"},
+		{[][]record{live, finished, live}, "running"}, // nobody can have been told of that end
+		{[][]record{live, live}, "running"},
+		{[][]record{finished, finished}, "complete"},
+		{[][]record{finished, live}, ""},
+	} {
+		n.out = nil
+		n.fresh.earn(budgetMost)
+		n.giveUpOn(&ask{id: 7, op: "job.get", key: "j", atMs: n.now}, "no owner")
+		op, state := n.opSeq, ""
+		for i, records := range c.answers {
+			must.Eq(t, "", state, must.Sprint("answered before ", i))
+			for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Body: evMsg{Head: wireHead{From: fmt.Sprint("d0", i)}, Msg: &fetchedMsg{Op: op, Records: records}}}) {
+				if r, ok := e.(effReply); ok {
+					state = gjson.GetBytes(r.Body, "state").Str
+				}
+			}
+		}
+		must.Eq(t, c.want, state, must.Sprint(len(c.answers), " answers"))
+		delete(n.reads, op)
+	}
+}
--- a/guards.sh
+++ b/guards.sh
@@ -33,6 +33,7 @@
 a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
 a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
 finished jobs go by the time of a majority|core.go|if len(n.poll.clocks) < n.core.majority() {|if false {
+a told end is not taken back|asks.go|low.Live && !all[0].Live && |false && low.Live && !all[0].Live &&
 copied from a majority|membership.go|if len(j.done) < n.core.majority() {|if len(j.done) < 1 {
 an answer belongs to its try|registers.go|o.phase != 1 \|\| m.Ballot != o.ballot|o.phase != 1
 an acceptance belongs to its try|registers.go|o.phase != 2 \|\| m.Ballot != o.ballot|o.phase != 2
