--- a/accord/asks.go
+++ b/accord/asks.go
@@ -17,6 +17,7 @@
 	key    string
 	body   []byte
 	atMs   int64
+	polls  uint64    // sent here before it came: only a later one confirms a setup for it
 	setup  *compiled // of the body, where it is known to be sound
 	host   string    // with path, the address a caller used
 	path   string
@@ -74,7 +75,7 @@
 	}
 	n.count("asks_in")
 	n.again.earn(1)
-	n.settleAsk(&ask{atMs: n.now, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect, digest: e.Digest})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: e.ID, op: e.Op, key: e.Key, body: e.Body, setup: e.Ready, host: e.Host, path: e.Path, expect: e.Expect, digest: e.Digest})
 }
 
 func (n *node) onHandedOver(from string, m *askMsg) {
@@ -84,7 +85,7 @@
 			return
 		}
 	}
-	n.settleAsk(&ask{atMs: n.now, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
+	n.settleAsk(&ask{atMs: n.now, polls: n.poll.seq, id: m.ID, origin: from, hop: m.Hop, op: m.Op, key: m.Key, body: body, queue: m.Queue, expect: m.Expect, digest: m.Digest})
 }
 
 func (n *node) settleAsk(a *ask) {
@@ -176,14 +177,14 @@
 	n.again.earn(againTick * againShare)
 	n.fresh.earn(readsTick * againShare)
 	for _, id := range sorted(n.asks) {
-		if p := n.asks[id]; n.now >= p.limitMs {
+		if p := n.asks[id]; n.unanswered(p) {
 			delete(n.asks, id)
 			p.ask.unsure = true
 			n.giveUpOn(p.ask, "the daemon that settles this did not answer")
 		}
 	}
 	for _, id := range sorted(n.reads) {
-		if r := n.reads[id]; n.now >= r.limitMs {
+		if r := n.reads[id]; n.now >= r.limitMs || n.cutOff() {
 			delete(n.reads, id)
 			n.bounce(r.ask, "neither the owner nor the core answered")
 		}
@@ -193,7 +194,7 @@
 // giveUpOn is for asks that no owner settles now: a job's state can still be
 // had from the core, anything else is bounced.
 func (n *node) giveUpOn(a *ask, reason string) {
-	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || !n.fresh.spend() {
+	if a.op != "job.get" && a.op != "job.state" || len(n.core.Members) == 0 || n.cutOff() || !n.fresh.spend() {
 		n.bounce(a, reason)
 		return
 	}
@@ -304,7 +305,7 @@
 // putSetup has a whole setup accepted. Only the register can say whether it was
 // accepted before, or lost: what this daemon itself knows may be old.
 func (n *node) putSetup(a *ask) {
-	if n.coreSilent() {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -365,7 +366,7 @@
 		n.answerFaults(a, 400, 0, []fault{{"site", "must be a name"}})
 		return
 	}
-	if n.coreSilent() {
+	if !n.inContact() {
 		n.bounce(a, "the core can't be reached from here")
 		return
 	}
@@ -388,7 +389,7 @@
 	}
 	queue, id, ok := c.resolve(a.host, a.path)
 	switch {
-	case !ok && n.setup.confirmedMs >= a.atMs:
+	case !ok && n.setupConfirmedFor(a):
 		n.answer(a, 404, 0, jsonOf(map[string]any{"missing": "queue", "error": "no queue has this address"}))
 		return
 	case !ok || !n.setupFresh():
@@ -407,9 +408,10 @@
 	}
 }
 
-// holdUnsure keeps an ask until a newer confirmation of the setup, for a while.
+// holdUnsure keeps an ask until a newer confirmation of the setup, for a while,
+// where one may still come.
 func (n *node) holdUnsure(a *ask, reason string) {
-	if len(n.setup.unsure) >= asksMax {
+	if n.cutOff() || len(n.setup.unsure) >= asksMax {
 		n.bounce(a, reason)
 		return
 	}
@@ -450,7 +452,7 @@
 // getSetup tells a setup that was confirmed after it was asked for, so that
 // nobody reads an older one than was acknowledged before.
 func (n *node) getSetup(a *ask) {
-	if n.setup.confirmedMs < a.atMs {
+	if !n.setupConfirmedFor(a) {
 		n.holdUnsure(a, "the setup is not confirmed here")
 		return
 	}
--- a/accord/slices.go
+++ b/accord/slices.go
@@ -630,7 +630,7 @@
 		return
 	}
 	if n.setup.cur.Queues[j.Queue] == nil {
-		if n.setup.confirmedMs < a.atMs && len(n.setup.unsure) < asksMax {
+		if !n.setupConfirmedFor(a) && len(n.setup.unsure) < asksMax {
 			// A version acknowledged just now may have it: ask the core first.
 			n.setup.unsure = append(n.setup.unsure, a)
 			n.poll.nextMs = 0
@@ -1318,7 +1318,7 @@
 	t := &js.Tasks[i]
 	st := &js.Steps[t.Step]
 	m := &wantMsg{Slice: sl.name, Job: js.ID, Queue: js.Queue, Room: t.Room, Needs: t.Needs, SubmitMs: js.SubmitMs, Avoid: t.Last,
-		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker}
+		Gang: st.Gang, SameRack: st.SameRack, Near: st.Near, PerWorker: st.PerWorker, EstMs: n.estimateMs(js, t)}
 	from, to_ := i, i+1
 	if st.Alike {
 		from, to_ = js.mates(i)
