--- a/accord/disk.go
+++ b/accord/disk.go
@@ -5,11 +5,9 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,8 +25,8 @@
 // that a later batch stands behind was damaged after it had been synced, and
 // one that nothing of a later batch follows is the torn end of the last write.
 type disk struct {
-	folder string
-	id     uint64
+	diskIdentity
+	folder dataFolder
 	lock   *os.File
 	post   func(func(*shell)) // runs something on the control thread
 	log    func(event string, pairs ...any)
@@ -40,33 +38,17 @@
 	stopped bool
 	ended   chan struct{}
 
-	file    segmentFile
-	open    func(path string, flags int) (segmentFile, error) // openSegment, but for tests
+	file    dataFile
+	base    uint64 // what was read began at this number
 	segment uint64
 	size    int64 // bytes of the segment that are synced
 	batch   uint64
 	held    []diskJob     // not done since the disk failed
 	broken  error         // why the first segment could not be begun
+	uncut   bool          // the segment still has a tail to be cut, or to be synced
 	retry   time.Duration // the first wait after a failure
 }
 
-// segmentFile is what a segment is written through.
-type segmentFile interface {
-	io.ReadWriteCloser
-	Sync() error
-	Truncate(size int64) error
-}
-
-// dataSynced is a file whose Sync leaves out what a reader doesn't need.
-type dataSynced struct{ *os.File }
-
-func (f dataSynced) Sync() error { return unix.Fdatasync(int(f.Fd())) }
-
-func openSegment(path string, flags int) (segmentFile, error) {
-	f, err := os.OpenFile(path, flags, 0o600)
-	return dataSynced{f}, err
-}
-
 type diskJob struct {
 	entries  []logEntry
 	done     func()
@@ -86,8 +68,6 @@
 	recordMarkAt      = recordHead - 1
 )
 
-const diskIDName = "disk-id"
-
 func appendRecord(dst []byte, e logEntry, batch uint64, last bool) []byte {
 	at := len(dst)
 	dst = append(dst, make([]byte, recordHead)...)
@@ -130,199 +110,113 @@
 	return e, binary.BigEndian.Uint64(b[8:]), b[recordMarkAt]&lastOfBatch != 0, size
 }
 
-// readRecords gives a file's entries and where its sound part ends. Damage
-// with a later batch behind it gives errDamaged; an end that is merely torn
-// does not.
-func readRecords(b []byte, batch uint64, into func(logEntry)) (sound int, lastBatch uint64, err error) {
-	closed := true
-	for sound < len(b) {
-		e, at, last, size := readRecord(b[sound:])
-		if size == 0 {
-			torn := batch
-			if closed {
-				torn++
-			}
-			for o := sound + 1; o < len(b); o++ {
-				if _, later, _, n := readRecord(b[o:]); n > 0 && later > torn {
-					return sound, batch, errDamaged
-				}
-			}
-			return sound, batch, nil
-		}
-		into(e)
-		batch, closed, sound = at, last, sound+size
-	}
-	return sound, batch, nil
-}
-
-func (d *disk) segmentPath(n uint64) string { return filepath.Join(d.folder, segmentName(n)) }
+const (
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snap-"
+	unnamedSuffix  = ".new" // of a file that is not whole yet
+)
 
-func segmentName(n uint64) string  { return fmt.Sprintf("log-%016d", n) }
-func snapshotName(n uint64) string { return fmt.Sprintf("snap-%016d", n) }
+func segmentName(n uint64) string  { return fmt.Sprintf("%s%016d", segmentPrefix, n) }
+func snapshotName(n uint64) string { return fmt.Sprintf("%s%016d", snapshotPrefix, n) }
 
 // openDisk reads the data folder. A log damaged before its end is put aside
 // and the disk begins again as a new, empty one: never as a shorter history.
-func openDisk(folder string, newID uint64, log func(string, ...any)) (*disk, *store, error) {
-	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{}), open: openSegment, retry: diskRetryMs * time.Millisecond}
-	lock, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+func openDisk(path string, newID uint64, log func(string, ...any)) (*disk, *store, error) {
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, nil, errors.Wrap(errDisk, err.Error())
 	}
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		return nil, nil, errors.Wrap(errDisk, "the data folder is in use by another process")
 	}
-	d.lock = lock
-	if err := d.dropOrphans(); err != nil {
+	d, st, err := openFolder(osFolder(path), newID, log)
+	if err != nil {
+		_ = lock.Close()
 		return nil, nil, err
 	}
-	st, err := d.read()
-	if errors.Is(err, errDamaged) {
-		aside := filepath.Join(folder, "damaged-"+strconv.FormatInt(time.Now().UnixNano(), 10))
-		log("disk_damaged", "kept_at", aside)
-		if err := d.putAside(aside); err != nil {
-			return nil, nil, errors.Wrap(errDisk, err.Error())
-		}
-		st, err = d.read()
+	d.lock = lock
+	return d, st, nil
+}
+
+// openFolder is openDisk for a folder that no other process uses. A disk that
+// takes no writes now may take them later: until then it tells nobody anything.
+func openFolder(folder dataFolder, newID uint64, log func(string, ...any)) (*disk, *store, error) {
+	d := &disk{folder: folder, log: log, wake: make(chan struct{}, 1), ended: make(chan struct{}), retry: diskRetryMs * time.Millisecond}
+	st, err := d.load(newID)
+	if errors.Is(err, errDiskFormat) {
+		return nil, nil, err
 	}
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, errors.Wrap(errDisk, err.Error())
 	}
-	if err := d.identify(newID); err != nil {
-		return nil, nil, err
+	if d.broken = d.start(); d.broken != nil {
+		return d, st, nil
+	}
+	if err := d.removeBefore(d.base); err != nil { // what earlier lives left
+		d.log("removal_failed", "err", err.Error()) // the next snapshot tries again
 	}
-	d.broken = d.roll() // a disk that takes no writes now may take them later
 	return d, st, nil
 }
 
-func (d *disk) files(prefix string) ([]uint64, error) {
-	list, err := os.ReadDir(d.folder)
-	if err != nil {
-		return nil, errors.Wrap(errDisk, err.Error())
-	}
-	var out []uint64
-	for _, f := range list {
-		if rest, ok := strings.CutPrefix(f.Name(), prefix); ok {
-			if n, err := strconv.ParseUint(rest, 10, 64); err == nil {
-				out = append(out, n)
-			}
+// start makes what was read last, and begins the next segment.
+func (d *disk) start() error {
+	if d.uncut {
+		if err := d.cutSegment(); err != nil {
+			return errors.Wrap(errDisk, err.Error())
 		}
+		d.uncut = false
 	}
-	slices.Sort(out)
-	return out, nil
+	return d.roll()
 }
 
-func (d *disk) read() (*store, error) {
-	st := newStore()
-	snaps, err := d.files("snap-")
-	if err != nil {
-		return nil, err
-	}
-	logs, err := d.files("log-")
+// load reads the disk under its identity, or begins a new one where it has none
+// or where the store under it isn't whole.
+func (d *disk) load(newID uint64) (*store, error) {
+	names, err := d.folder.List()
 	if err != nil {
 		return nil, err
 	}
-	from := uint64(0)
-	if len(snaps) > 0 {
-		from = snaps[len(snaps)-1]
-		b, err := os.ReadFile(filepath.Join(d.folder, snapshotName(from)))
-		if err != nil {
-			return nil, errors.Wrap(errDisk, err.Error())
-		}
-		if otherFormat(b) {
-			return nil, errDiskFormat
+	top := uint64(0) // of all files of all identities
+	for _, name := range names {
+		if number, ok := fileNumber(name); ok {
+			top = max(top, number)
 		}
-		// A snapshot got its name only after it was synced: it must be whole.
-		if sound, _, err := readRecords(b, 0, st.apply); err != nil || sound != len(b) {
-			return nil, errDamaged
-		}
-		st.logged = 0
 	}
-	logs = slices.DeleteFunc(logs, func(n uint64) bool { return n < from })
-	for i, n := range logs {
-		if i > 0 && n != logs[i-1]+1 || i == 0 && from > 0 && n != from {
-			return nil, errDamaged // a segment is missing
-		}
-		b, err := os.ReadFile(filepath.Join(d.folder, segmentName(n)))
-		if err != nil {
-			return nil, errors.Wrap(errDisk, err.Error())
-		}
-		if otherFormat(b) {
-			return nil, errDiskFormat
-		}
-		sound, batch, err := readRecords(b, d.batch, st.apply)
-		if err != nil {
-			return nil, err
+	found, known := d.readIdentity()
+	if known {
+		d.diskIdentity = found
+		st, err := d.read()
+		if err == nil && found.first == 0 { // written by an earlier release
+			err = d.begin(diskIdentity{id: found.id, first: d.base})
 		}
-		d.batch = batch
-		if sound < len(b) {
-			if i < len(logs)-1 {
-				return nil, errDamaged // only the last segment may end torn
-			}
-			d.log("disk_tail_cut", "segment", n, "bytes", len(b)-sound)
-			if err := os.Truncate(filepath.Join(d.folder, segmentName(n)), int64(sound)); err != nil {
-				return nil, errors.Wrap(errDisk, err.Error())
-			}
+		if !errors.Is(err, errDamaged) {
+			return st, err
 		}
-		d.segment = n
-	}
-	if len(logs) == 0 {
-		d.segment = from
 	}
-	return st, nil
-}
-
-func (d *disk) putAside(aside string) error {
-	if err := os.Mkdir(aside, 0o755); err != nil {
-		return err
-	}
-	list, err := os.ReadDir(d.folder)
-	if err != nil {
-		return err
+	if err := d.begin(diskIdentity{id: newID, first: top + 1}); err != nil {
+		return nil, err
 	}
-	for _, f := range list {
-		if strings.HasPrefix(f.Name(), "log-") || strings.HasPrefix(f.Name(), "snap-") || f.Name() == diskIDName {
-			if err := os.Rename(filepath.Join(d.folder, f.Name()), filepath.Join(aside, f.Name())); err != nil {
-				return err
-			}
-		}
+	d.segment, d.batch, d.base = top, 0, top+1
+	if top == 0 {
+		return newStore(), nil
 	}
-	d.segment, d.batch = 0, 0
-	return syncFolder(d.folder)
-}
-
-// identify reads the disk's id or gives it a new one.
-func (d *disk) identify(newID uint64) error {
-	path := filepath.Join(d.folder, diskIDName)
-	if b, err := os.ReadFile(path); err == nil {
-		if id, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64); err == nil {
-			d.id = id
-			return nil
-		}
+	if err := d.removeAside(); err != nil { // of an earlier time: only the newest is kept
+		return nil, err
 	}
-	d.id = newID
-	return writeSynced(path, func(w *bufio.Writer) { fmt.Fprintf(w, "%x\n", newID) })
+	return newStore(), d.putAside()
 }
 
 // writeSynced writes a file that gets its name only once it is whole and synced.
-func writeSynced(path string, parts func(w *bufio.Writer)) error {
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrap(errDisk, err.Error())
-	}
-	w := bufio.NewWriterSize(f, chunkBytes)
-	parts(w)
-	err = w.Flush() // and with it the first error of any write
-	if err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
+func (d *disk) writeSynced(name string, parts func(w *bufio.Writer)) error {
+	unnamed := name + unnamedSuffix
+	err := d.writeUnnamed(unnamed, parts)
 	if err == nil {
-		err = os.Rename(path+".new", path)
+		err = d.folder.Rename(unnamed, name)
+	} else {
+		_ = d.folder.Remove(unnamed) // it would take room that others need
 	}
 	if err == nil {
-		err = syncFolder(filepath.Dir(path))
+		err = d.folder.Sync()
 	}
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
@@ -330,13 +224,24 @@
 	return nil
 }
 
-func syncFolder(path string) error {
-	f, err := os.Open(path)
+func (d *disk) writeUnnamed(name string, parts func(w *bufio.Writer)) error {
+	if err := d.folder.Remove(name); err != nil { // of an earlier try
+		return err
+	}
+	f, err := d.folder.Create(name)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	return f.Sync()
+	w := bufio.NewWriterSize(f, chunkBytes)
+	parts(w)
+	err = w.Flush() // and with it the first error of any write
+	if err == nil {
+		err = f.Sync()
+	}
+	if closing := f.Close(); err == nil {
+		err = closing
+	}
+	return err
 }
 
 // roll begins the next segment.
@@ -347,11 +252,11 @@
 		}
 	}
 	d.file = nil
-	f, err := d.open(d.segmentPath(d.segment+1), os.O_CREATE|os.O_EXCL|os.O_WRONLY)
+	f, err := d.folder.Create(segmentName(d.segment + 1))
 	if err != nil {
 		return errors.Wrap(errDisk, err.Error())
 	}
-	if err := syncFolder(d.folder); err != nil {
+	if err := d.folder.Sync(); err != nil {
 		_ = f.Close()
 		return errors.Wrap(errDisk, err.Error())
 	}
@@ -479,46 +384,47 @@
 }
 
 // snapshot begins a new segment and writes the store's dump beside it, while
-// appends go on; older segments go once it is synced.
+// appends go on; older segments go once it is synced under its name.
 func (d *disk) snapshot(entries []logEntry) error {
 	d.shots.Wait() // one at a time
 	if err := d.roll(); err != nil {
 		return err
 	}
-	at := d.segment
+	at, batch := d.segment, max(d.batch, 1)
 	d.shots.Add(1)
 	go func() {
 		defer d.shots.Done()
-		err := writeSynced(filepath.Join(d.folder, snapshotName(at)), func(w *bufio.Writer) {
-			var b []byte
-			for i, e := range entries {
-				b = appendRecord(b[:0], e, 1, i == len(entries)-1)
-				_, _ = w.Write(b)
-			}
-		})
-		if err == nil {
-			err = d.removeBefore(at)
-		}
-		if err != nil { // the segments still hold all
+		if err := d.writeSnapshot(at, batch, entries); err != nil { // the segments still hold all
 			d.log("snapshot_failed", "err", err.Error())
 		}
 	}()
 	return nil
 }
 
-func (d *disk) removeBefore(n uint64) error {
-	for _, prefix := range []string{"log-", "snap-"} {
-		list, err := d.files(prefix)
-		if err != nil {
-			return err
-		}
-		for _, f := range list {
-			if f < n {
-				if err := os.Remove(filepath.Join(d.folder, fmt.Sprintf("%s%016d", prefix, f))); err != nil {
-					return errors.Wrap(errDisk, err.Error())
-				}
-			}
+// writeSnapshot writes a dump that takes the place of all segments before a
+// number. Its records carry the last batch of those.
+func (d *disk) writeSnapshot(at, batch uint64, entries []logEntry) error {
+	err := d.writeSynced(snapshotName(at), func(w *bufio.Writer) {
+		var b []byte
+		for i, e := range entries {
+			b = appendRecord(b[:0], e, batch, i == len(entries)-1)
+			_, _ = w.Write(b)
 		}
+	})
+	if err == nil {
+		err = d.removeBefore(at)
 	}
-	return nil
+	if err == nil {
+		err = d.removeAside()
+	}
+	return err
+}
+
+// removeBefore removes the segments and snapshots before a number, and what was
+// begun and never got its name. Nothing needs it to last.
+func (d *disk) removeBefore(n uint64) error {
+	return d.removeFiles(func(name string) bool {
+		number, ok := fileNumber(name)
+		return ok && number < n || strings.HasSuffix(name, unnamedSuffix)
+	})
 }
--- a/accord/duties.go
+++ b/accord/duties.go
@@ -32,8 +32,10 @@
 }
 
 type pollRound struct {
+	seq    uint64
 	sentMs int64
 	holds  []dutyAsk
+	duties []*duty // what each of holds was asked for: one let go of since is another
 	frees  []release
 	acks   map[string]*pollAck
 }
@@ -41,7 +43,7 @@
 type duty struct {
 	name      string
 	epoch     uint64
-	seen      uint64 // the newest epoch that those who granted the lease knew
+	seen      uint64 // the newest epoch that a majority of grants was given in knowledge of
 	untilMs   int64  // end of the lease
 	phase     int8
 	takenMs   int64 // when the lease was first had
@@ -93,6 +95,8 @@
 	}
 	n.poll.seq++
 	m := &pollMsg{Inc: n.Inc, Seq: n.poll.seq, CoreVer: n.core.Version, WallMs: n.wall}
+	r := &pollRound{seq: n.poll.seq, sentMs: n.now, acks: map[string]*pollAck{}}
+	n.poll.sent[m.Seq] = r
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
 		if d.phase == dutyWanted {
@@ -104,9 +108,10 @@
 			m.Releases = append(m.Releases, release{Name: name, Successor: d.releasing})
 		} else {
 			m.Holds = append(m.Holds, dutyAsk{Name: name, Epoch: d.epoch})
+			r.duties = append(r.duties, d)
 		}
 	}
-	n.poll.sent[m.Seq] = &pollRound{sentMs: n.now, holds: m.Holds, frees: m.Releases, acks: map[string]*pollAck{}}
+	r.holds, r.frees = m.Holds, m.Releases
 	for _, seq := range sorted(n.poll.sent) {
 		if n.now-n.poll.sent[seq].sentMs > leaseMs {
 			delete(n.poll.sent, seq)
@@ -129,11 +134,15 @@
 	}
 }
 
-func (n *node) onPollAck(from string, m *pollAck) {
-	if n.poll.heardMs == nil {
-		n.poll.heardMs = map[string]int64{}
+func (p *pollState) heard(member string, nowMs int64) {
+	if p.heardMs == nil {
+		p.heardMs = map[string]int64{}
 	}
-	n.poll.heardMs[from] = n.now
+	p.heardMs[member] = nowMs
+}
+
+func (n *node) onPollAck(from string, m *pollAck) {
+	n.poll.heard(from, n.now)
 	r := n.poll.sent[m.Seq]
 	if r == nil || m.CoreVer != n.core.Version || r.acks[from] != nil || len(m.Granted) != len(r.holds) || len(m.Epochs) != len(r.holds) {
 		return
@@ -142,22 +151,9 @@
 	n.poll.readClock(n, from, r.sentMs, m.FleetMs)
 	n.poll.slowMs[from] = m.DiskSlow
 	need := n.core.majority()
-	for i, h := range r.holds {
-		yes, seen := 0, uint64(0)
-		for _, a := range r.acks {
-			if a.Granted[i] {
-				yes++
-				seen = max(seen, a.Epochs[i])
-			}
-		}
-		if d := n.duties[h.Name]; d != nil && yes >= need && d.phase != dutyGoing {
-			d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
-			if d.phase == dutyWanted {
-				d.phase, d.takenMs, d.seen = dutyCas, n.now, seen
-				n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
-			}
-		} else if d != nil && d.phase == dutyWanted && len(r.acks) == len(n.core.Members) {
-			n.letGo(d)
+	for i, d := range r.duties {
+		if n.duties[d.name] == d {
+			n.leaseGranted(r, d, r.grantedAt(i))
 		}
 	}
 	if len(r.acks) < need {
@@ -185,6 +181,45 @@
 	}
 }
 
+// leaseGranted counts the grants of a duty's lease in one round. The lease runs
+// from when the round was sent, so it ends here before any member's grant does.
+func (n *node) leaseGranted(r *pollRound, d *duty, epochs []uint64) {
+	need := n.core.majority()
+	switch {
+	case d.phase == dutyGoing:
+	case d.phase == dutyHeld && n.now >= d.untilMs-leaseSlack:
+		// Others may have held it since: it is taken anew, under a new epoch.
+		n.dropDuty(d, "lease_ended")
+	case len(epochs) >= need:
+		d.untilMs = max(d.untilMs, r.sentMs+leaseMs)
+		if d.phase == dutyWanted {
+			d.phase, d.takenMs, d.seen = dutyCas, n.now, epochs[need-1]
+			n.startCas("duty/"+d.name, "duty", []byte(d.name), 0)
+		}
+	case d.phase == dutyWanted && len(r.acks) == len(n.core.Members):
+		n.letGo(d)
+	}
+}
+
+// grantedAt gives the newest epochs known to those members that granted the
+// round's lease number i, highest first. The epoch at the place of the majority
+// is what a change of the duty's register may build on: a majority of those who
+// granted the lease knows it. One that knows less may have granted a lease
+// before and forgotten it in a restart, and can't tell that its holder went on
+// to count the epoch up: where the register holds a newer epoch the change is
+// lost, the newer one is written back, and the lease is asked for again of
+// members that then know it.
+func (r *pollRound) grantedAt(i int) (epochs []uint64) {
+	for _, a := range r.acks {
+		if a.Granted[i] {
+			epochs = append(epochs, a.Epochs[i])
+		}
+	}
+	slices.Sort(epochs)
+	slices.Reverse(epochs)
+	return epochs
+}
+
 // seeDuties learns from a majority's answers who holds what, and which duty
 // stands free.
 func (n *node) seeDuties(r *pollRound) {
@@ -232,6 +267,10 @@
 		return
 	}
 	var v dutyView
+	if how == casLost && n.now < d.untilMs-leaseSlack {
+		d.phase, d.rounds, n.poll.nextMs = dutyWanted, 0, 0 // the members know the newer epoch now
+		return
+	}
 	if how != casDone || unpack(o.next, &v) != nil || n.now >= d.untilMs-leaseSlack {
 		n.dropDuty(d, "not_taken")
 		return
@@ -389,6 +428,9 @@
 	}
 	n.leaving = n.now
 	n.log("stopping", "duties", len(n.duties))
+	if n.inCore() {
+		n.tellSpares()
+	}
 	for _, name := range sorted(n.duties) {
 		d := n.duties[name]
 		site := strings.TrimPrefix(name, "slice/")
@@ -406,7 +448,10 @@
 }
 
 func (n *node) tickLeaving() {
-	if n.leaving != 0 && (len(n.duties) == 0 && n.now-n.leaving > 300 || n.now-n.leaving > stopMs) {
+	if n.leaving == 0 || n.seatAwaited() {
+		return
+	}
+	if len(n.duties) == 0 && n.now-n.leaving > 300 || n.now-n.leaving > stopMs {
 		n.emit(effExit{})
 	}
 }
--- a/accord/limits.go
+++ b/accord/limits.go
@@ -10,7 +10,7 @@
 	pollAsideMs   = 400            // daemons beside workers hold no lease; the setup they go by is confirmed this often
 	leaseMs       = 1000           // long enough for five renewals, short enough that urgent work hardly misses its aim
 	clockWaitMs   = 800            // a core member hears clocks this long before it tells the fleet's time
-	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift
+	leaseSlack    = 100            // ms a holder gives up before its lease ends, for clock drift, see leaseHeldMs
 	flightMs      = 700            // an order that has not been answered by then is closed and unsettled
 	contactMs     = 1500           // an order needs the owner's word this fresh; a cancel must bite in 3 s
 	setupMs       = 1500           // a setup must be confirmed this freshly; an acked one must bite in 2 s
@@ -36,7 +36,9 @@
 	takeStepMs    = 700            // each lower-ranked candidate waits this much longer for a free duty
 	homeMs        = 8000           // a slice owner outside its site goes home when the site stood this long
 	replaceMs     = 10000          // a core member gone this long may be replaced by a spare disk
-	stopMs        = 2000           // a graceful stop ends in this time whatever happens
+	stopMs        = 2000           // a graceful stop ends in this time whatever happens, but for a core member's
+	seatMs        = 3000           // a core member that stops waits this long for a spare to take its seat
+	seatUndoMs    = 600            // before that it takes a spare out again that has not finished
 	wantAgentMs   = 3000           // a candidate keeps trying for a worker's agent this long after a report
 	agentIdleMs   = 600_000        // an agent whose worker is silent and owes nothing lets go
 	tombMs        = 6000           // dropped attempts are remembered longer than any placement stays fresh
@@ -99,6 +101,8 @@
 	copyAgainMs   = 2000      // a part of a copy that does not come is asked for again
 	sliceBytes    = 24 << 20  // live jobs of a slice as packed: a seal's answer must fit a frame
 	segmentBytes  = 8 << 20   // a segment is closed at this size
+	asideBytes    = 8 << 20   // of a damaged disk's files that are kept for a look, until the next snapshot; a disk may hold 128 MB
+	batchesMax    = 1 << 32   // batches of one segment, far above what it may hold
 	keepHoursDef  = 24        // hours a finished job is kept; callers check states within a day
 
 	dialMs       = 350       // a sibling in reach answers in milliseconds; one that a cut hid must be found soon after it
@@ -125,6 +129,17 @@
 	msPerHour = 3600_000
 )
 
+// Of leases.
+const (
+	// leaseHeldMs is how long a holder keeps a lease, from when it asked; members
+	// keep it for leaseMs, from when they granted it, which is later. So a holder's
+	// steady clock may run slower than a member's by a tenth (900 of 1000) before
+	// two could hold one duty. Steady clocks of machines differ by less than a
+	// thousandth; both read whole ms, which takes 2 of the 100; and a freeze or a
+	// sleep counts on both, since they read the boot clock.
+	leaseHeldMs = leaseMs - leaseSlack
+)
+
 // Of batches.
 const (
 	finishByMost    = 720    // hours a batch may be given: a month, within what is kept of jobs
@@ -157,7 +172,9 @@
 	urgentWaitMs  = 350    // a queueable task of a more urgent queue waits this long, and may be called back meanwhile, before it pushes others out
 	gangSlackMs   = 2000   // a gang not whole by then is begun anew, before any member waits too long alone
 	regrantMs     = 400    // a place still wanted this long after its grant was not taken
-	spreadAfterMs = 1500   // a gang that wants one rack takes several after this
+	spreadAfterMs = 1500   // a gang that wants one rack takes several after this, at the earliest
+	rackWaitShare = 50     // percent of what its run takes longer over several that it waits for one
+	rackWaitMost  = 15_000 // ms, and no longer than this
 	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	lastPercent   = 99     // a worker tells no more of work that has not ended
--- a/accord/setup.go
+++ b/accord/setup.go
@@ -155,6 +155,7 @@
 	doc         setupDoc
 	ballot      ballot
 	confirmedMs int64
+	confirmedBy uint64 // the newest poll that confirmed it
 	askedMs     int64
 	repairMs    int64
 	forReaders  setupForReaders
@@ -394,6 +395,11 @@
 // setupFresh tells whether the setup was confirmed at a majority lately.
 func (n *node) setupFresh() bool { return n.now-n.setup.confirmedMs <= setupMs }
 
+// setupConfirmedFor tells whether the setup was confirmed by a poll that was sent
+// after a call came: then no version acknowledged before the call is newer. Polls
+// are counted for this, since times within one millisecond are in no order.
+func (n *node) setupConfirmedFor(a *ask) bool { return n.setup.confirmedBy > a.polls }
+
 // confirmSetup takes a round of answers: where a majority holds the same
 // accepted ballot, that value is chosen, and if it is ours it is confirmed as
 // of the time the round was sent.
@@ -411,7 +417,7 @@
 			continue
 		}
 		if b == n.setup.ballot {
-			n.setup.confirmedMs = max(n.setup.confirmedMs, r.sentMs)
+			n.setup.confirmedMs, n.setup.confirmedBy = max(n.setup.confirmedMs, r.sentMs), max(n.setup.confirmedBy, r.seq)
 		} else if n.setup.ballot.less(b) && n.now-n.setup.askedMs > 300 {
 			n.setup.askedMs = n.now
 			n.send(n.nearestWith(r, b), &readRegMsg{CoreVer: n.core.Version, Reg: "setup"})
@@ -460,11 +466,13 @@
 
 // adoptSetup compiles a value; it counts only once a poll confirms its ballot.
 func (n *node) adoptSetup(b ballot, d setupDoc) {
+	n.setup.askedMs = 0      // what was asked for has come: a newer one may be asked for at once
 	d.Taken = orderHistory{} // only a change of the register needs it
 	if d.sameDoc(&n.setup.doc) {
 		n.setup.ballot = b
 		if !slices.Equal(d.Emptied, n.setup.doc.Emptied) {
-			n.setup.cur, n.setup.doc, n.setup.confirmedMs = n.setup.cur.withEmptied(d.Emptied), d, -1<<40
+			n.setup.cur, n.setup.doc = n.setup.cur.withEmptied(d.Emptied), d
+			n.setup.confirmedMs, n.setup.confirmedBy = -1<<40, 0
 			n.log("sites_adopted", "emptied", d.Emptied)
 			n.poll.nextMs = 0
 		}
@@ -478,7 +486,8 @@
 			return
 		}
 	}
-	n.setup.cur, n.setup.doc, n.setup.ballot, n.setup.confirmedMs = c.withEmptied(d.Emptied), d, b, -1<<40
+	n.setup.cur, n.setup.doc, n.setup.ballot = c.withEmptied(d.Emptied), d, b
+	n.setup.confirmedMs, n.setup.confirmedBy = -1<<40, 0
 	n.log("setup_adopted", "version", d.Version, "queues", len(c.Queues))
 	n.poll.nextMs = 0
 }
@@ -487,9 +496,9 @@
 	kept, again := n.setup.unsure[:0:0], []*ask{}
 	for _, a := range n.setup.unsure {
 		switch {
-		case n.setup.confirmedMs >= a.atMs:
+		case n.setupConfirmedFor(a):
 			again = append(again, a)
-		case n.now-a.atMs > handOverMs*2/3:
+		case n.cutOff() || n.now-a.atMs > handOverMs*2/3:
 			n.bounce(a, "the setup is not confirmed here")
 		default:
 			kept = append(kept, a)
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -124,10 +124,17 @@
 func (n *node) learnSibling(s sibling) {
 	if s.Name == n.Name && (s.Inc > n.Inc || s.Inc == n.Inc && (s.Beat > n.beat || s.Addr != n.Addr)) {
 		// An earlier life of this daemon began by a later clock, or another
-		// process has our name: only above it are we heard. Leases taken
-		// under the old number end by themselves.
+		// process has our name: only above it are we heard. To the core the
+		// old number's life is over once it hears of the new one, see over:
+		// so the leases taken under the old number are let go of first.
 		n.log("incarnation_raised", "from", n.Inc, "above", s.Inc)
 		n.Inc = s.Inc + 1
+		for _, name := range sorted(n.duties) {
+			n.dropDuty(n.duties[name], "incarnation_raised")
+		}
+		for _, name := range sorted(n.agents) { // those beside their workers: owners hear no lower epoch than before
+			n.agents[name].epoch = n.Inc
+		}
 		n.gossipAt = 0
 	}
 	if s.Name == n.Name || s.Name == "" {
@@ -158,7 +165,12 @@
 	if c.Cluster == 0 || n.core.Cluster != 0 && c.Cluster != n.core.Cluster || c.Version <= n.core.Version {
 		return
 	}
+	if n.store != nil && c.Cluster == n.store.set.Cluster && c.Version < n.store.set.Version {
+		return // at a start, before the set on disk was taken up
+	}
 	was, first := n.inCore(), n.core.Cluster == 0
+	settles := len(c.Members) == n.coreGoal() && len(n.core.Members) > n.coreGoal() && c.Members[len(c.Members)-1].Name == n.Name
+	n.awaitPolls(c)
 	n.core = c
 	if first {
 		n.forming = nil
@@ -178,16 +190,26 @@
 		// under it, the set would have been synced before.
 		formed := c.Version == 1 && n.store.set.Version == 0
 		n.store.learnSet(n, c)
-		if !was && n.inCore() && !formed {
+		if (!was || settles) && n.inCore() && !formed {
 			n.store.guardMs, n.store.startMs = n.now+leaseMs, n.now
 		}
 	}
 }
 
+// awaitPolls counts the silence of a set's new members from now on.
+func (n *node) awaitPolls(c coreSet) {
+	for _, m := range c.Members {
+		if !n.core.has(m.Name, m.DiskID) {
+			n.poll.heard(m.Name, n.now)
+		}
+	}
+}
+
 // coreMoved begins anew what members under the former set acknowledged only
 // in part: a majority counts within one set, and one that left may be back
 // under its old name with an empty disk.
 func (n *node) coreMoved() {
+	n.restartOps()
 	for _, sl := range n.owned {
 		if !sl.serving {
 			sl.sealed, sl.doubts, sl.doubtOp, sl.sealSent = map[string]map[string]record{}, map[string]map[string]bool{}, map[uint64]string{}, 0
