--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -125,10 +125,10 @@
 	const many, gone = 20_000, 8000
 	source := w.nodes["d00"]
 	for i := range many {
-		source.disk.entries = append(source.disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i)*1000)))
+		source.disk.plant(finishedEntry("mid", i, wallStart+int64(i)*1000))
 	}
 	keepFrom := int64(wallStart + gone*1000)
-	source.disk.entries = append(source.disk.entries, pack(nil, logEntry{Kind: entryDrop, Name: "mid", Epoch: uint64(keepFrom)}))
+	source.disk.plant(logEntry{Kind: entryDrop, Name: "mid", Epoch: uint64(keepFrom)})
 	source.kill(false)
 	source.start()
 	past := source.sh.n.store.slice("mid").past
@@ -152,9 +152,7 @@
 	}
 	must.Greater(t, past.first, asked())
 	source.disk.entries, source.disk.synced = nil, 0 // as after a snapshot
-	for _, e := range source.sh.n.store.dump() {
-		source.disk.entries = append(source.disk.entries, pack(nil, e))
-	}
+	source.disk.plant(source.sh.n.store.dump()...)
 	source.kill(false)
 	source.start()
 	must.Less(t, past.first, source.sh.n.store.slice("mid").past.first)
@@ -171,7 +169,7 @@
 	const week = 7 * 24 * msPerHour
 	for _, name := range []string{"d00", "d01"} {
 		for i := range 100 {
-			w.nodes[name].disk.entries = append(w.nodes[name].disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i))))
+			w.nodes[name].disk.plant(finishedEntry("mid", i, wallStart+int64(i)))
 		}
 		w.nodes[name].kill(false)
 	}
@@ -223,7 +221,8 @@
 		op, state := n.opSeq, ""
 		for i, records := range c.answers {
 			must.Eq(t, "", state, must.Sprint("answered before ", i))
-			for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Body: evMsg{Head: wireHead{From: fmt.Sprint("d0", i)}, Msg: &fetchedMsg{Op: op, Records: records}}}) {
+			head := wireHead{From: fmt.Sprint("d0", i), To: n.Life}
+			for _, e := range reduce(n, event{NowMs: n.now, WallMs: n.wall, Body: evMsg{Head: head, Msg: &fetchedMsg{Op: op, Records: records}}}) {
 				if r, ok := e.(effReply); ok {
 					state = gjson.GetBytes(r.Body, "state").Str
 				}
--- a/accord/membership.go
+++ b/accord/membership.go
@@ -350,12 +350,12 @@
 		return
 	}
 	at := m.At
-	if at.Life != n.Inc { // the copy begins, or begins again since this daemon has restarted
+	if at.Life != n.Life { // the copy begins, or begins again since this daemon has restarted
 		at = copyCursor{}
 	}
 	part, next := n.store.part(at, chunkBytes)
 	if next.Slice != "" {
-		next.Life = n.Inc
+		next.Life = n.Life
 	}
 	n.keep(nil, n.sendEffect(from, &copiedMsg{Op: m.Op, At: m.At, Next: next, Entries: part}))
 }
