States from the core while the set is larger or smaller than full

Cause: a set may now have four members for a moment. A read that met three of them, one with the job as finished and two with it as live, told it as live, though the end may have been told under the set before. Change: beside an end a job is told as live only once all of a full set have answered; else the read ends by its bound (503).

Test: TestStateFromCoreDoesNotGoBack, sets of two, three and four; before, the four failed.

--- a/accord/asks.go
+++ b/accord/asks.go
@@ -249,7 +249,7 @@
 		all = append(all, rec)
 	}
 	slices.SortFunc(all, func(a, b record) int { return cmp.Or(cmp.Compare(b.Epoch, a.Epoch), cmp.Compare(b.Version, a.Version)) })
-	if low := all[need-1]; low.Live && !all[0].Live && len(r.got) < n.coreGoal() {
+	if low := all[need-1]; low.Live && !all[0].Live && !n.toldByAll(r) {
 		return
 	}
 	if j, ok := jobOf(all[need-1]); ok {
@@ -275,6 +275,12 @@
 	}
 }
 
+// toldByAll tells whether all of a full set have answered a read. In a set that is
+// larger or smaller, what a majority of the one before it held may be at fewer.
+func (n *node) toldByAll(r *coreRead) bool {
+	return len(r.got) == len(n.core.Members) && len(r.got) == n.coreGoal()
+}
+
 // sliceOf decides which slice owns a job: callers never name one.
 func (n *node) sliceOf(id string) string {
 	if len(n.core.Slices) == 0 {
--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -204,18 +204,30 @@
 		return []record{{ID: "j", Epoch: 1, Version: version, Live: doneMs == 0, DoneMs: doneMs, Value: j.kept()}}
 	}
 	live, finished := held(jobRunning, 3, 0), held(jobComplete, 5, wallStart)
+	full := n.core
 	for _, c := range []struct {
+		members int
 		answers [][]record
 		want    string
 	}{
-		{[][]record{finished, live, finished}, "complete"},
-		{[][]record{live, finished, finished}, "complete"},
-		{[][]record{live, finished, live}, "running"}, // nobody can have been told of that end
-		{[][]record{live, live}, "running"},
-		{[][]record{finished, finished}, "complete"},
-		{[][]record{finished, live}, ""},
+		{3, [][]record{finished, live, finished}, "complete"},
+		{3, [][]record{live, finished, finished}, "complete"},
+		{3, [][]record{live, finished, live}, "running"}, // nobody can have been told of that end
+		{3, [][]record{live, live}, "running"},
+		{3, [][]record{finished, finished}, "complete"},
+		{3, [][]record{finished, live}, ""},
+		{2, [][]record{finished, live}, ""}, // it may have been told by who left since, and this member
+		{2, [][]record{live, live}, "running"},
+		{4, [][]record{live, finished, live}, ""},
+		{4, [][]record{live, finished, finished, live}, ""}, // and here before the set grew
+		{4, [][]record{finished, live, finished, finished}, "complete"},
 	} {
-		n.out = nil
+		n.out, n.core = nil, full
+		if c.members < len(full.Members) {
+			n.core.Members = full.Members[:c.members]
+		} else if c.members > len(full.Members) {
+			n.core = full.with(coreMember{"d03", 1})
+		}
 		n.fresh.earn(budgetMost)
 		n.giveUpOn(&ask{id: 7, op: "job.get", key: "j", atMs: n.now}, "no owner")
 		op, state := n.opSeq, ""
