--- a/accord/asks.go
+++ b/accord/asks.go
@@ -232,8 +232,9 @@
 
 // onRead answers with a state that a majority holds. Where two members differ, the
 // later one may yet be lost and the earlier one be long past, at a member that
-// was away: only a third one's word tells. Absence it does not tell: only an owner
-// can say that a job is unknown.
+// was away: only the others' word tells, for an end that was told already mustn't
+// be taken back. Absence it does not tell: only an owner can say that a job is
+// unknown.
 func (n *node) onRead(r *coreRead, op uint64, from string, records []record) {
 	var rec record
 	if len(records) == 1 {
@@ -254,7 +255,7 @@
 		at++
 	}
 	if at == len(all) { // no majority agrees
-		if len(all) < len(n.core.Members) {
+		if !n.toldByAll(r) {
 			return
 		}
 		at = need - 1
@@ -282,6 +283,12 @@
 	}
 }
 
+// toldByAll tells whether all of a full set have answered a read. In a set that is
+// larger or smaller, what a majority of the one before it held may be at fewer.
+func (n *node) toldByAll(r *coreRead) bool {
+	return len(r.got) == len(n.core.Members) && len(r.got) == n.coreGoal()
+}
+
 // sliceOf decides which slice owns a job: callers never name one.
 func (n *node) sliceOf(id string) string {
 	if len(n.core.Slices) == 0 {
--- a/guards.sh
+++ b/guards.sh
@@ -39,9 +39,10 @@
 reads by a later poll|setup.go|return n.setup.confirmedBy > a.polls|return n.setup.confirmedMs >= a.atMs
 reads are checked after a freeze|setup.go|confirmedBy > a.polls && n.setupFresh()|confirmedBy > a.polls
 copied before joining|membership.go|if len(j.done) >= need {|if true {
-a copy begins again after a restart|membership.go|if at.Life != n.Inc {|if at.Slice == "" {
+a copy begins again after a restart|membership.go|if at.Life != n.Life {|if at.Slice == "" {
 a job ends at a known time|slices.go|return // how long the job is kept|wall = 1 // how long the job is kept
 finished jobs go by the time of a majority|core.go|if len(n.poll.clocks) < n.core.majority() {|if false {
+a told end is not taken back|asks.go|if !n.toldByAll(r) {|if false {
 copied from a majority|membership.go|if len(j.done) >= need {|if len(j.done) >= 1 {
 an acknowledgement belongs to its set|siblings.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
 unknown queues by a newer setup|asks.go|case !ok && n.setupConfirmedFor(a):|case !ok:
