--- a/accord/status.go
+++ b/accord/status.go
@@ -79,75 +79,110 @@
 
 // getHealth is what doctor reads: this daemon's view of the common faults.
 func (n *node) getHealth(a *ask) {
+	slow := map[string]int64{}
+	for m, ms := range n.poll.slowMs {
+		slow[m] = ms
+	}
+	unsound := []string{}
+	if n.central != nil {
+		unsound = append(unsound, sorted(n.ranks.unsound)...)
+	}
+	coreLive := 0
+	for _, m := range n.core.Members {
+		if n.live(m.Name) {
+			coreLive++
+		}
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"name": n.Name, "site": n.Site, "cluster": n.core.Cluster, "siblings_lost": n.lostPeers(),
+		"core_size": len(n.core.Members), "core_live": coreLive, "core_contact_ms": n.now - n.poll.okMs,
+		"clock_spread_ms": n.clockOffsets(), "sync_ms": slow, "disk_failed": n.diskFailed, "setup_version": n.setup.doc.Version,
+		"setup_confirmed": n.setupFresh(), "unmatched_queues": n.unmatchedQueues(), "without_holder": n.leasesWithoutHolder(),
+		"unsound_workers": unsound, "empty_sites": sorted(n.setup.cur.Empty), "slices": n.ownedSlices(),
+		"workers": len(n.workers), "asks_open": len(n.asks)}))
+}
+
+// lostPeers names the daemons that were known and aren't heard any more.
+func (n *node) lostPeers() []string {
 	lost := []string{}
 	for _, name := range sorted(n.siblings) {
 		if !n.live(name) {
 			lost = append(lost, name)
 		}
 	}
-	offsets, slow := map[string]int64{}, map[string]int64{}
-	for m, ms := range n.poll.slowMs {
-		slow[m] = ms
-	}
-	if n.inCore() {
-		if med := n.poll.medianWall(n); med != 0 {
-			for name, c := range n.store.clocks {
-				offsets[name] = c.offset + n.now - med
-			}
+	return lost
+}
+
+// clockOffsets is how far wall clocks are from the median, at a core member.
+func (n *node) clockOffsets() map[string]int64 {
+	offsets := map[string]int64{}
+	if !n.inCore() {
+		return offsets
+	}
+	if med := n.poll.medianWall(n); med != 0 {
+		for name, c := range n.store.clocks {
+			offsets[name] = c.offset + n.now - med
 		}
 	}
-	noHolder := []string{}
+	return offsets
+}
+
+func (n *node) leasesWithoutHolder() []string {
+	free := []string{}
 	for _, s := range n.core.Slices {
 		if h, _ := n.holder("slice/" + s); h == "" {
-			noHolder = append(noHolder, "slice/"+s)
+			free = append(free, "slice/"+s)
 		}
 	}
 	if h, _ := n.holder("central"); h == "" {
-		noHolder = append(noHolder, "central")
+		free = append(free, "central")
 	}
+	return free
+}
+
+// unmatchedQueues names the queues that no worker may run, at the central
+// scheduler: only there all workers are known.
+func (n *node) unmatchedQueues() []string {
 	unmatched := []string{}
+	if len(n.workers) == 0 || n.central == nil {
+		return unmatched
+	}
 	for _, q := range sorted(n.setup.cur.Queues) {
 		found := false
 		for _, w := range n.workers {
 			found = found || n.now-w.heardMs < liveMs && n.setup.cur.Queues[q].matches(w.labels, w.site)
 		}
-		if !found && len(n.workers) > 0 && n.central != nil { // only there all workers are known
+		if !found {
 			unmatched = append(unmatched, q)
 		}
 	}
+	return unmatched
+}
+
+// ownedSlices tells of each slice held here what waits in it.
+func (n *node) ownedSlices() map[string]any {
 	owned := map[string]any{}
 	for _, name := range sorted(n.owned) {
 		sl := n.owned[name]
-		unsettled, waiting := map[string]int{}, 0 // by worker
-		for _, js := range sl.jobs {
-			for i := range js.Tasks {
-				t := &js.Tasks[i]
-				w := n.workers[t.Worker]
-				switch {
-				case t.State == taskPlaced && (w == nil || n.now-w.heardMs > silentMs || w.silentMs > silentMs):
-					unsettled[t.Worker]++
-				case t.State == taskPending:
-					waiting++
-				}
-			}
-		}
+		unsettled, waiting := n.openTasks(sl)
 		owned[name] = map[string]any{"serving": sl.serving, "epoch": sl.epoch, "jobs": len(sl.jobs), "unsettled": unsettled, "waiting": waiting, "writes_open": len(sl.writes)}
 	}
-	unsound := []string{}
-	for _, name := range sorted(n.ranks.unsound) {
-		if n.central != nil {
-			unsound = append(unsound, name)
-		}
-	}
-	coreLive := 0
-	for _, m := range n.core.Members {
-		if n.live(m.Name) {
-			coreLive++
+	return owned
+}
+
+// openTasks counts a slice's tasks at silent workers, by worker, and those without a place.
+func (n *node) openTasks(sl *slice) (unsettled map[string]int, waiting int) {
+	unsettled = map[string]int{}
+	for _, js := range sl.jobs {
+		for i := range js.Tasks {
+			t := &js.Tasks[i]
+			w := n.workers[t.Worker]
+			switch {
+			case t.State == taskPlaced && (w == nil || n.now-w.heardMs > silentMs || w.silentMs > silentMs):
+				unsettled[t.Worker]++
+			case t.State == taskPending:
+				waiting++
+			}
 		}
 	}
-	n.answer(a, 200, 0, jsonOf(map[string]any{"name": n.Name, "site": n.Site, "cluster": n.core.Cluster, "siblings_lost": lost,
-		"core_size": len(n.core.Members), "core_live": coreLive, "core_contact_ms": n.now - n.poll.okMs,
-		"clock_spread_ms": offsets, "sync_ms": slow, "disk_failed": n.diskFailed, "setup_version": n.setup.doc.Version,
-		"setup_confirmed": n.setupFresh(), "unmatched_queues": unmatched, "without_holder": noHolder, "unsound_workers": unsound, "empty_sites": sorted(n.setup.cur.Empty), "slices": owned,
-		"workers": len(n.workers), "asks_open": len(n.asks)}))
+	return unsettled, waiting
 }
