--- /dev/null
+++ b/accord/status.go
@@ -0,0 +1,188 @@
+package main
+
+// Status requests tell what this daemon knows of the fleet: whether it is ready,
+// the daemons and leases, the workers, and the common faults.
+
+// notReady says why this daemon should get no callers; "" if it should.
+func (n *node) notReady() string {
+	switch {
+	case n.core.Cluster == 0:
+		return "no cluster yet"
+	case n.leaving != 0:
+		return "this daemon is stopping"
+	case n.now-n.poll.okMs > contactMs:
+		return "the core can't be reached from here"
+	case n.setup.cur.Version == 0:
+		return "no setup yet"
+	case !n.setupFresh():
+		return "the setup is not confirmed here"
+	}
+	for _, s := range n.core.Slices {
+		if h, _ := n.holder("slice/" + s); h == "" {
+			return "slice " + s + " has no holder"
+		}
+	}
+	return ""
+}
+
+func (n *node) getReady(a *ask) {
+	if reason := n.notReady(); reason != "" {
+		n.bounce(a, reason)
+		return
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"ready": true}))
+}
+
+func (n *node) getMembers(a *ask) {
+	var list []map[string]any
+	for _, name := range append([]string{n.Name}, sorted(n.siblings)...) {
+		s, ago := n.self(), int64(0)
+		if name != n.Name {
+			s, ago = n.siblings[name].sibling, n.now-n.siblings[name].heardMs
+		}
+		list = append(list, map[string]any{"name": s.Name, "site": s.Site, "addr": s.Addr, "http": s.HTTP, "disk": s.Disk,
+			"live": n.live(name), "heard_ms": ago, "core": n.core.has(s.Name, s.DiskID)})
+	}
+	duties := []map[string]any{}
+	for _, name := range sorted(n.views) {
+		v := n.views[name]
+		duties = append(duties, map[string]any{"duty": name, "holder": v.Holder, "epoch": v.Epoch})
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"cluster": n.core.Cluster, "core_version": n.core.Version, "core": memberNames(n.core),
+		"slices": n.core.Slices, "members": list, "duties": duties}))
+}
+
+// getWorkers is settled where all workers are known: at the central scheduler.
+func (n *node) getWorkers(a *ask) {
+	if !n.holds("central") {
+		to, _ := n.holder("central")
+		n.handOver(a, to)
+		return
+	}
+	list := []map[string]any{}
+	for _, name := range sorted(n.workers) {
+		w := n.workers[name]
+		list = append(list, map[string]any{"name": name, "site": w.site, "labels": labelMap(w.labels), "free": w.free, "capacity": w.capacity,
+			"leaving": w.leaving, "agent": w.agent, "epoch": w.epoch, "heard_ms": n.now - w.heardMs, "silent_ms": w.silentMs,
+			"queued": w.queued, "rank_ms": w.rankMs, "unsound": n.ranks.unsound[name], "rebuilt": w.rebuilt})
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"workers": list}))
+}
+
+func labelMap(ls []label) map[string]string {
+	m := map[string]string{}
+	for _, l := range ls {
+		m[l.Key] = l.Value
+	}
+	return m
+}
+
+// getHealth is what doctor reads: this daemon's view of the common faults.
+func (n *node) getHealth(a *ask) {
+	slow := map[string]int64{}
+	for m, ms := range n.poll.slowMs {
+		slow[m] = ms
+	}
+	unsound := []string{}
+	if n.central != nil {
+		unsound = append(unsound, sorted(n.ranks.unsound)...)
+	}
+	coreLive := 0
+	for _, m := range n.core.Members {
+		if n.live(m.Name) {
+			coreLive++
+		}
+	}
+	n.answer(a, 200, 0, jsonOf(map[string]any{"name": n.Name, "site": n.Site, "cluster": n.core.Cluster, "siblings_lost": n.lostPeers(),
+		"core_size": len(n.core.Members), "core_live": coreLive, "core_contact_ms": n.now - n.poll.okMs,
+		"clock_spread_ms": n.clockOffsets(), "sync_ms": slow, "disk_failed": n.diskFailed, "setup_version": n.setup.doc.Version,
+		"setup_confirmed": n.setupFresh(), "unmatched_queues": n.unmatchedQueues(), "without_holder": n.leasesWithoutHolder(),
+		"unsound_workers": unsound, "empty_sites": sorted(n.setup.cur.Empty), "slices": n.ownedSlices(),
+		"workers": len(n.workers), "asks_open": len(n.asks)}))
+}
+
+// lostPeers names the daemons that were known and aren't heard any more.
+func (n *node) lostPeers() []string {
+	lost := []string{}
+	for _, name := range sorted(n.siblings) {
+		if !n.live(name) {
+			lost = append(lost, name)
+		}
+	}
+	return lost
+}
+
+// clockOffsets is how far wall clocks are from the median, at a core member.
+func (n *node) clockOffsets() map[string]int64 {
+	offsets := map[string]int64{}
+	if !n.inCore() {
+		return offsets
+	}
+	if med := n.poll.medianWall(n); med != 0 {
+		for name, c := range n.store.clocks {
+			offsets[name] = c.offset + n.now - med
+		}
+	}
+	return offsets
+}
+
+func (n *node) leasesWithoutHolder() []string {
+	free := []string{}
+	for _, s := range n.core.Slices {
+		if h, _ := n.holder("slice/" + s); h == "" {
+			free = append(free, "slice/"+s)
+		}
+	}
+	if h, _ := n.holder("central"); h == "" {
+		free = append(free, "central")
+	}
+	return free
+}
+
+// unmatchedQueues names the queues that no worker may run, at the central
+// scheduler: only there all workers are known.
+func (n *node) unmatchedQueues() []string {
+	unmatched := []string{}
+	if len(n.workers) == 0 || n.central == nil {
+		return unmatched
+	}
+	for _, q := range sorted(n.setup.cur.Queues) {
+		found := false
+		for _, w := range n.workers {
+			found = found || n.now-w.heardMs < liveMs && n.setup.cur.Queues[q].matches(w.labels, w.site)
+		}
+		if !found {
+			unmatched = append(unmatched, q)
+		}
+	}
+	return unmatched
+}
+
+// ownedSlices tells of each slice held here what waits in it.
+func (n *node) ownedSlices() map[string]any {
+	owned := map[string]any{}
+	for _, name := range sorted(n.owned) {
+		sl := n.owned[name]
+		unsettled, waiting := n.openTasks(sl)
+		owned[name] = map[string]any{"serving": sl.serving, "epoch": sl.epoch, "jobs": len(sl.jobs), "unsettled": unsettled, "waiting": waiting, "writes_open": len(sl.writes)}
+	}
+	return owned
+}
+
+// openTasks counts a slice's tasks at silent workers, by worker, and those without a place.
+func (n *node) openTasks(sl *slice) (unsettled map[string]int, waiting int) {
+	unsettled = map[string]int{}
+	for _, js := range sl.jobs {
+		for i := range js.Tasks {
+			t := &js.Tasks[i]
+			w := n.workers[t.Worker]
+			switch {
+			case t.State == taskPlaced && (w == nil || n.now-w.heardMs > silentMs || w.silentMs > silentMs):
+				unsettled[t.Worker]++
+			case t.State == taskPending:
+				waiting++
+			}
+		}
+	}
+	return unsettled, waiting
+}
