--- a/guards.sh
+++ b/guards.sh
@@ -32,7 +32,7 @@
 a lease builds on what its granters know|duties.go|n.now, epochs[need-1]|n.now, epochs[0]
 a lease that ran out is not renewed|duties.go|case d.phase == dutyHeld && n.now >= d.untilMs-leaseSlack:|case false:
 a lease belongs to its duty|duties.go|if n.duties[d.name] == d {|if d = n.duties[d.name]; d != nil {
-overtaken polls change nothing|core.go|p.inc == inc && m.Seq < p.seq|false
+overtaken polls change nothing|core.go|p.inc == inc && m.Seq < p.seq|p.inc == inc && false
 passed epochs are not renewed|core.go|if d.Epoch != 0 && d.Epoch < last.Epoch {|if false {
 leases end with their incarnation|siblings.go|n.dropDuty(n.duties[name], "incarnation_raised")|_ = name
 a start takes no older set|siblings.go|c.Version < n.store.set.Version {|false {
