--- a/accord/faults_test.go
+++ b/accord/faults_test.go
@@ -128,7 +128,7 @@
 // The users' bounds on losses.
 const (
 	lossEndsMs = 4000
-	graceMs   = 6000
+	graceMs    = 6000
 )
 
 // lossesAllowed is how many disk machines may be lost at once.
