--- a/accord/beatdays_test.go
+++ b/accord/beatdays_test.go
@@ -609,14 +609,8 @@
 // closings are the losses that a day ends with. Each strikes all at once and
 // brings the machines back after a while.
 var closings = map[string]func(b *beatWorld, downMs int64){
-	"power off all": func(b *beatWorld, downMs int64) {
-		b.settled()
-		b.allDown(true, downMs)
-	},
-	"kill all": func(b *beatWorld, downMs int64) {
-		b.settled()
-		b.allDown(false, downMs)
-	},
+	"power off all": func(b *beatWorld, downMs int64) { b.downAt(true, downMs) },
+	"kill all":      func(b *beatWorld, downMs int64) { b.downAt(false, downMs) },
 	"wipe after an acknowledgement": func(b *beatWorld, downMs int64) {
 		b.settled()
 		b.wipeMost("", downMs)
@@ -656,20 +650,37 @@
 
 // wipeAt is wipeMost at a moment around an order.
 func (b *beatWorld) wipeAt(when struck, aimed bool, downMs int64) {
-	over := false
-	hit := func(host string) {
-		if over {
-			return
-		}
-		over = true
+	b.strikeOnce(when, func(host string) {
 		if !aimed {
 			host = ""
 		}
 		b.wipeMost(host, downMs)
+	})
+}
+
+// downAt takes all machines once a change was acknowledged: when its operator has
+// heard so, or as the answer leaves.
+func (b *beatWorld) downAt(power bool, downMs int64) {
+	if b.share(0.5) {
+		b.settled()
+		b.allDown(power, downMs)
+		return
+	}
+	b.strikeOnce(struckAcknowledged, func(string) { b.allDown(power, downMs) })
+}
+
+// strikeOnce is strike, done at last when nothing is acknowledged for long.
+func (b *beatWorld) strikeOnce(when struck, do func(host string)) {
+	over := false
+	once := func(host string) {
+		if !over {
+			over = true
+			do(host)
+		}
 	}
-	b.strike(when, hit)
+	b.strike(when, once)
 	b.until(6000, func() bool { return over })
-	hit("") // nothing was acknowledged in that time
+	once("")
 }
 
 // badDay is a day as its number draws it.
--- a/accord/faults_test.go
+++ b/accord/faults_test.go
@@ -314,7 +314,11 @@
 		if a.call.Op != op || !a.accepted() {
 			return false
 		}
-		b.after(b.rng.Int64N(4000), func() { do(a.from.Name) })
+		within := int64(4000)
+		if b.share(0.5) { // before a disk can have synced anything more
+			within = 400
+		}
+		b.after(b.rng.Int64N(within), func() { do(a.from.Name) })
 		return true
 	})
 }
