--- a/accord/beatdays_test.go
+++ b/accord/beatdays_test.go
@@ -204,7 +204,7 @@
 // coreCut cuts a core machine off, with restarts inside or outside the cut, or
 // with new seeds that begin with it.
 func (b *beatWorld) coreCut(host, way, restart string, ms int64) {
-	heal := func() {}
+	var heal func()
 	if way == "both" {
 		heal = b.cut(host)
 	} else {
--- a/accord/durability_test.go
+++ b/accord/durability_test.go
@@ -124,10 +124,10 @@
 	const many, gone = 20_000, 8000
 	source := w.nodes["d00"]
 	for i := range many {
-		source.disk.entries = append(source.disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i)*1000)))
+		source.disk.plant(finishedEntry("mid", i, wallStart+int64(i)*1000))
 	}
 	keepFrom := int64(wallStart + gone*1000)
-	source.disk.entries = append(source.disk.entries, pack(nil, logEntry{Kind: entryDrop, Name: "mid", Epoch: uint64(keepFrom)}))
+	source.disk.plant(logEntry{Kind: entryDrop, Name: "mid", Epoch: uint64(keepFrom)})
 	source.kill(false)
 	source.start()
 	past := source.sh.n.store.slice("mid").past
@@ -151,9 +151,7 @@
 	}
 	must.Greater(t, past.first, asked())
 	source.disk.entries, source.disk.synced = nil, 0 // as after a snapshot
-	for _, e := range source.sh.n.store.dump() {
-		source.disk.entries = append(source.disk.entries, pack(nil, e))
-	}
+	source.disk.plant(source.sh.n.store.dump()...)
 	source.kill(false)
 	source.start()
 	must.Less(t, past.first, source.sh.n.store.slice("mid").past.first)
@@ -170,7 +168,7 @@
 	const week = 7 * 24 * msPerHour
 	for _, name := range []string{"d00", "d01"} {
 		for i := range 100 {
-			w.nodes[name].disk.entries = append(w.nodes[name].disk.entries, pack(nil, finishedEntry("mid", i, wallStart+int64(i))))
+			w.nodes[name].disk.plant(finishedEntry("mid", i, wallStart+int64(i)))
 		}
 		w.nodes[name].kill(false)
 	}
--- a/accord/siblings.go
+++ b/accord/siblings.go
@@ -117,7 +117,7 @@
 	if m.Back && from != n.Name {
 		// To where it says it is: a daemon that is new at its address, with a
 		// clock set back, is known at its old one until it has heard of that.
-		n.emit(effSend{To: from, Addr: m.Self.Addr, Msg: n.gossip(false)})
+		n.sendAt(from, m.Self.Addr, n.gossip(false))
 	}
 }
 
@@ -132,6 +132,9 @@
 		for _, name := range sorted(n.duties) {
 			n.dropDuty(n.duties[name], "incarnation_raised")
 		}
+		for _, name := range sorted(n.agents) { // those beside their workers: owners hear no lower epoch than before
+			n.agents[name].epoch = n.Inc
+		}
 		n.gossipAt = 0
 	}
 	if s.Name == n.Name || s.Name == "" {
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -47,6 +47,8 @@
 	resetUs      map[[2]string]int64 // when the connections one way were last reset
 	answerLoss   map[string]float64  // by caller, the share of answers lost on their way
 	onAnswer     []func(sentAnswer) (over bool)
+	// detain tells how many us longer than others a message takes, past those sent after it.
+	detain func(from, to string, msg any) int64
 }
 
 type happening struct {
@@ -279,7 +281,7 @@
 	n.bootUs = n.w.nowUs - 1_000_000 - n.w.rng.Int64N(3_000_000_000)
 	p := n.place
 	p.Inc = n.incs<<32 | uint64(n.w.nowMs())&0xffffffff
-	p.Life = weight(n.Name, fmt.Sprint(n.gen))
+	p.Life = addressOf(fmt.Sprintf("%s life %d", n.Name, n.gen)) // draws nothing, so that a seed's run stays as it was
 	var st *store
 	if p.Disk {
 		st = n.disk.load()
@@ -373,7 +375,7 @@
 	if target == nil {
 		return
 	}
-	n.w.carryTo(n.Name, target.Name, func() {
+	arrive := func() {
 		if !target.up {
 			return
 		}
@@ -383,7 +385,14 @@
 		}
 		n.w.traceOf(h.From, target.Name, h.Kind, len(frame))
 		target.event(evMsg{Head: h, Msg: m})
-	})
+	}
+	if n.w.detain != nil {
+		if us := n.w.detain(n.Name, target.Name, msg); us > 0 {
+			n.w.after(us, arrive)
+			return
+		}
+	}
+	n.w.carryTo(n.Name, target.Name, arrive)
 }
 
 func (n *simNode) Append(entries []logEntry, done func()) { n.disk.append(n, entries, done) }
@@ -563,6 +572,14 @@
 	})
 }
 
+// plant puts entries on the disk, synced, beside what its daemon writes.
+func (d *simDisk) plant(entries ...logEntry) {
+	for _, e := range entries {
+		d.entries = append(d.entries, pack(nil, e))
+	}
+	d.synced = len(d.entries)
+}
+
 // written is how many entries were handed to the operating system.
 func (d *simDisk) written() int {
 	if d.syncing || d.failed {
