--- a/accord/identity_test.go
+++ b/accord/identity_test.go
@@ -129,8 +129,8 @@
 			}
 		}
 	}
-	for _, msg := range []any{&pollMsg{CoreVer: n.core.Version}, &register.Prepare{SetVersion: n.core.Version, Register: "x", Ballot: ballot{1, "b", 4321}},
-		&register.Accept{SetVersion: n.core.Version, Register: "x", Ballot: ballot{1, "b", 4321}}, &sealMsg{CoreVer: n.core.Version, Slice: "x", Epoch: 3},
+	for _, msg := range []any{&pollMsg{CoreVer: n.core.Version}, &register.Prepare{SetVersion: n.core.Version, Register: "x", Ballot: ballot{Round: 1, Proposer: "b", Life: 4321}},
+		&register.Accept{SetVersion: n.core.Version, Register: "x", Ballot: ballot{Round: 1, Proposer: "b", Life: 4321}}, &sealMsg{CoreVer: n.core.Version, Slice: "x", Epoch: 3},
 		&writeMsg{CoreVer: n.core.Version, Slice: "x", Epoch: 3}, &fetchMsg{CoreVer: n.core.Version, Slice: "x"}, &readRegMsg{CoreVer: n.core.Version, Reg: "x"},
 		&copyMsg{CoreVer: n.core.Version}, &digestMsg{Self: sibling{Name: "b"}}, &askMsg{Op: "members"}} {
 		before := len(dest)
