Tests: a stalled successor, a failing disk beside a newcomer, the surest loss

Three guards were noticed by none of the quicker tests of membership. Tried one by one on a copy of the sources: TestSurestLossFirst and TestNewcomerTakesTheLeavingSeat fail without theirs. TestStalledSuccessorIsTakenOut doesn't without the leaving member's own step, since the other members take a silent successor out as well.

--- a/accord/membership_test.go
+++ b/accord/membership_test.go
@@ -443,3 +443,76 @@
 	step(evMsg{Head: wireHead{From: "b"}, Msg: &copiedMsg{Op: asked[0].Op}})
 	must.True(t, removes)
 }
+
+// A successor whose disk stalls once it is in the larger set is taken out again
+// before the leaving member ends: the core goes on without either.
+func TestStalledSuccessorIsTakenOut(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		s := newSeatWorld(t, 5600, size)
+		leaving, fresh := s.member(1), s.newcomer(0)
+		s.run(catchUpMs)
+		leaving.event(evStop{})
+		for len(s.newestSet().Members) == size {
+			must.True(t, leaving.up, s.why())
+			s.step()
+		}
+		fresh.disk.stallUs = s.nowUs + 20_000_000
+		must.True(t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		must.Len(t, size, s.newestSet().Members, s.why())
+		must.False(t, s.newestSet().has(fresh.Name, fresh.DiskID), s.why())
+		s.acknowledge()
+		must.Less(t, fresh.disk.stallUs, s.nowUs, s.why())
+	}
+}
+
+// A failing disk keeps its seat while a newcomer stands by, which goes to the
+// member that leaves.
+func TestNewcomerTakesTheLeavingSeat(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		s := newSeatWorld(t, 5700, size)
+		set := s.newestSet()
+		failing, leaving := s.member(0), s.member(1)
+		id := leaving.DiskID
+		s.fillDisk(failing, 8500)
+		s.acknowledge()
+		s.newcomer(0)
+		s.run(catchUpMs)
+		must.False(t, failing.sh.n.inCore(), s.why())
+		must.Eq(t, set.Version, s.newestSet().Version, s.why())
+		leaving.event(evStop{})
+		must.True(t, s.until(seatMs+500, func() bool { return !leaving.up }), s.why())
+		must.True(t, s.newestSet().has(failing.Name, failing.DiskID), s.why())
+		must.False(t, s.newestSet().has(leaving.Name, id), s.why())
+		must.True(t, s.until(8000, s.full), s.why())
+		s.keepsAll()
+	}
+}
+
+// Of several seats that can be had the surest loss goes first.
+func TestSurestLossFirst(t *testing.T) {
+	n := newNode(place{Name: "d", Disk: true, DiskID: 4}, newStore())
+	n.now = 20_000
+	n.core = coreSet{Cluster: 9, Version: 2, Members: []coreMember{{"a", 1}, {"b", 2}, {"c", 3}}}
+	for i, name := range []string{"a", "b", "c"} {
+		n.siblings[name] = &siblingState{sibling: sibling{Name: name, Disk: true, DiskID: uint64(i + 1)}, heardMs: n.now}
+	}
+	j := &joining{goneMs: map[string]int64{"a": 1, "b": 1, "c": 1}}
+	says := func(want int, state seatState) {
+		t.Helper()
+		for _, name := range []string{"a", "b", "c"} {
+			j.goneMs[name] = 1
+		}
+		at, got := n.vacantSeat(j)
+		must.Eq(t, want, at)
+		must.Eq(t, state, got)
+	}
+	says(-1, seatKept)
+	n.siblings["a"].Disk = false
+	says(0, seatFailed)
+	n.siblings["b"].heardMs = 0
+	says(1, seatSilent)
+	n.siblings["c"].Leaving = true
+	says(2, seatLeaving)
+	n.siblings["a"].DiskID = 7
+	says(0, seatWiped)
+}
--- a/guards.sh
+++ b/guards.sh
@@ -80,7 +80,7 @@
 P
   then echo "STALE     $name: its text is no longer in $file"; continue; fi
   out=$(cd "$copy" && go test -c -vet=off -o accord/t ./accord && cd accord && a=0 &&
-    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered|Members|Repairs|Seat|CopiedAgain|FullDisk|FailedDisk|Batch[A-M]' 2>&1 || a=1; } &&
+    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Form|Belong|Unanswered|Members|Repairs|Seat|CopiedAgain|Stalled|Surest|FullDisk|FailedDisk|Batch[A-M]' 2>&1 || a=1; } &&
     { timeout 240 ./t -test.timeout 200s -test.run Campaign -seeds "${SEEDS:-12}" 2>&1 || a=1; } && exit $a)
   if [ $? -eq 0 ]; then echo "UNNOTICED $name"; else
     rules=$(echo "$out" | grep -oE '(twice_at_once|again_after_well|over_room|before_its_steps|before_due|lacks_label|outside_group|past_failures|after_cancel|runs_on_after_cancel|leaving_worker|emptied_site|job_forgotten|failed_without_cause|complete_too_early|setup_lost|setup_acked_twice|run_not_sent) at|jobs (still )?open|[0-9] of [0-9]+ jobs|panic|build failed|core is not whole' | sed -E 's/ at//; s/^[0-9].*/jobs open/; s/jobs still open/jobs open/' | sort | uniq -c | sort -rn | head -4 | awk '{c=$1; $1=""; printf "%s x%s,", $0, c}')
