Stages of jobs as histograms and otterchute job explain

Cause: operators and we ourselves could not tell where a late job's time went; only why a task waits right now. Ruled out: histograms at the agents (the owner hears all of it, and one place tells all). Stages of a former owner are not kept in the record; the answer says so. Tests: TestExplainTimeline, TestExplainAfterTakeover, package jobtrace. No scheduling decision changes.

--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -195,10 +195,27 @@
 	return wire.AttemptStatus{
 		Key: h.spec.Key, Class: h.spec.Class, State: h.state, Result: h.result, Resources: h.spec.Resources,
 		RanMs: ran, EstimateMs: h.spec.EstimateMs, Queue: h.spec.Queue, Name: h.spec.Name, Saved: h.spec.Saved,
-		Unknown: h.unknown, Late: h.lateEnd,
+		Unknown: h.unknown, Late: h.lateEnd, QueueMs: h.queueMs(), StartMs: h.startMs(),
 	}
 }
 
+// queueMs is how long an attempt waited here before its order; 0 for one that a former
+// agent ordered.
+func (h *attempt) queueMs() int64 {
+	if h.queuedMs == 0 || h.orderedMs == 0 {
+		return 0
+	}
+	return max(h.orderedMs-h.queuedMs, 0)
+}
+
+// startMs is how long it took from the order until the worker listed the run.
+func (h *attempt) startMs() int64 {
+	if h.orderedMs == 0 || h.startedMs == 0 {
+		return 0
+	}
+	return max(h.startedMs-h.orderedMs, 0)
+}
+
 // shed gives back unstarted queueable tasks, the last in line first, until the
 // rank meets the coordinator's target.
 func (n *node) shed(ag *agent, targetMs int64) {
--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -162,12 +162,13 @@
 		),
 		verbs(
 			"job",
-			"[-at LIST] submit ID FILE | show ID | cancel ID",
-			"hand in a job, read its state, or cancel it",
+			"[-at LIST] submit ID FILE | show ID | explain ID | cancel ID",
+			"hand in a job, read its state, see where its time went, or cancel it",
 			map[string]verb{
-				"submit": submitJob,
-				"show":   one("job show ID", "GET", "/v1/jobs/ID"),
-				"cancel": one("job cancel ID", "POST", "/v1/jobs/ID/cancel"),
+				"submit":  submitJob,
+				"show":    one("job show ID", "GET", "/v1/jobs/ID"),
+				"explain": one("job explain ID", "GET", "/v1/jobs/ID/explain"),
+				"cancel":  one("job cancel ID", "POST", "/v1/jobs/ID/cancel"),
 			},
 		),
 		verbs("workers", "[-at LIST] [lost NAME]", "list the workers, or declare a silent one gone for good", map[string]verb{
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"otterchute/internal/configuration"
+	"otterchute/internal/jobtrace"
 	"otterchute/internal/schema"
 	"otterchute/internal/wire"
 	"otterchute/platform"
@@ -51,7 +52,7 @@
 	r.Use(gin.Recovery())
 	for _, m := range []struct{ method, path, op, param string }{
 		{"PUT", "/v1/jobs/:id", "job.put", "id"}, {"GET", "/v1/jobs/:id", "job.get", "id"},
-		{"POST", "/v1/jobs/:id/cancel", "job.cancel", "id"},
+		{"POST", "/v1/jobs/:id/cancel", "job.cancel", "id"}, {"GET", "/v1/jobs/:id/explain", "job.explain", "id"},
 		{"PUT", "/v1/setups/:id", "setup.put", "id"}, {"GET", "/v1/setups/current", "setup.get", ""},
 		{"POST", "/v1/workers/:id/report", "worker.report", "id"}, {"GET", "/v1/workers", "workers", ""},
 		{"GET", "/v1/members", "members", ""}, {"GET", "/v1/soundness", "soundness", ""},
@@ -214,6 +215,7 @@
 func (d *httpServer) Collect(ch chan<- prometheus.Metric) {
 	got := make(chan struct{})
 	counts, gauges, meter := map[string]int64{}, map[string]float64{}, map[meterKey]float64{}
+	var stages map[jobtrace.Key]jobtrace.Histogram
 	d.loop.post(func(s *executor) {
 		for k, v := range s.node.counts {
 			counts[k] = v
@@ -222,6 +224,7 @@
 		for k, v := range s.node.batchMeter {
 			meter[k] = v
 		}
+		stages = s.node.stages.Snapshot()
 		close(got)
 	})
 	select {
@@ -245,6 +248,17 @@
 	for k, v := range meter { // the registry sorts them
 		ch <- prometheus.MustNewConstMetric(batches, prometheus.CounterValue, v, k.Contract, priceText(k.Price))
 	}
+	collectStages(ch, stages)
+}
+
+// collectStages gives the histograms of where the time of jobs went.
+func collectStages(ch chan<- prometheus.Metric, stages map[jobtrace.Key]jobtrace.Histogram) {
+	desc := prometheus.NewDesc("otterchute_stage_seconds",
+		"How long tasks and jobs of the shards owned here were in a stage.", []string{"queue", "class", "stage"}, nil)
+	for key, h := range stages { // the registry sorts them
+		ch <- prometheus.MustNewConstHistogram(desc, h.Count(), h.SumSeconds(), h.Buckets(),
+			key.Queue, key.Class, key.Stage.String())
+	}
 }
 
 func (n *node) gauges(out map[string]float64) {
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -116,6 +116,7 @@
 		j.DueMs = n.latestFleetTime() + j.DelayMs
 	}
 	js := &jobState{job: *j, runtime: make([]taskRuntime, len(j.Tasks)), bytes: size}
+	n.traceAdmitted(sl, js, f.startMs)
 	sl.jobs[j.ID] = js
 	sl.bytes += size
 	sl.liveByQueue[j.Queue]++
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -37,6 +37,7 @@
 			n.tickPlacedTask(sl, js, i, &js.runtime[i])
 		case taskPending:
 			if n.mayStart(js, i, pass) {
+				js.trace.Task(i).Ready(n.now)
 				n.scheduleTask(sl, js, i, pass)
 			}
 		}
@@ -51,6 +52,9 @@
 	}
 	n.markDirty(sl, js)
 	js.State, js.DoneMs = state, wall
+	if js.trace != nil {
+		js.trace.LastEndMs = n.now
+	}
 	n.count("jobs_" + state.String())
 	n.batchEnded(js)
 }
@@ -114,14 +118,15 @@
 
 // placeQueueable places a task at a worker of the local scheduler's choice, if one is fit.
 func (n *node) placeQueueable(sl *shard, js *jobState, i int, pass *schedulePass) {
-	worker := ""
+	worker, candidates := "", 0
 	if pass.batch {
 		worker = n.selectBatchWorker(sl, js, i)
-	} else if worker = n.selectWorker(sl, js, i); worker == "" {
+	} else if worker, candidates = n.selectWorker(sl, js, i); worker == "" {
 		sl.starvedMs = n.now
 	}
 	if worker != "" {
 		n.placeTask(sl, js, i, worker, wire.ClassQueueable)
+		n.tracePlaced(js, i, candidates)
 		pass.outstanding++
 	}
 }
@@ -133,7 +138,9 @@
 		return
 	}
 	if begun := js.Begun; js.closeRounds(js.committed) {
-		js.runtime = js.runtime[int(js.Begun-begun)*int(js.roundSize()):]
+		dropped := int(js.Begun-begun) * int(js.roundSize())
+		js.runtime = js.runtime[dropped:]
+		js.shiftTrace(dropped)
 		n.markDirty(sl, js)
 	}
 	hasRoom := func() bool { return len(js.Tasks)+int(js.roundSize()) <= roundTasksMax }
@@ -142,6 +149,7 @@
 		for range js.roundSize() {
 			js.runtime = append(js.runtime, taskRuntime{})
 		}
+		js.shiftTrace(0)
 		n.markDirty(sl, js)
 		for i := len(js.Tasks) - int(js.roundSize()); i < len(js.Tasks); i++ {
 			js.Tasks[i].ChangedIn = js.Version
@@ -235,21 +243,31 @@
 // classify is the paper's hybrid-GQ rule: a task known to be short may wait
 // or be stopped, all others get a firm place.
 func (n *node) classify(js *jobState, t *task) wire.TaskClass {
-	if n.ThresholdMs < 0 || n.batchOf(&js.job) != nil { // only-queueable, for comparisons
-		return wire.ClassQueueable
-	}
-	if js.Steps[t.Step].Gang || js.Steps[t.Step].Lasting || t.Preempts >= preemptMax {
-		return wire.ClassGuaranteed
-	}
-	if js.Steps[t.Step].Alike && t.HintMs > 0 { // a guess, corrected by how guesses of its queue turned out
-		if n.estimateMs(js, t) >= n.ThresholdMs {
-			return wire.ClassGuaranteed
-		}
-		return wire.ClassQueueable
+	class, _ := n.explainClass(js, t)
+	return class
+}
+
+// explainClass gives a task's class, and why it has that.
+func (n *node) explainClass(js *jobState, t *task) (class wire.TaskClass, reason string) {
+	st := &js.Steps[t.Step]
+	switch {
+	case n.batchOf(&js.job) != nil:
+		return wire.ClassQueueable, "a batch is never firm"
+	case n.ThresholdMs < 0:
+		return wire.ClassQueueable, "threshold_ms is below 0: all tasks are queueable"
+	case st.Gang:
+		return wire.ClassGuaranteed, "a gang starts whole"
+	case st.Lasting:
+		return wire.ClassGuaranteed, "it lasts until it is cancelled"
+	case t.Preempts >= preemptMax:
+		return wire.ClassGuaranteed, "it was preempted as often as a task may be"
 	}
 	e := n.estimates[js.Queue+"/"+t.Name]
-	if e == nil || int64(e.meanMs) >= n.ThresholdMs {
-		return wire.ClassGuaranteed
+	switch guessed := st.Alike && t.HintMs > 0; { // a guess, corrected by how guesses of its queue turned out
+	case !guessed && e == nil:
+		return wire.ClassGuaranteed, "nothing is known of how long it runs"
+	case guessed && n.estimateMs(js, t) >= n.ThresholdMs, !guessed && int64(e.meanMs) >= n.ThresholdMs:
+		return wire.ClassGuaranteed, "it is expected to run as long as threshold_ms or longer"
 	}
-	return wire.ClassQueueable
+	return wire.ClassQueueable, "it is expected to run for less than threshold_ms"
 }
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -46,8 +46,8 @@
 
 // selectWorker is the local scheduler: at random among the k allowed workers
 // of lowest rank. Those with room now go before those where it would wait, and
-// among them those near its data.
-func (n *node) selectWorker(sl *shard, js *jobState, i int) string {
+// among them those near its data. It tells among how many it drew, too.
+func (n *node) selectWorker(sl *shard, js *jobState, i int) (worker string, candidates int) {
 	t := &js.Tasks[i]
 	st := &js.Steps[t.Step]
 	q := n.config.current.Queues[js.Queue]
@@ -84,7 +84,7 @@
 	// The agents' queues are bounded, and so is what is sent to them.
 	list = slices.DeleteFunc(list, func(r ranked) bool { return n.workers[r.name].queued >= agentQueueMax/2 })
 	if len(list) == 0 {
-		return ""
+		return "", 0
 	}
 	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 	k := n.KLowest
@@ -92,7 +92,7 @@
 		k = min(max(len(list)/4, kLeast), kLowest)
 	}
 	list = list[:min(k, len(list))]
-	return list[n.rand().IntN(len(list))].name
+	return list[n.rand().IntN(len(list))].name, len(list)
 }
 
 func (n *node) placeTask(sl *shard, js *jobState, i int, worker string, class wire.TaskClass) {
@@ -118,6 +118,7 @@
 		return
 	}
 	js.runtime[i].sentMs, js.runtime[i].echoMs = n.now, w.echoMs
+	n.traceSent(js, i)
 	n.send(
 		w.agent,
 		&wire.Placement{
@@ -259,6 +260,7 @@
 			continue
 		}
 		n.placeTask(sl, js, i, p.Worker, wire.ClassGuaranteed)
+		n.tracePlaced(js, i, 0)
 		js.Tasks[i].Attempt = p.Attempt
 	}
 }
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -159,7 +159,9 @@
 				func(g abandonedRun) bool { return g == abandonedRun{h.Key.Task, h.Key.Attempt} },
 			)
 		}
+		n.traceEnded(js, i, h)
 		n.resolveAttempt(sl, js, i, h.Result, h.RanMs)
+		js.ended = append(js.ended, endedAttempt{status: h, version: js.Version, heardMs: n.now})
 		return 0 // acknowledged once it is committed
 	}
 	return n.decideHeld(sl, m, js, i, h)
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -9,6 +9,7 @@
 
 	"otterchute/internal/cluster"
 	"otterchute/internal/configuration"
+	"otterchute/internal/jobtrace"
 	"otterchute/internal/lease"
 	"otterchute/internal/membership"
 	"otterchute/internal/quorum"
@@ -175,6 +176,7 @@
 	learnedAt int64
 
 	batchMeter map[meterKey]float64 // core seconds of batches
+	stages     jobtrace.Recorder    // where the time of the jobs owned here went
 
 	diskFailed string
 	syncMs     int64
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -63,6 +63,7 @@
 		"job.put":       (*node).routeJob,
 		"job.get":       (*node).routeJob,
 		"job.cancel":    (*node).routeJob,
+		"job.explain":   (*node).routeJob,
 		"worker.report": (*node).routeReport,
 		"worker.beat":   (*node).handleHeartbeat,
 		"worker.gone":   (*node).handleWorkerGone,
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"otterchute/internal/jobtrace"
 	"otterchute/internal/resource"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
@@ -35,7 +36,8 @@
 
 	jobs               map[string]*jobState
 	finished           map[string]*job
-	order              []string // of finished, oldest first
+	traces             jobtrace.Finished // of the last of them
+	order              []string          // of finished, oldest first
 	dirty              map[string]bool
 	writeSeq           uint64
 	writes             map[uint64]*writeBatch
@@ -104,7 +106,9 @@
 	bytes     int // of its record when it entered
 	waiters   []waiter
 	runtime   []taskRuntime
-	plan      *batchPlan // of a batch, once it is planned
+	plan      *batchPlan    // of a batch, once it is planned
+	trace     *jobtrace.Job // nil where nobody follows its way, as in some tests
+	ended     []endedAttempt
 }
 
 // taskRuntime is what an owner need not keep across a takeover.
@@ -155,7 +159,7 @@
 
 func init() {
 	jobOps = map[string]func(*node, *shard, *request){"job.put": (*node).handleSubmit, "job.get": (*node).handleGet,
-		"job.cancel": (*node).handleCancel, "job.state": (*node).handleState, "worker.lost": (*node).handleWorkerLost}
+		"job.explain": (*node).handleExplain, "job.cancel": (*node).handleCancel, "job.state": (*node).handleState, "worker.lost": (*node).handleWorkerLost}
 }
 
 func (n *node) startShard(name string, epoch uint64) {
@@ -280,6 +284,7 @@
 	if sl.liveByQueue[js.Queue] <= 0 {
 		delete(sl.liveByQueue, js.Queue)
 	}
+	n.traceOutcome(sl, js)
 	j := js.job
 	j.Version = n.now // reused as the time it was put here
 	sl.finished[j.ID] = &j
--- a/internal/daemon/shard_takeover.go
+++ b/internal/daemon/shard_takeover.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"otterchute/internal/jobtrace"
 	"otterchute/internal/lease"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
@@ -83,6 +84,8 @@
 		js := &jobState{job: *j, bytes: len(r.Value)}
 		sl.bytes += js.bytes
 		js.runtime = make([]taskRuntime, len(js.Tasks))
+		js.trace = jobtrace.NewJob(len(js.Tasks), sl.epoch)
+		js.trace.LoadedMs = n.now
 		sl.jobs[id] = js
 		for i := range js.Tasks {
 			sl.indexTask(js, i)
--- a/internal/daemon/shard_write.go
+++ b/internal/daemon/shard_write.go
@@ -96,6 +96,7 @@
 				sl.confirmed = append(sl.confirmed, r.ID)
 			}
 			if js := sl.jobs[r.ID]; js != nil {
+				n.traceCommitted(js, r.Version)
 				js.committed = max(js.committed, r.Version)
 				n.advanceJob(sl, js)
 			}
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -89,6 +89,10 @@
 	Saved      string
 	Unknown    bool // found running by an agent that was not told what it is
 	Late       bool // its owner may have given it up: whether it counted must be said
+	// QueueMs is how long it waited at the agent, and StartMs from the order until the
+	// worker listed it.
+	QueueMs int64
+	StartMs int64
 }
 
 // QueueUse is what tasks of one queue take.
