Agents beside workers report changes; full reports are few

Ruled out: lengthening the pace of full reports alone (owners would hear of ends later). Change: partial reports list what waits or has ended; full ones each 600 ms, or when a role has another holder; the central scheduler hears each 300 ms, of guaranteed and promotable attempts and the sum of all others; owners acknowledge ends when they are at a quorum instead of when they are told again.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -63,6 +63,10 @@
 	suspectMs        int64            // until then it is suspect
 	suspects         int64            // how often it was, lately
 	adoptedMs        int64
+	reported         map[string]reportMark // shard, "" for the central scheduler -> its last report
+	changesAtMs      int64                 // before that no partial report leaves
+	changesWait      bool                  // something has ended since the last one
+	guaranteedEnded  bool                  // since the central scheduler was last told
 }
 
 type attempt struct {
@@ -90,6 +94,13 @@
 	lateEnd   bool  // ended by itself, and its owner may have given it up meanwhile
 	voided    bool  // ended, and the hold has lapsed since
 	adoptedMs int64
+	toldMs    int64 // when its owner was last told of its end
+}
+
+// reportMark is whom a report last went to, and when.
+type reportMark struct {
+	to   string
+	atMs int64
 }
 
 func (ag *agent) keys() []wire.AttemptKey {
--- /dev/null
+++ b/internal/daemon/agent_changes.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"otterchute/internal/wire"
+)
+
+// An agent beside its worker hears twenty times a second what ended there. Owners are told
+// of that in partial reports, which leave out what goes on as before; full ones, by which
+// owners find what is missing, are few. A lost partial report costs no more than the
+// wait for the next one: ends are told again until they are acknowledged.
+
+const (
+	// fullReportMs is the pace of full reports of an agent beside its worker. An
+	// attempt may start while its owner's word on it is younger than contactMs, and owners
+	// place tasks at workers that they heard of since then: two reports fit in that.
+	fullReportMs = 600
+	// changesMs is how far partial reports are apart at the least: every second heartbeat of
+	// a busy worker.
+	changesMs = 80
+	// roomNewsMs: owners whose attempts have not changed hear at this pace of the room
+	// that others took or freed meanwhile.
+	roomNewsMs = 200
+	// centralReportMs is the pace of reports to the central scheduler, which needs no
+	// less while it rebuilds: see rebuildMs.
+	centralReportMs = 300
+	// endRepeatMs is how long an end may stay without acknowledgement before it is told again.
+	endRepeatMs = 250
+)
+
+// isNews tells whether a partial report lists an attempt: it waits, or it ended and its
+// owner wasn't told yet, or was long ago.
+func (n *node) isNews(h *attempt) bool {
+	switch h.state {
+	case wire.AttemptQueued:
+		return true
+	case wire.AttemptEnded:
+		return !h.acked && (h.toldMs == 0 || n.now-h.toldMs > endRepeatMs)
+	}
+	return false
+}
+
+// concernsCentral tells whether the central scheduler is told of an attempt: one that holds
+// room for good, or that it may promote. Of all others it hears the sum.
+func (n *node) concernsCentral(h *attempt) bool {
+	if h.state == wire.AttemptEnded {
+		return false
+	}
+	return h.spec.Class == wire.ClassGuaranteed || n.mayBePromoted(h.state, n.now-h.startedMs, h.spec.EstimateMs)
+}
+
+// mayBePromoted tells whether a queueable run has gone on for so much longer than
+// expected that its work is worth keeping.
+func (n *node) mayBePromoted(state wire.AttemptState, ranMs, estimateMs int64) bool {
+	return state == wire.AttemptRunning && ranMs > max(2*estimateMs, n.ThresholdMs)
+}
+
+// reportChanges tells owners what has ended or waits, and how much room is left. What
+// comes within changesMs leaves together.
+func (n *node) reportChanges(ag *agent) {
+	ag.changesWait = true
+	if n.now < ag.changesAtMs || !n.isActiveAgent(ag) {
+		return
+	}
+	ag.changesWait, ag.changesAtMs = false, n.now+changesMs
+	base, keys := n.reportOf(ag), ag.keys()
+	base.Partial = true
+	news := map[string]bool{}
+	for _, key := range keys {
+		if h := ag.attempts[key]; n.isNews(h) {
+			news[n.shardOfAttempt(h)] = true
+		}
+	}
+	for _, shard := range n.core.Shards {
+		if news[shard] || n.now-ag.reported[shard].atMs >= roomNewsMs {
+			n.sendReport(ag, base, shard, keys)
+		}
+	}
+	if ag.guaranteedEnded {
+		n.reportCentral(ag)
+	}
+}
+
+// reportCentral tells the central scheduler alone.
+func (n *node) reportCentral(ag *agent) {
+	if n.isActiveAgent(ag) {
+		n.sendReport(ag, n.reportOf(ag), "", ag.keys())
+	}
+}
+
+// shardOfAttempt is the shard that an attempt's job belongs to.
+func (n *node) shardOfAttempt(h *attempt) string {
+	if h.spec.Shard == "" { // found running: its owner has not said yet what it is
+		h.spec.Shard = n.shardOf(h.spec.Key.Job)
+	}
+	return h.spec.Shard
+}
+
+// tickReports sends the reports that are due.
+func (n *node) tickReports(ag *agent) {
+	if n.now >= ag.syncAt || n.hasNewOwner(ag) {
+		n.reportAgent(ag)
+		return
+	}
+	if n.now-ag.reported[""].atMs >= centralReportMs {
+		n.reportCentral(ag)
+	}
+	if ag.changesWait || n.hasOverdue(ag) {
+		n.reportChanges(ag)
+	}
+}
+
+// hasNewOwner tells whether a role that is told of this worker has gone to another daemon.
+func (n *node) hasNewOwner(ag *agent) bool {
+	for _, target := range append([]string{""}, n.core.Shards...) {
+		if to := n.reportTarget(target); to != "" && to != ag.reported[target].to {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOverdue tells whether an attempt has waited here for so long that its owner may want
+// it back, or an end is to be told again.
+func (n *node) hasOverdue(ag *agent) bool {
+	for _, h := range ag.attempts {
+		switch {
+		case h.state == wire.AttemptQueued && n.now-h.queuedMs > recallMs,
+			h.state == wire.AttemptEnded && n.isNews(h):
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/agent_report.go
+++ b/internal/daemon/agent_report.go
@@ -257,6 +257,7 @@
 // endAttempt takes a worker's word on how a run ended.
 func (n *node) endAttempt(ag *agent, h *attempt, outcome string, ranMs int64) {
 	h.state, h.ranMs = wire.AttemptEnded, ranMs
+	ag.guaranteedEnded = ag.guaranteedEnded || h.spec.Class == wire.ClassGuaranteed
 	if h.unobserved {
 		h.ranMs = 0 // nothing is learned from it
 	}
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -132,25 +132,47 @@
 // reportAgent tells each shard's owner and the central scheduler all it holds.
 func (n *node) reportAgent(ag *agent) {
 	ag.syncAt = n.now + syncMs
+	if ag.colocated {
+		ag.syncAt = n.now + fullReportMs
+	}
 	if !n.isActiveAgent(ag) && !ag.replaced {
 		return
 	}
 	base, keys := n.reportOf(ag), ag.keys()
 	for _, target := range append([]string{""}, n.core.Shards...) {
-		role := lease.Central
-		if target != "" {
-			role = lease.ShardRole(target)
-		}
-		to, _ := n.leases.Holder(role)
-		if to == "" {
-			continue
-		}
-		m := base
-		m.Shard = target
-		m.Batch = ag.batchHeld(n, target)
-		n.addAttempts(&m, ag, keys)
-		n.send(to, &m)
+		n.sendReport(ag, base, target, keys)
 	}
+	ag.changesWait = false
+}
+
+// sendReport sends a report to the owner of a shard, or without one to the central
+// scheduler, if it is known.
+func (n *node) sendReport(ag *agent, m wire.AgentReport, target string, keys []wire.AttemptKey) {
+	to := n.reportTarget(target)
+	if to == "" {
+		return
+	}
+	m.Shard = target
+	m.Batch = ag.batchHeld(n, target)
+	n.addAttempts(&m, ag, keys)
+	n.send(to, &m)
+	if ag.reported == nil {
+		ag.reported = map[string]reportMark{}
+	}
+	ag.reported[target] = reportMark{to: to, atMs: n.now}
+	if target == "" {
+		ag.guaranteedEnded = false
+	}
+}
+
+// reportTarget is who hears of a shard's attempts, or for "" the central scheduler.
+func (n *node) reportTarget(shard string) string {
+	role := lease.Central
+	if shard != "" {
+		role = lease.ShardRole(shard)
+	}
+	to, _ := n.leases.Holder(role)
+	return to
 }
 
 // reportOf is what a report says of the worker and its agent, to whomever it goes.
@@ -173,17 +195,19 @@
 func (n *node) addAttempts(m *wire.AgentReport, ag *agent, keys []wire.AttemptKey) {
 	for _, key := range keys {
 		h := ag.attempts[key]
-		if h.spec.Shard == "" {
-			h.spec.Shard = n.shardOf(key.Job)
-		}
-		if h.state != wire.AttemptEnded && h.spec.Shard != m.Shard {
+		if shard := n.shardOfAttempt(h); h.state != wire.AttemptEnded && shard != m.Shard {
 			m.Others = m.Others.Plus(h.spec.Resources)
 		}
-		if m.Shard == "" && h.state == wire.AttemptEnded ||
-			m.Shard != "" && (h.spec.Shard != m.Shard || h.state == wire.AttemptEnded && h.acked) {
-			continue
+		switch {
+		case m.Shard == "" && !n.concernsCentral(h):
+		case m.Shard != "" && (h.spec.Shard != m.Shard || h.state == wire.AttemptEnded && h.acked):
+		case m.Partial && !n.isNews(h):
+		default:
+			m.Attempts = append(m.Attempts, n.statusOf(h))
+			if h.state == wire.AttemptEnded {
+				h.toldMs = n.now
+			}
 		}
-		m.Attempts = append(m.Attempts, n.statusOf(h))
 	}
 }
 
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -76,7 +76,6 @@
 type workerCapacity struct {
 	wire.AgentReport
 	heardMs          int64
-	guaranteedKeys   map[wire.AttemptKey]bool
 	guaranteed       resource.Amount // room of the firm tasks it holds
 	busy             resource.Amount // room of all it holds that is not ended
 	unhealthyUntilMs int64           // unsound until
@@ -135,14 +134,12 @@
 		return
 	}
 	w.AgentReport, w.heardMs = *m, n.now
-	w.guaranteed, w.busy, w.guaranteedKeys = resource.Amount{}, resource.Amount{}, map[wire.AttemptKey]bool{}
+	w.guaranteed, w.busy = resource.Amount{}, m.Others // to the central scheduler all are others' attempts
 	for _, h := range m.Attempts {
-		w.busy = w.busy.Plus(h.Resources)
 		if h.Class != wire.ClassGuaranteed {
 			continue
 		}
 		w.guaranteed = w.guaranteed.Plus(h.Resources)
-		w.guaranteedKeys[h.Key] = true
 		key := allocationKey{h.Key.Job, h.Key.Task}
 		if round, step, _, ok := placeOf(h.Key.Task); ok {
 			key.Step = placeID(round, step, 0)
@@ -211,8 +208,7 @@
 		if q := n.config.current.Queues[h.Queue]; q != nil && q.Batch != nil {
 			continue // batches are never firm
 		}
-		if h.Class == wire.ClassQueueable && h.State == wire.AttemptRunning && h.RanMs > max(2*h.EstimateMs, n.ThresholdMs) &&
-			h.Resources.Fits(sure) {
+		if h.Class == wire.ClassQueueable && n.mayBePromoted(h.State, h.RanMs, h.EstimateMs) && h.Resources.Fits(sure) {
 			sure = sure.Minus(h.Resources)
 			n.send(w.Agent, &wire.Promotion{Worker: w.Worker, Epoch: w.Epoch, Key: h.Key})
 		}
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -154,7 +154,8 @@
 	if left := r.Get("leaves_ms"); left.Exists() && ag.leaving {
 		ag.leavesMs = n.now + left.Int()
 	}
-	changed = n.applyHeartbeatLists(ag, r, missed) || changed
+	ended, differs := n.applyHeartbeatLists(ag, r, missed)
+	changed = changed || differs
 	if !ag.rebuilt { // what a former agent here ordered is listed, or never starts
 		ag.rebuilt, ag.adoptedMs = true, n.now
 		ag.holdUntilMs = n.now + holdSpanMs*(100+driftPercent)/100
@@ -165,8 +166,11 @@
 	n.startPending(ag)
 	ag.answering = false
 	n.respond(a, 200, 0, mustJSON(n.heartbeatReply(ag)))
-	if changed {
+	switch {
+	case changed:
 		n.reportAgent(ag)
+	case ended || ag.changesWait:
+		n.reportChanges(ag)
 	}
 }
 
@@ -228,8 +232,9 @@
 }
 
 // applyHeartbeatLists brings what is held in line with what the worker lists; missed says
-// that no heartbeat was heard for so long that nobody knows when it came about.
-func (n *node) applyHeartbeatLists(ag *agent, r gjson.Result, missed bool) (changed bool) {
+// that no heartbeat was heard for so long that nobody knows when it came about. It tells
+// whether attempts ended, and whether owners must hear all of what is held.
+func (n *node) applyHeartbeatLists(ag *agent, r gjson.Result, missed bool) (ended, changed bool) {
 	running := map[wire.AttemptKey]bool{}
 	r.Get("running").ForEach(func(_, e gjson.Result) bool {
 		if key, ok := runOf(e); ok {
@@ -238,20 +243,20 @@
 		}
 		return true
 	})
-	ended := &endedList{keys: map[wire.AttemptKey]bool{}}
+	list := &endedList{keys: map[wire.AttemptKey]bool{}}
 	r.Get("ended").ForEach(func(_, e gjson.Result) bool {
-		n.applyEnded(ag, ended, e, missed)
+		n.applyEnded(ag, list, e, missed)
 		return true
 	})
 	for number, key := range ag.ends {
-		if h := ag.attempts[key]; number < ended.lapsed && h != nil {
+		if h := ag.attempts[key]; number < list.lapsed && h != nil {
 			h.lateEnd, h.voided = false, true
 		}
 	}
-	if ended.first > 0 && ag.acknowledgedEnds < ended.first-1 {
-		ag.acknowledgedEnds = ended.first - 1
+	if list.first > 0 && ag.acknowledgedEnds < list.first-1 {
+		ag.acknowledgedEnds = list.first - 1
 	}
-	return n.endUnlisted(ag, running, ended) || ended.changed || changed
+	return n.endUnlisted(ag, running, list) || list.changed, changed
 }
 
 // adoptUnknown takes a run that only the worker knew of, as a former agent had ordered it.
@@ -525,13 +530,10 @@
 	}
 	n.dropOldTombstones(ag)
 	n.decayHealth(ag)
-	waits := slices.ContainsFunc(ag.keys(), func(k wire.AttemptKey) bool {
-		h := ag.attempts[k]
-		return h.state == wire.AttemptQueued && n.now-h.queuedMs > recallMs
-	})
-	if changed || n.now >= ag.syncAt || waits && n.now >= ag.syncAt-syncMs/2 {
+	if changed {
 		n.reportAgent(ag)
 	}
+	n.tickReports(ag)
 	if n.isFinished(ag) {
 		delete(n.agents, ag.worker)
 	}
--- a/internal/daemon/job_trace.go
+++ b/internal/daemon/job_trace.go
@@ -10,9 +10,13 @@
 
 // endedAttempt is an end that a report told and that is not committed yet.
 type endedAttempt struct {
-	status  wire.AttemptStatus
-	version int64 // of the job's record that has the end
-	heardMs int64
+	status     wire.AttemptStatus
+	version    int64 // of the job's record that has the end
+	heardMs    int64
+	sentMs     int64 // by the agent's clock, when it told
+	agent      string
+	worker     string
+	agentEpoch uint64
 }
 
 // observeStage counts how long a task or job was in a stage.
@@ -64,8 +68,9 @@
 	n.observeStage(js, class, jobtrace.Run, h.RanMs)
 }
 
-// traceCommitted notes that a version of a job's record is at a quorum.
-func (n *node) traceCommitted(js *jobState, version int64) {
+// traceCommitted notes that a version of a job's record is at a quorum, and gives the ends
+// that it has.
+func (n *node) traceCommitted(js *jobState, version int64) (committed []endedAttempt) {
 	if js.committed == 0 && js.trace != nil && js.trace.AdmittedMs != 0 {
 		js.trace.CommittedMs = n.now
 		n.observeStage(js, js.jobClass(), jobtrace.Commit, n.now-js.trace.AdmittedMs)
@@ -77,8 +82,10 @@
 			continue
 		}
 		n.observeStage(js, e.status.Class, jobtrace.CommitEnd, n.now-e.heardMs)
+		committed = append(committed, e)
 	}
 	js.ended = kept
+	return committed
 }
 
 // traceOutcome keeps the trace of a job whose outcome is at a quorum.
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -29,6 +29,12 @@
 	}
 	reply := &wire.OwnerReply{Worker: m.Worker, Epoch: m.Epoch, Shard: m.Shard, ShardEpoch: sl.epoch, SentMs: m.SentMs}
 	listed := n.decideAttempts(sl, m, reply)
+	if m.Partial {
+		if len(reply.Decisions)+len(reply.Specs) > 0 {
+			n.send(from, reply)
+		}
+		return
+	}
 	for _, at := range sl.placedOn(m.Worker) { // resolving changes the index, not this list
 		if js := sl.jobs[at.job]; js != nil {
 			n.reconcilePlaced(sl, js, at, m, listed)
@@ -161,7 +167,10 @@
 		}
 		n.traceEnded(js, i, h)
 		n.resolveAttempt(sl, js, i, h.Result, h.RanMs)
-		js.ended = append(js.ended, endedAttempt{status: h, version: js.Version, heardMs: n.now})
+		js.ended = append(js.ended, endedAttempt{
+			status: h, version: js.Version, heardMs: n.now, sentMs: m.SentMs,
+			agent: m.Agent, worker: m.Worker, agentEpoch: m.Epoch,
+		})
 		return 0 // acknowledged once it is committed
 	}
 	return n.decideHeld(sl, m, js, i, h)
--- a/internal/daemon/shard_write.go
+++ b/internal/daemon/shard_write.go
@@ -90,17 +90,20 @@
 	if len(b.acked) >= n.core.Majority() && !b.done {
 		b.done = true
 		n.count("commits")
+		acknowledged := endReplies{}
 		for _, r := range b.records {
 			delete(sl.loading, r.ID)
 			if !r.Live {
 				sl.confirmed = append(sl.confirmed, r.ID)
 			}
 			if js := sl.jobs[r.ID]; js != nil {
-				n.traceCommitted(js, r.Version)
+				ends := n.traceCommitted(js, r.Version)
 				js.committed = max(js.committed, r.Version)
+				acknowledged.add(sl, js, ends)
 				n.advanceJob(sl, js)
 			}
 		}
+		n.sendEndReplies(acknowledged)
 	}
 	if len(b.acked) >= len(n.core.Members) {
 		delete(sl.writes, m.Seq)
@@ -130,3 +133,41 @@
 	}
 	n.tickCatchUp(sl)
 }
+
+// endReplies are acknowledgements of ends that are at a quorum now, by worker. An agent hears
+// of them at once and need not ask again.
+type endReplies map[string]endReply
+
+type endReply struct {
+	agent string
+	reply *wire.OwnerReply
+}
+
+// add puts in what a job's record says now of ends that it has.
+func (r endReplies) add(sl *shard, js *jobState, ends []endedAttempt) {
+	for _, e := range ends {
+		i, _, ok := js.position(e.status.Key.Task)
+		if !ok {
+			continue // the agent tells it again, and hears that its round is over
+		}
+		decision := js.decideFormer(&js.Tasks[i], e.status)
+		if decision == 0 {
+			continue
+		}
+		to, known := r[e.worker]
+		if !known || to.reply.Epoch != e.agentEpoch {
+			to = endReply{e.agent, &wire.OwnerReply{
+				Worker: e.worker, Epoch: e.agentEpoch, Shard: sl.name, ShardEpoch: sl.epoch, SentMs: e.sentMs,
+			}}
+			r[e.worker] = to
+		}
+		to.reply.SentMs = min(to.reply.SentMs, e.sentMs)
+		to.reply.Decisions = append(to.reply.Decisions, wire.AttemptDecision{Key: e.status.Key, Decision: decision})
+	}
+}
+
+func (n *node) sendEndReplies(r endReplies) {
+	for _, worker := range sorted(r) {
+		n.send(r[worker].agent, r[worker].reply)
+	}
+}
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -130,7 +130,11 @@
 	Waiting    int64           // unstarted tasks that are no batch's
 	Batch      []QueueUse      // room of the batches it holds that are not this shard's
 	LagPercent int64           // run time against the estimate, in percent, smoothed
-	Attempts   []AttemptStatus
+	// Partial tells that Attempts are only those that wait or have ended: what isn't
+	// listed goes on as before. The central scheduler is only ever told of guaranteed
+	// attempts, and of queueable ones that it may promote.
+	Partial  bool
+	Attempts []AttemptStatus
 }
 
 // AttemptDecision is the owner's decision on one attempt.
