Owners gather record changes while a batch is on its way

Ruled out: a fixed pause before each batch (it delays a quiet owner too). Change: while the newest batch has no quorum yet, for 30 ms at most, what changes gathers in the next; an end of which nothing follows yet (others of its step still run) may wait 40 ms for others of its job. Version and value of a record stay one to one.

--- a/internal/daemon/attempt_result.go
+++ b/internal/daemon/attempt_result.go
@@ -13,7 +13,11 @@
 func (n *node) resolveAttempt(sl *shard, js *jobState, i int, result wire.AttemptResult, ranMs int64) {
 	t, rt := &js.Tasks[i], &js.runtime[i]
 	st := &js.Steps[t.Step]
-	n.markDirty(sl, js)
+	if js.awaitsOthers(i, result) {
+		n.markDeferred(sl, js)
+	} else {
+		n.markDirty(sl, js)
+	}
 	t.ChangedIn, t.RanMs = js.Version, ranMs
 	n.meterBatch(js, t, ranMs)
 	n.count("ends_" + result.String())
@@ -70,6 +74,23 @@
 	}
 }
 
+// awaitsOthers tells whether nothing follows from the end of an attempt yet: it ended well,
+// and other tasks of its step still run.
+func (js *jobState) awaitsOthers(i int, result wire.AttemptResult) bool {
+	t := &js.Tasks[i]
+	st := &js.Steps[t.Step]
+	if result != wire.ResultOK || st.Gang || st.Lasting || js.State != jobRunning {
+		return false
+	}
+	from, to := js.gangRange(i)
+	for k := from; k < to; k++ {
+		if k != i && !js.Tasks[k].resolved() {
+			return true
+		}
+	}
+	return false
+}
+
 // countFailure counts a failed run, a gang's once for all its members.
 func (n *node) countFailure(js *jobState, i int) bool {
 	t := &js.Tasks[i]
--- a/internal/daemon/catchup.go
+++ b/internal/daemon/catchup.go
@@ -56,7 +56,7 @@
 		if size > statestore.ChunkBytes {
 			break
 		}
-		if sl.dirty[id] {
+		if sl.isDirty(id) {
 			continue // its next version is on its way
 		}
 		r, known := sl.recordOf(id)
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if js.DoneMs != 0 {
-		if js.committed >= js.Version && !sl.dirty[js.ID] && len(js.waiters) == 0 {
+		if js.committed >= js.Version && !sl.isDirty(js.ID) && len(js.waiters) == 0 {
 			n.retireJob(sl, js)
 		}
 		return
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -39,6 +39,8 @@
 	traces             jobtrace.Finished // of the last of them
 	order              []string          // of finished, oldest first
 	dirty              map[string]bool
+	deferred           map[string]int64 // changed jobs whose records may wait -> until when
+	newestWrite        *writeBatch
 	writeSeq           uint64
 	writes             map[uint64]*writeBatch
 	replicaLags        map[string]*replicaLag // member -> records it has not acknowledged
@@ -178,6 +180,7 @@
 		jobs:        map[string]*jobState{},
 		finished:    map[string]*job{},
 		dirty:       map[string]bool{},
+		deferred:    map[string]int64{},
 		loading:     map[string]bool{},
 		writes:      map[uint64]*writeBatch{},
 		replicaLags: map[string]*replicaLag{},
@@ -213,11 +216,29 @@
 	}
 }
 
+// markDirty has a job's record written with the next batch.
 func (n *node) markDirty(sl *shard, js *jobState) {
-	if !sl.dirty[js.ID] {
+	if !sl.isDirty(js.ID) {
 		js.Version++
 	}
 	sl.dirty[js.ID] = true
+	delete(sl.deferred, js.ID)
+}
+
+// markDeferred has a job's record written within deferredMs, with what changes until then:
+// for changes that nothing waits for.
+func (n *node) markDeferred(sl *shard, js *jobState) {
+	if sl.isDirty(js.ID) {
+		return
+	}
+	js.Version++
+	sl.deferred[js.ID] = n.now + deferredMs
+}
+
+// isDirty tells whether a job's record has changed since it was last sent to the core.
+func (sl *shard) isDirty(id string) bool {
+	_, deferred := sl.deferred[id]
+	return deferred || sl.dirty[id]
 }
 
 func (n *node) tickShards() {
--- a/internal/daemon/shard_write.go
+++ b/internal/daemon/shard_write.go
@@ -8,6 +8,14 @@
 
 const (
 	writeRetry = 600 // ms before unacknowledged record writes are sent again
+	// commitHoldMs: while a batch is on its way to a quorum the next one gathers what
+	// changes, so that a busy owner sends few large ones; no longer than this, since the
+	// batch may be lost.
+	commitHoldMs = 30
+	// deferredMs is how long a change that nothing waits for may gather others of its
+	// job. The worker keeps such an end listed meanwhile: it must stay well below the
+	// 100 ms within which ends should be noted.
+	deferredMs = 40
 )
 
 // writeBatch is what one event changed of a shard's records, on its way to the core.
@@ -18,17 +26,38 @@
 	acked   map[string]bool
 	done    bool
 	sentMs  int64
+	firstMs int64 // when it was first sent
 }
 
-// flushWrites sends what one event changed as one batch to all of the core.
+// gathers tells whether the next batch waits for the one before it.
+func (sl *shard) gathers(nowMs int64) bool {
+	b := sl.newestWrite
+	return b != nil && !b.done && nowMs-b.firstMs < commitHoldMs
+}
+
+// takeDue moves deferred changes whose time has come to the next batch.
+func (sl *shard) takeDue(nowMs int64) {
+	for id, dueMs := range sl.deferred {
+		if nowMs >= dueMs {
+			sl.dirty[id] = true
+			delete(sl.deferred, id)
+		}
+	}
+}
+
+// flushWrites sends what changed as one batch to all of the core.
 func (n *node) flushWrites() {
 	for _, name := range sorted(n.owned) {
 		sl := n.owned[name]
+		if sl.gathers(n.now) {
+			continue
+		}
+		sl.takeDue(n.now)
 		whole := sl.serving && len(sl.loading) == 0 && sl.completeAt == 0
 		if len(sl.dirty) == 0 && !whole && (len(sl.confirmed) == 0 || n.now-sl.confirmedSentMs < writeRetry) {
 			continue
 		}
-		b := &writeBatch{acked: map[string]bool{}, patches: map[string]statestore.Patch{}, sentMs: n.now, settled: sl.confirmed}
+		b := &writeBatch{acked: map[string]bool{}, patches: map[string]statestore.Patch{}, sentMs: n.now, firstMs: n.now, settled: sl.confirmed}
 		sl.confirmed, sl.confirmedSentMs = nil, n.now
 		for _, id := range sorted(sl.dirty) {
 			js := sl.jobs[id]
@@ -36,7 +65,7 @@
 		}
 		sl.dirty = map[string]bool{}
 		sl.writeSeq++
-		sl.writes[sl.writeSeq] = b
+		sl.writes[sl.writeSeq], sl.newestWrite = b, b
 		if whole {
 			sl.completeAt = sl.writeSeq
 		}
