Roles go to strong machines, the central scheduler apart from shards, and leave weak ones

The central scheduler stood on a shard's owner. Order: strong, strained, weak (under half of the strongest's processor or a quarter of its link), beside a worker; in each the own zone first, as before. The central scheduler goes where no shard is. A role on a worse tier is handed to a better machine after 8 s. A lower candidate waits 400 ms instead of 700. Ruled out: thresholds in cores or Mbit/s (another deployment's strongest may be that small).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -361,6 +361,8 @@
 		SaveMs:       s.SaveMs,
 		RestoreMs:    s.RestoreMs,
 		SpreadFactor: s.SpreadFactor,
+		MilliCores:   s.MilliCores,
+		LinkMbps:     s.LinkMbps,
 	}
 	if d.disk != nil {
 		p.DiskID = d.disk.ID()
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -37,6 +37,8 @@
 	KLowest       int
 	TargetSigma   float64
 	Colocated     bool // it stands beside a worker: no role of the fleet's
+	MilliCores    int64
+	LinkMbps      int64
 	CoreSize      int  // disks that hold the state; 0 for membership.DefaultSize
 	FirstStart    bool // the whole fleet starts for the first time: empty disks may form a core
 	MaxHoldMs     int64
@@ -180,6 +182,7 @@
 
 	diskFailed string
 	syncMs     int64
+	strain     strainMeter
 }
 
 func newNode(p nodeConfig, st *statestore.Store) *node {
@@ -315,6 +318,7 @@
 }
 
 func (n *node) onTick(evTick) {
+	n.strain.onTick(n.now)
 	for _, p := range tickParts {
 		p.do(n)
 		if n.onTickPart != nil {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -49,8 +49,12 @@
 	RestoreMs    int64
 	SpreadFactor float64
 
-	MemoryMb int64             // from the platform alone; 0 for no bound
-	adapter  *platform.Adapter // nil without a platform
+	// From the platform alone; 0 where it says nothing.
+	MemoryMb   int64
+	MilliCores int64
+	LinkMbps   int64
+
+	adapter *platform.Adapter // nil without a platform
 }
 
 var settingsFields = schema.Field{Kind: schema.Object, Fields: map[string]schema.Field{
@@ -250,6 +254,7 @@
 func (s *settings) take(p platform.Identity) {
 	s.Name, s.Addr, s.HTTP, s.Zone, s.Data, s.Seeds = p.Name, p.Addr, p.HTTP, p.Zone, p.Data, p.Seeds
 	s.FirstStart, s.MemoryMb = p.FirstStart, p.MemoryMb
+	s.MilliCores, s.LinkMbps = p.MilliCores, p.LinkMbps
 	s.CoreSize = cmp.Or(int64(p.CoreSize), s.CoreSize)
 	s.Colocated = p.Beside
 	s.MaxHoldMs, s.GangWaitMs = cmp.Or(p.HoldMostMs, s.MaxHoldMs), cmp.Or(p.GangWaitMs, s.GangWaitMs)
--- /dev/null
+++ b/internal/daemon/strain.go
@@ -0,0 +1,40 @@
+package daemon
+
+const (
+	// strainLateMs: ticks come this much too late, in the mean, at a daemon whose control
+	// thread can't keep up: polls and leases still fit, but not much more.
+	strainLateMs = 100
+	// strainEaseMs: below this mean it has caught up.
+	strainEaseMs = 30
+	// strainHoldMs is how long a daemon stays strained at the least, so that roles don't
+	// come back as soon as they have left.
+	strainHoldMs = 10_000
+	// strainWeight is the share of the newest tick in the mean: about the last two seconds count.
+	strainWeight = 0.05
+)
+
+// strainMeter observes how late a daemon's own control thread runs. Ticks are due each
+// tickMs; what waits before a tick delays it.
+type strainMeter struct {
+	lastMs   int64
+	lateMs   float64 // mean of how late the last ticks came
+	sinceMs  int64 // when it was last above strainLateMs
+	strained bool
+}
+
+// onTick takes a tick at a time. One long stop is a freeze, not strain.
+func (s *strainMeter) onTick(nowMs int64) {
+	late := nowMs - s.lastMs - tickMs
+	first := s.lastMs == 0
+	s.lastMs = nowMs
+	if first || late > frozenMs {
+		return
+	}
+	s.lateMs += strainWeight * (float64(max(late, 0)) - s.lateMs)
+	switch {
+	case s.lateMs > strainLateMs:
+		s.strained, s.sinceMs = true, nowMs
+	case s.strained && s.lateMs < strainEaseMs && nowMs-s.sinceMs > strainHoldMs:
+		s.strained = false
+	}
+}
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -37,7 +38,7 @@
 // tickRole tries for one role, or hands one back to its zone.
 func (m *Manager) tickRole(role, zone string) {
 	if m.leases[role] != nil {
-		m.returnToZone(role, zone)
+		m.returnToFirst(role, zone)
 		return
 	}
 	if h, known := m.holders[role]; known && h.Holder != "" {
@@ -70,55 +71,125 @@
 	}
 }
 
-// returnToZone hands a shard held outside its zone back once the zone stands.
-func (m *Manager) returnToZone(role, zone string) {
-	l, self := m.leases[role], m.host.Self()
+// returnToFirst hands a role back that is held where it should not stay: a shard outside
+// its zone, or any role on a weak or strained machine, once a better one stood for a while.
+func (m *Manager) returnToFirst(role, zone string) {
+	l, self := m.leases[role], m.host.Self().Name
 	kind, _ := SplitRole(role)
-	if l.phase != held || self.Zone == zone || kind != KindShard || m.host.NowMs()-l.takenMs < returnMs {
+	if l.phase != held || kind == KindAgent || m.host.NowMs()-l.takenMs < returnMs {
 		return
 	}
-	first := m.Candidates(role, zone)
-	if len(first) > 0 && m.peers.Zone(first[0]) == zone && first[0] != self.Name {
+	order := m.Candidates(role, zone)
+	if len(order) == 0 || order[0] == self {
+		return
+	}
+	first := order[0]
+	home := kind == KindShard && m.peers.Zone(first) == zone && m.peers.Zone(self) != zone
+	best := m.strongest()
+	if home || m.tier(first, best) < m.tier(self, best) {
 		l.takenMs = m.host.NowMs() // one try per period, if the successor fails it
-		m.HandOff(role, first[0])
+		m.HandOff(role, first)
 	}
 }
 
-// Candidates orders the live daemons for a role: those in a zone first, then by
-// rendezvous weight. Who has just lost it, most likely by its death, is none.
+// Candidates orders the live daemons for a role: strong machines before weak ones, those in
+// a zone before others, and by rendezvous weight. The central scheduler goes where no
+// shard would. Who has just lost the role, most likely by its death, is none.
 func (m *Manager) Candidates(role, zone string) []string {
 	kind, _ := SplitRole(role)
 	former := m.recentHolder(role)
-	all := slices.DeleteFunc(m.peers.AliveNames(), func(name string) bool {
+	order := rendezvous.Order(role, slices.DeleteFunc(m.peers.AliveNames(), func(name string) bool {
 		return name == former || m.peers.Describe(name).Leaving
+	}))
+	if kind == KindAgent {
+		return m.nearestFirst(order, zone)
+	}
+	slices.SortStableFunc(order, func(a, b string) int {
+		return intOf(!m.peers.Describe(a).Disk) - intOf(!m.peers.Describe(b).Disk)
 	})
-	order := rendezvous.Order(role, all)
-	if kind != KindAgent {
-		slices.SortStableFunc(order, func(a, b string) int { return m.unfitness(a) - m.unfitness(b) })
+	if kind == KindCentral {
+		order = m.shardOwnersLast(order)
 	}
-	var home, away []string
+	order = m.nearestFirst(order, zone)
+	best, tiers := m.strongest(), map[string]tier{}
 	for _, name := range order {
-		p := m.peers.Describe(name)
-		if p.Zone == zone && (kind == KindAgent || !p.Colocated) {
-			home = append(home, name)
-		} else {
-			away = append(away, name)
-		}
+		tiers[name] = m.tier(name, best)
 	}
-	return append(home, away...)
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(tiers[a], tiers[b]) })
+	return order
 }
 
-// unfitness orders candidates: small machines beside workers come last, then those
-// without a disk.
-func (m *Manager) unfitness(name string) int {
-	p, out := m.peers.Describe(name), 0
-	if p.Colocated {
-		out += 2
+func intOf(b bool) int {
+	if b {
+		return 1
 	}
-	if !p.Disk {
-		out++
+	return 0
+}
+
+// nearestFirst puts those of a zone first.
+func (m *Manager) nearestFirst(names []string, zone string) []string {
+	away := func(name string) int { return intOf(m.peers.Zone(name) != zone) }
+	slices.SortStableFunc(names, func(a, b string) int { return away(a) - away(b) })
+	return names
+}
+
+// shardOwnersLast puts the machines that hold a shard, or would be the first to, last.
+func (m *Manager) shardOwnersLast(names []string) []string {
+	owners := map[string]bool{}
+	for _, shard := range m.host.CoreSet().Shards {
+		if h := m.holders[ShardRole(shard)]; h.Holder != "" {
+			owners[h.Holder] = true
+		} else if c := m.Candidates(ShardRole(shard), shard); len(c) > 0 {
+			owners[c[0]] = true
+		}
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return intOf(owners[a]) - intOf(owners[b]) })
+	return names
+}
+
+// tier says how fit a machine is for a role; lower ones go first.
+type tier int
+
+const (
+	tierStrong    tier = iota // has about what the strongest have
+	tierStrained              // it can't keep up with what it does already
+	tierWeak                  // far less processor or link than the strongest
+	tierColocated             // stands beside a worker, for which it is there
+)
+
+// weakShare: a machine with less than half of the strongest one's processor, or less than a
+// quarter of its link, is weak: a role takes more of both than most of what a weak one has.
+const (
+	weakCoreShare = 2
+	weakLinkShare = 4
+)
+
+// tier judges a machine by what it says of itself, against the strongest that is alive.
+func (m *Manager) tier(name string, best strength) tier {
+	p := m.peers.Describe(name)
+	switch {
+	case p.Colocated:
+		return tierColocated
+	case p.MilliCores != 0 && weakCoreShare*p.MilliCores < best.milliCores,
+		p.LinkMbps != 0 && weakLinkShare*p.LinkMbps < best.linkMbps:
+		return tierWeak
+	case p.Strained:
+		return tierStrained
+	}
+	return tierStrong
+}
+
+// strength is what a machine has: thousandths of a core, and Mbit/s.
+type strength struct{ milliCores, linkMbps int64 }
+
+// strongest gives the most processor and the fastest link of a live machine that may hold roles.
+func (m *Manager) strongest() (best strength) {
+	for _, name := range m.peers.AliveNames() {
+		if p := m.peers.Describe(name); !p.Colocated {
+			best.milliCores, best.linkMbps = max(best.milliCores, p.MilliCores), max(best.linkMbps, p.LinkMbps)
+		}
 	}
-	return out
+	return best
 }
 
 // recentHolder returns who lost a role a short while ago.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"otterchute/internal/cluster"
@@ -283,3 +284,61 @@
 	m.peers.Record(wire.Peer{Name: "e", Zone: "east", Disk: true}, h.nowMs)
 	must.SliceContains(t, m.Candidates("slice/east", "east"), "e")
 }
+
+// A strong machine of another zone goes before a weak one at home, a strained one between
+// them; where nobody says what it has, all count alike.
+func TestCandidatesByStrength(t *testing.T) {
+	h, m := newManager()
+	for _, p := range []wire.Peer{
+		{Name: "strong-east", Zone: "east", Disk: true, MilliCores: 640, LinkMbps: 200},
+		{Name: "half-east", Zone: "east", MilliCores: 320, LinkMbps: 200},
+		{Name: "weak-east", Zone: "east", MilliCores: 99, LinkMbps: 200},
+		{Name: "thin-east", Zone: "east", MilliCores: 640, LinkMbps: 2},
+		{Name: "strong-west", Zone: "west", Disk: true, MilliCores: 640, LinkMbps: 200},
+		{Name: "strained-east", Zone: "east", Disk: true, MilliCores: 640, LinkMbps: 200, Strained: true},
+		{Name: "beside-east", Zone: "east", MilliCores: 240, LinkMbps: 1000, Colocated: true},
+	} {
+		m.peers.Record(p, h.nowMs)
+	}
+	got := slices.DeleteFunc(m.Candidates("slice/east", "east"), func(name string) bool { return name == "d" })
+	must.Eq(t, []string{"strong-east", "half-east", "strong-west", "strained-east"}, got[:4])
+	must.SliceContainsAll(t, []string{"weak-east", "thin-east"}, got[4:6])
+	must.Eq(t, "beside-east", got[6])
+}
+
+// The central scheduler goes where no shard is, or would be first.
+func TestCentralApartFromShards(t *testing.T) {
+	h, m := newManager()
+	for _, name := range []string{"e1", "e2", "w1", "w2"} {
+		m.peers.Record(wire.Peer{Name: name, Zone: map[byte]string{'e': "east", 'w': "west"}[name[0]], Disk: true}, h.nowMs)
+	}
+	h.set.Shards = []string{"east", "west"}
+	m.holders[ShardRole("east")] = wire.RoleHolder{Name: ShardRole("east"), Holder: "e2", Epoch: 1}
+	free := m.Candidates(Central, "")
+	must.SliceNotContains(t, free[:len(free)-2], "e2")
+	firstWest := m.Candidates(ShardRole("west"), "west")[0]
+	must.SliceNotContains(t, free[:len(free)-2], firstWest)
+}
+
+// A role on a weak machine goes to a strong one once that has stood for a while, and stays
+// where both are alike.
+func TestRoleLeavesAWeakMachine(t *testing.T) {
+	for _, milliCores := range []int64{99, 640} {
+		h, m := newManager()
+		h.self.MilliCores, h.self.Disk = milliCores, true
+		m.peers.Record(wire.Peer{Name: "strong", Zone: h.self.Zone, Disk: true, MilliCores: 640}, h.nowMs)
+		h.set.Shards = []string{h.self.Zone}
+		role := ShardRole(h.self.Zone)
+		m.Assume(role, 1, h.nowMs+60_000)
+		m.leases[role].takenMs = h.nowMs
+		m.contactMs = h.nowMs
+		m.TickRoles()
+		must.Eq(t, held, m.leases[role].phase)
+		h.nowMs += returnMs
+		m.contactMs = h.nowMs
+		m.peers.Record(wire.Peer{Name: "strong", Zone: h.self.Zone, Disk: true, MilliCores: 640}, h.nowMs)
+		m.TickRoles()
+		want := map[int64]phase{99: handingOff, 640: held}[milliCores]
+		must.Eq(t, want, m.leases[role].phase, must.Sprint(milliCores))
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -20,8 +20,8 @@
 	// the configuration they go by is confirmed this often.
 	PollColocatedMs = 400
 	// acquireStepMs: each lower-ranked candidate waits this much longer for a free role.
-	acquireStepMs = 700
-	// returnMs: a shard's owner outside its zone hands it back when the zone stood this long.
+	acquireStepMs = 400
+	// returnMs: a role's holder hands it to a better machine when it has held it this long.
 	returnMs = 8000
 	// acquireForMs: a candidate keeps trying for a role this long.
 	acquireForMs = 3000
--- a/internal/wire/cluster.go
+++ b/internal/wire/cluster.go
@@ -24,6 +24,10 @@
 	Empty       bool // has a disk with no cluster on it
 	Leaving     bool
 	Colocated   bool // stands beside a worker, and takes no role of the fleet's
+	// What the machine has: thousandths of a core, and Mbit/s; 0 where nobody said.
+	MilliCores int64
+	LinkMbps   int64
+	Strained   bool // its control thread runs late
 }
 
 // Gossip tells the whole table of peers: to a daemon that hears nobody yet, at a
