Room for the most urgent queues follows what they use; policies can be switched off

Cause: 12 percent of each worker were kept for the most urgent queues, from firm tasks alone. Change: agents tell what the most urgent queues hold; the coordinator keeps that share of each worker, with a quarter and five percent more, up at once and down by a tenth a round, 6 to 50 percent; the central scheduler keeps it from firm tasks, owners and agents from queueable ones. New package scheduler: policies by name, pure; -disable-policy switches one off for trials, but none that a rule or the design's ordinary path needs. Ruled out: preempting at once (a stop takes up to 200 ms, and its work is lost).

--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -107,7 +107,7 @@
 	if r := n.batchSpec(&h.spec); r != nil && (!h.spec.Resources.Fits(*avail) || !n.mayStartBatch(ag, h, r)) {
 		return true
 	}
-	if h.spec.Resources.Fits(*avail) {
+	if h.spec.Resources.Fits(n.startRoom(ag, h, q, *avail)) {
 		*avail = avail.Minus(h.spec.Resources)
 		n.dispatch(ag, h)
 		return true
@@ -121,6 +121,14 @@
 	return n.now-h.queuedMs <= bypassMs
 }
 
+// startRoom is the part of a worker's available room that a waiting attempt may take.
+func (n *node) startRoom(ag *agent, h *attempt, q *configuration.Queue, avail resource.Amount) resource.Amount {
+	if h.spec.Class == wire.ClassGuaranteed || n.isUrgent(q) || !ag.colocated {
+		return avail
+	}
+	return avail.Minus(n.keptRoom(ag.capacity, ag.urgentHeld(n, wire.AttemptOrdered, wire.AttemptRunning)))
+}
+
 // ofStep counts the started tasks here that share a task's job, round and step.
 func (ag *agent) ofStep(h *attempt) (count int) {
 	round, step, _, ok := placeOf(h.spec.Key.Task)
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -187,6 +187,7 @@
 		Suspect: n.now < ag.suspectMs, Colocated: ag.colocated,
 		RankMs: rank, QueuedMs: queuedMs, Queued: queued,
 		Succeeded: ag.succeeded, Failed: ag.failed, LagPercent: ag.lagPct,
+		Urgent: ag.urgentHeld(n, wire.AttemptQueued, wire.AttemptOrdered, wire.AttemptRunning),
 	}
 }
 
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -7,6 +7,7 @@
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -16,7 +17,6 @@
 	spreadAfterMs = 1500   // a gang that wants one rack takes several after this, at the earliest
 	rackWaitShare = 50     // percent of what its run takes longer over several that it waits for one
 	rackWaitMost  = 15_000 // ms, and no longer than this
-	urgentRoom    = 12     // percent of a worker that firm work of lesser queues leaves to the most urgent ones
 	// busyPercent is of all room in use: below it no reservation holds, for a job must not wait
 	// beside idle workers.
 	busyPercent = 55
@@ -41,7 +41,7 @@
 		return
 	}
 	rooms := n.candidateWorkers(c)
-	reserved, idle := map[string]bool{}, mostlyIdle(rooms)
+	reserved, idle := map[string]bool{}, n.Policies.On(scheduler.Backfill) && mostlyIdle(rooms)
 	for _, k := range keys {
 		ws := c.pending[k]
 		q := n.config.current.Queues[ws.Queue]
@@ -112,7 +112,7 @@
 			continue
 		}
 		fit = append(fit, r)
-		if r.w.unhealthyUntilMs <= n.now && !r.w.Suspect {
+		if r.w.unhealthyUntilMs <= n.now && !r.w.Suspect || !n.Policies.On(scheduler.EjectUnhealthy) {
 			healthy = append(healthy, r)
 		}
 	}
@@ -129,7 +129,7 @@
 ) *assignmentSearch {
 	search := &assignmentSearch{
 		n: n, ws: ws, used: map[string]int32{}, reserved: reserved,
-		urgent: q.Urgency >= n.config.current.Highest,
+		urgent: n.isUrgent(q), kept: n.central.urgent.Percent(),
 	}
 	for _, u := range ws.Used {
 		search.used[u.Worker] += u.Count
@@ -167,6 +167,9 @@
 // that waits for one rack keeps workers of one rack, from the beginning: else
 // others take what gets free there.
 func (n *node) reserve(ws *pendingAllocation, fit []*candidateWorker, reserved map[string]bool, all int) {
+	if !n.Policies.On(scheduler.Reservation) {
+		return
+	}
 	var likely []*candidateWorker
 	switch waitedMs := n.now - ws.firstMs; {
 	case ws.Gang && ws.SameRack && waitedMs < n.rackWaitMs(ws):
@@ -263,8 +266,9 @@
 	ws       *pendingAllocation
 	used     map[string]int32 // tasks of the step on a worker
 	reserved map[string]bool
-	urgent   bool // of the most urgent queues: nothing is kept back from it
-	anyRack  bool // so much room is free that a gang doesn't wait for one rack
+	urgent   bool            // of the most urgent queues: nothing is kept back from it
+	kept     resource.Amount // percent that the others leave to those
+	anyRack  bool            // so much room is free that a gang doesn't wait for one rack
 }
 
 type assignment struct {
@@ -309,6 +313,9 @@
 // waitsForRack tells whether a gang still waits for room in one rack.
 func (f *assignmentSearch) waitsForRack() bool {
 	waitedMs := f.n.now - f.ws.firstMs
+	if !f.n.Policies.On(scheduler.RackWait) {
+		return false
+	}
 	if f.anyRack {
 		return waitedMs < spreadAfterMs
 	}
@@ -316,7 +323,7 @@
 }
 
 func (f *assignmentSearch) nearness(rack string) int {
-	if f.ws.Near != "" && f.ws.Near == rack {
+	if f.ws.Near != "" && f.ws.Near == rack && f.n.Policies.On(scheduler.NearData) {
 		return 1
 	}
 	return 0
@@ -354,7 +361,7 @@
 	if f.reserved[r.name] || f.ws.PerWorker > 0 && f.used[r.name] >= f.ws.PerWorker {
 		return false
 	}
-	sure, kept := r.guaranteed, r.w.Capacity.Share(urgentRoom)
+	sure, kept := r.guaranteed, scheduler.KeptRoom(r.w.Capacity, resource.Amount{}, f.kept)
 	if !f.urgent && f.ws.Resources.Fits(r.w.Capacity.Minus(kept)) {
 		sure = sure.Minus(kept)
 	}
@@ -375,7 +382,7 @@
 	if f.nearness(r.w.Rack) > 0 {
 		s += 1 << 30
 	}
-	if r.name == f.ws.Avoid {
+	if r.name == f.ws.Avoid && f.n.Policies.On(scheduler.AvoidLast) {
 		s -= 1 << 50
 	}
 	return s
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -6,6 +6,7 @@
 
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -29,6 +30,7 @@
 	pending map[allocationKey]*pendingAllocation
 	roundAt int64
 	round   int64
+	urgent  scheduler.UrgentShare
 }
 
 // allocationKey names a want by its first task's step: (job, round and step), or the
@@ -89,6 +91,7 @@
 	heardMs   int64
 	targetMs  int64
 	short     bool
+	urgent    resource.Amount // percent by dimension that is kept for the most urgent queues
 	ranks     map[string]int64
 	unhealthy map[string]int8
 	added     map[string]int64 // estimates of what was placed from here since the round
@@ -200,7 +203,7 @@
 // promote makes long-running queueable tasks firm where the room is sure, so
 // that their work is not thrown away.
 func (n *node) promote(c *central, w *workerCapacity) {
-	if !n.leases.Holds(lease.Central) || n.now-c.startMs < rebuildMs {
+	if !n.leases.Holds(lease.Central) || n.now-c.startMs < rebuildMs || !n.Policies.On(scheduler.Promotion) {
 		return
 	}
 	sure := w.Capacity.Minus(w.guaranteed).Minus(c.granted(w.Worker))
@@ -235,6 +238,7 @@
 			delete(c.workers, name)
 		}
 	}
+	n.observeUrgent(c)
 	n.allocateAll(c)
 	if n.now < c.roundAt || !n.leases.Holds(lease.Central) {
 		return
@@ -242,7 +246,11 @@
 	c.roundAt += rankMs
 	c.round++
 	n.updateHealth(c)
-	m := &wire.Ranks{Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c)}
+	c.urgent.Decay()
+	n.observeUrgent(c)
+	m := &wire.Ranks{
+		Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c), UrgentPercent: c.urgent.Percent(),
+	}
 	var sum, sum2, count float64
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
@@ -261,7 +269,7 @@
 		m.TargetMs = int64(mean + n.TargetSigma*math.Sqrt(max(0, sum2/count-mean*mean)))
 	}
 	// Ranks are for those that place tasks; agents need the target alone.
-	brief := &wire.Ranks{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs}
+	brief := &wire.Ranks{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs, UrgentPercent: m.UrgentPercent}
 	owners := map[string]bool{n.Name: true}
 	for _, s := range n.core.Shards {
 		to, _ := n.leases.Holder(lease.ShardRole(s))
@@ -276,6 +284,20 @@
 	}
 }
 
+// observeUrgent takes what the most urgent queues hold at all workers now.
+func (n *node) observeUrgent(c *central) {
+	if !n.Policies.On(scheduler.UrgentRoom) {
+		return
+	}
+	var used, all resource.Amount
+	for _, w := range c.workers { // a sum: the order does not matter
+		if n.now-w.heardMs < contactMs {
+			used, all = used.Plus(w.Urgent), all.Plus(w.Capacity)
+		}
+	}
+	c.urgent.Raise(used, all)
+}
+
 // updateHealth finds workers that fail or lag far more than their peers.
 // Where most look bad the jobs are, and nobody is judged. A worker judged
 // unsound is tried again with real work after a while.
@@ -322,6 +344,7 @@
 		heardMs:   n.now,
 		targetMs:  m.TargetMs,
 		short:     m.WaitsForRoom,
+		urgent:    m.UrgentPercent,
 		ranks:     map[string]int64{},
 		unhealthy: map[string]int8{},
 	}
@@ -331,7 +354,7 @@
 			r.unhealthy[v.Worker] = v.Unhealthy
 		}
 	}
-	if m.TargetMs > 0 {
+	if m.TargetMs > 0 && n.Policies.On(scheduler.DelayTarget) {
 		for _, name := range sorted(n.agents) {
 			n.shed(n.agents[name], m.TargetMs)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -363,6 +363,7 @@
 		SpreadFactor: s.SpreadFactor,
 		MilliCores:   s.MilliCores,
 		LinkMbps:     s.LinkMbps,
+		Policies:     s.Policies,
 	}
 	if d.disk != nil {
 		p.DiskID = d.disk.ID()
--- a/internal/daemon/estimate.go
+++ b/internal/daemon/estimate.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -18,7 +19,7 @@
 func (n *node) estimateMs(js *jobState, t *task) int64 {
 	if js.Steps[t.Step].Alike && t.HintMs > 0 {
 		percent := 100.0
-		if e := n.estimates[js.Queue+"/%"]; e != nil {
+		if e := n.estimates[js.Queue+"/%"]; e != nil && n.Policies.On(scheduler.LearnedEstimates) {
 			percent = e.meanMs
 		}
 		return max(int64(float64(t.HintMs)*percent/100), 1)
--- a/internal/daemon/forms_test.go
+++ b/internal/daemon/forms_test.go
@@ -28,7 +28,7 @@
 	must.NoError(t, load(good...))
 	for key, args := range map[string][]string{
 		"site: ": {"-site", "no good"}, "addr: ": {"-addr", "localhost:7000"}, "http: ": {"-http", "127.0.0.1:7000"}, "seeds: ": {"-seeds", "here"},
-		"data: ": {"-data", "/proc/nowhere"}, "log_level: ": {"-log-level", "loud"}, "keep_hours": {"-keep-hours", "0"},
+		"data: ": {"-data", "/proc/nowhere"}, "log_level: ": {"-log-level", "loud"}, "disable-policy: ": {"-disable-policy", "recall,sure_room"}, "keep_hours": {"-keep-hours", "0"},
 	} {
 		err := load(append(append([]string{}, good...), args...)...)
 		must.Error(t, err)
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -7,6 +7,7 @@
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -68,14 +69,17 @@
 		}
 	}
 	pinned := slices.ContainsFunc(list, func(r ranked) bool { return r.w.colocated })
+	on := n.Policies.On
 	for _, shun := range []func(ranked) bool{ // as long as others are left
-		func(r ranked) bool { return n.ranks.unhealthy[r.name] != 0 || r.w.suspect },
-		func(r ranked) bool { return r.name == t.Last },
-		func(r ranked) bool { return pinned && !t.Resources.Fits(n.freeAt(sl, r.name, r.w)) },
+		func(r ranked) bool {
+			return on(scheduler.EjectUnhealthy) && (n.ranks.unhealthy[r.name] != 0 || r.w.suspect)
+		},
+		func(r ranked) bool { return on(scheduler.AvoidLast) && r.name == t.Last },
+		func(r ranked) bool { return pinned && !t.Resources.Fits(n.roomFor(sl, q, r.name, r.w)) },
 		func(r ranked) bool {
 			return pinned && !t.Resources.Fits(n.freeAt(sl, r.name, r.w).Plus(n.batchLoad(sl, "", r.name)))
 		},
-		func(r ranked) bool { return st.Near != "" && r.w.rack != st.Near },
+		func(r ranked) bool { return on(scheduler.NearData) && st.Near != "" && r.w.rack != st.Near },
 	} {
 		if left := slices.DeleteFunc(slices.Clone(list), shun); len(left) > 0 {
 			list = left
@@ -91,6 +95,9 @@
 	if k == 0 {
 		k = min(max(len(list)/4, kLeast), kLowest)
 	}
+	if !on(scheduler.RankedChoice) {
+		k = len(list)
+	}
 	list = list[:min(k, len(list))]
 	return list[n.rand().IntN(len(list))].name, len(list)
 }
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -5,6 +5,7 @@
 
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 			agent: from, epoch: m.Epoch, echoMs: m.SentMs, heardMs: n.now, zone: m.Zone, labels: m.Labels, leaving: m.Leaving,
 			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs,
 			silentMs: m.SilentMs, otherShards: others, batch: batch, waiting: m.Waiting, spare: w.spare.with(n.now, m.Spare),
-			rack: m.Rack, suspect: m.Suspect, colocated: m.Colocated,
+			rack: m.Rack, suspect: m.Suspect, colocated: m.Colocated, urgent: m.Urgent,
 		}
 	}
 	if m.Epoch == w.epoch && m.Shard != "" {
@@ -290,12 +291,12 @@
 func (n *node) fitsElsewhere(sl *shard, js *jobState, i int) bool {
 	t := &js.Tasks[i]
 	q := n.config.current.Queues[js.Queue]
-	if q == nil || js.Steps[t.Step].PerWorker > 0 {
+	if q == nil || js.Steps[t.Step].PerWorker > 0 || !n.Policies.On(scheduler.Recall) {
 		return false
 	}
 	for name, w := range n.workers {
 		if name != t.Worker && !w.suspect && n.ranks.unhealthy[name] == 0 && n.allowed(w, q, t.Needs, t.Resources) &&
-			t.Resources.Fits(n.freeAt(sl, name, w)) {
+			t.Resources.Fits(n.roomFor(sl, q, name, w)) {
 			return true
 		}
 	}
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -14,6 +14,7 @@
 	"otterchute/internal/membership"
 	"otterchute/internal/quorum"
 	"otterchute/internal/register"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
 )
@@ -46,6 +47,7 @@
 	SaveMs        int64
 	RestoreMs     int64
 	SpreadFactor  float64
+	Policies      scheduler.Set // those switched off, for trials
 }
 
 // event is all that a daemon ever learns: what happened, when by its own
@@ -203,6 +205,7 @@
 	}
 	n.peers = cluster.New(host{n}, p.Name, p.Seeds)
 	n.leases = lease.NewManager(host{n}, n.peers)
+	n.leases.IgnoreStrength(!p.Policies.On(scheduler.StrongRoles))
 	n.members = membership.NewManager(host{n}, p.Name, p.CoreSize, n.peers, n.leases)
 	return n
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -10,6 +10,7 @@
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/rendezvous"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/schema"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
@@ -224,7 +225,7 @@
 		return
 	}
 	if a.hops > 0 && a.op != "worker.report" { // a second time; reports are few and feed everything
-		if !n.retries.spend() {
+		if !n.Policies.On(scheduler.ForwardRetry) || !n.retries.spend() {
 			n.reject(a, "nobody surely settles this now")
 			return
 		}
@@ -267,7 +268,7 @@
 // retryForwarded routes anew what waits for a daemon that has lost its role.
 func (n *node) retryForwarded(to string) {
 	for _, id := range sorted(n.forwarded) {
-		if p := n.forwarded[id]; p.to == to && to != "" && n.retries.spend() {
+		if p := n.forwarded[id]; p.to == to && to != "" && n.Policies.On(scheduler.ForwardRetry) && n.retries.spend() {
 			delete(n.forwarded, id)
 			p.request.maybeApplied = true
 			n.count("requests_retried")
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"otterchute/internal/membership"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/schema"
 	"otterchute/platform"
 
@@ -54,7 +55,8 @@
 	MilliCores int64
 	LinkMbps   int64
 
-	adapter *platform.Adapter // nil without a platform
+	Policies scheduler.Set     // those switched off
+	adapter  *platform.Adapter // nil without a platform
 }
 
 var settingsFields = schema.Field{Kind: schema.Object, Fields: map[string]schema.Field{
@@ -140,6 +142,7 @@
 
 // settingsFlags binds the flags of `otterchute run`.
 type settingsFlags struct {
+	off                                              string
 	file, name, addr, http, zone, seeds, data, level string
 	keep, threshold, k                               int64
 	sigma                                            float64
@@ -186,6 +189,7 @@
 	fs.Int64Var(&f.save, "save-ms", d.SaveMs, "a run that saves does so after this much work")
 	fs.Int64Var(&f.restore, "restore-ms", d.RestoreMs, "what a start from a saved state takes longer")
 	fs.Float64Var(&f.spread, "spread-factor", d.SpreadFactor, "how much longer work takes away from its rack")
+	fs.StringVar(&f.off, "disable-policy", "", "for trials: scheduling policies to switch off, parted by commas")
 }
 
 // load reads the file, lays the given flags over it and checks all.
@@ -237,6 +241,10 @@
 			set()
 		}
 	})
+	var err error
+	if s.Policies, err = scheduler.ParseSet(f.off); err != nil {
+		return s, badSetting("disable-policy", err.Error())
+	}
 	return s, s.check()
 }
 
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -6,6 +6,7 @@
 
 	"otterchute/internal/jobtrace"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
 )
@@ -154,6 +155,7 @@
 	waiting     int64                      // unstarted tasks that are no batch's
 	spare       spareWindow                // the least room lately that batches didn't have to leave
 	rack        string
+	urgent      resource.Amount // room there of the most urgent queues
 	suspect     bool
 	colocated   bool
 	queued      int64
@@ -228,6 +230,10 @@
 // markDeferred has a job's record written within deferredMs, with what changes until then:
 // for changes that nothing waits for.
 func (n *node) markDeferred(sl *shard, js *jobState) {
+	if !n.Policies.On(scheduler.GatherWrites) {
+		n.markDirty(sl, js)
+		return
+	}
 	if sl.isDirty(js.ID) {
 		return
 	}
--- a/internal/daemon/shard_write.go
+++ b/internal/daemon/shard_write.go
@@ -2,6 +2,7 @@
 
 import (
 	"otterchute/internal/lease"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/statestore"
 	"otterchute/internal/wire"
 )
@@ -49,7 +50,7 @@
 func (n *node) flushWrites() {
 	for _, name := range sorted(n.owned) {
 		sl := n.owned[name]
-		if sl.gathers(n.now) {
+		if n.Policies.On(scheduler.GatherWrites) && sl.gathers(n.now) {
 			continue
 		}
 		sl.takeDue(n.now)
--- a/internal/daemon/strain.go
+++ b/internal/daemon/strain.go
@@ -18,7 +18,7 @@
 type strainMeter struct {
 	lastMs   int64
 	lateMs   float64 // mean of how late the last ticks came
-	sinceMs  int64 // when it was last above strainLateMs
+	sinceMs  int64   // when it was last above strainLateMs
 	strained bool
 }
 
--- /dev/null
+++ b/internal/daemon/urgent_room.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"otterchute/internal/configuration"
+	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
+	"otterchute/internal/wire"
+)
+
+// Work of the most urgent queues is to start at once wherever it arrives. The coordinator
+// says which share of each worker others leave to it: see scheduler.UrgentShare. The central
+// scheduler keeps it from firm tasks, local schedulers and agents from queueable ones.
+
+// isUrgent tells whether a queue is one of the most urgent ones.
+func (n *node) isUrgent(q *configuration.Queue) bool { return q.Urgency >= n.config.current.Highest }
+
+// keptRoom is the room of a worker that queueable tasks of other queues leave free. While the
+// coordinator's word is stale nothing is kept.
+func (n *node) keptRoom(capacity, urgentUsed resource.Amount) resource.Amount {
+	if n.now-n.ranks.heardMs > rankStaleMs || n.ranks.urgent == (resource.Amount{}) || !n.Policies.On(scheduler.UrgentRoom) {
+		return resource.Amount{}
+	}
+	return scheduler.KeptRoom(capacity, urgentUsed, n.ranks.urgent)
+}
+
+// roomFor is the room of a worker that a queueable task of a queue may take, as far as a
+// shard's owner knows.
+func (n *node) roomFor(sl *shard, q *configuration.Queue, name string, w *workerView) resource.Amount {
+	free := n.freeAt(sl, name, w)
+	if n.isUrgent(q) {
+		return free
+	}
+	return free.Minus(n.keptRoom(w.capacity, w.urgent))
+}
+
+// urgentHeld is the room of the attempts of the most urgent queues at a worker that have
+// one of some states.
+func (ag *agent) urgentHeld(n *node, states ...wire.AttemptState) (held resource.Amount) {
+	for _, h := range ag.attempts { // a sum: the order does not matter
+		q := n.config.current.Queues[h.spec.Queue]
+		if q == nil || !n.isUrgent(q) {
+			continue
+		}
+		for _, state := range states {
+			if h.state == state {
+				held = held.Plus(h.spec.Resources)
+			}
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/daemon/urgent_room_test.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"testing"
+
+	"otterchute/internal/configuration"
+	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
+	"otterchute/internal/wire"
+
+	"github.com/shoenig/test/must"
+)
+
+// twoUrgencies gives a daemon whose configuration has an urgent queue and another one, and
+// that has heard to keep a quarter of each worker's processor.
+func twoUrgencies(t *testing.T) *node {
+	t.Helper()
+	n := newNode(nodeConfig{Name: "d", Zone: "east"}, nil)
+	set, faults := configuration.Compile(1, []byte(`{"queues":[{"name":"fast","urgency":100},{"name":"slow","urgency":10}]}`))
+	must.SliceEmpty(t, faults)
+	n.config.current, n.now = set, 50_000
+	n.ranks.heardMs, n.ranks.urgent = n.now, resource.Amount{CPU: 25}
+	return n
+}
+
+func attemptOf(queue string, cpu int64, state wire.AttemptState) *attempt {
+	return &attempt{spec: wire.TaskSpec{Queue: queue, Resources: resource.Amount{CPU: cpu}}, state: state}
+}
+
+// An agent starts queueable work of lesser queues only beside the kept room, which urgent
+// work that runs there uses up; the urgent queue and firm tasks have all of it.
+func TestAgentKeepsUrgentRoom(t *testing.T) {
+	n := twoUrgencies(t)
+	ag := &agent{worker: "w", colocated: true, capacity: resource.Amount{CPU: 1000, Memory: 100}, attempts: map[wire.AttemptKey]*attempt{
+		{Job: "a"}: attemptOf("slow", 600, wire.AttemptRunning),
+		{Job: "b"}: attemptOf("fast", 50, wire.AttemptRunning),
+		{Job: "c"}: attemptOf("fast", 999, wire.AttemptEnded),
+	}}
+	avail := resource.Amount{CPU: 350, Memory: 100}
+	room := func(h *attempt) resource.Amount {
+		return n.startRoom(ag, h, n.config.current.Queues[h.spec.Queue], avail)
+	}
+	slow, fast := attemptOf("slow", 200, wire.AttemptQueued), attemptOf("fast", 350, wire.AttemptQueued)
+	slow.spec.Class, fast.spec.Class = wire.ClassQueueable, wire.ClassQueueable
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, room(slow)) // 250 are kept, 50 of them are used
+	must.Eq(t, avail, room(fast))
+	slow.spec.Class = wire.ClassGuaranteed
+	must.Eq(t, avail, room(slow))
+	slow.spec.Class = wire.ClassQueueable
+	n.now += rankStaleMs + 1 // the coordinator's word is stale: nothing is kept by it
+	must.Eq(t, avail, room(slow))
+	n.ranks.heardMs = n.now
+	n.Policies, _ = scheduler.ParseSet(string(scheduler.UrgentRoom))
+	must.Eq(t, avail, room(slow))
+}
+
+// An owner places lesser work where it leaves the kept room, and calls a waiting task
+// back only to such a worker: else it would go to and fro.
+func TestOwnerKeepsUrgentRoom(t *testing.T) {
+	n := twoUrgencies(t)
+	sl := &shard{name: "east", load: map[string]resource.Amount{"w": {CPU: 700}}}
+	w := &workerView{capacity: resource.Amount{CPU: 1000, Memory: 100}, urgent: resource.Amount{CPU: 100}}
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, n.roomFor(sl, n.config.current.Queues["slow"], "w", w))
+	must.Eq(t, resource.Amount{CPU: 300, Memory: 100}, n.roomFor(sl, n.config.current.Queues["fast"], "w", w))
+}
+
+// The central scheduler keeps what urgent work was seen to use from firm tasks of others.
+func TestCentralKeepsUrgentRoom(t *testing.T) {
+	n := twoUrgencies(t)
+	c := &central{workers: map[string]*workerCapacity{}}
+	n.central = c
+	for _, name := range []string{"w1", "w2"} {
+		c.workers[name] = &workerCapacity{heardMs: n.now, AgentReport: wire.AgentReport{
+			Capacity: resource.Amount{CPU: 1000}, Urgent: resource.Amount{CPU: 200},
+		}}
+	}
+	n.observeUrgent(c)
+	must.Eq(t, 30, c.urgent.Percent().CPU) // a fifth is used; a quarter of that and a slack are added
+	r := &candidateWorker{name: "w1", guaranteed: resource.Amount{CPU: 450}, w: c.workers["w1"]}
+	may := func(queue string, cpu int64) bool {
+		ws := &pendingAllocation{AllocationRequest: wire.AllocationRequest{Queue: queue, Resources: resource.Amount{CPU: cpu}}}
+		return n.newAssignmentSearch(ws, n.config.current.Queues[queue], nil).may(r)
+	}
+	must.True(t, may("slow", 150))
+	must.False(t, may("slow", 151))
+	must.True(t, may("fast", 450))
+	must.False(t, may("slow", 1000)) // it can never do without the kept room, but there isn't as much now
+}
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -107,7 +107,7 @@
 	slices.SortStableFunc(order, func(a, b string) int {
 		return intOf(!m.peers.Describe(a).Disk) - intOf(!m.peers.Describe(b).Disk)
 	})
-	if kind == KindCentral {
+	if kind == KindCentral && !m.ignoreStrength {
 		order = m.shardOwnersLast(order)
 	}
 	order = m.nearestFirst(order, zone)
@@ -168,6 +168,8 @@
 func (m *Manager) tier(name string, best strength) tier {
 	p := m.peers.Describe(name)
 	switch {
+	case m.ignoreStrength && !p.Colocated:
+		return tierStrong
 	case p.Colocated:
 		return tierColocated
 	case p.MilliCores != 0 && weakCoreShare*p.MilliCores < best.milliCores,
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -113,6 +113,8 @@
 	holders   map[string]wire.RoleHolder // as far as a majority told
 	former    map[string]formerHolder
 	freeSince map[string]int64 // role -> since when no majority lists a holder
+
+	ignoreStrength bool
 }
 
 // NewManager returns the manager of a daemon that holds nothing.
@@ -126,6 +128,10 @@
 	}
 }
 
+// IgnoreStrength has roles go to any machine of their zone first, however weak: for
+// comparisons.
+func (m *Manager) IgnoreStrength(ignore bool) { m.ignoreStrength = ignore }
+
 // inService tells whether a lease is surely held now.
 func (m *Manager) inService(l *lease) bool {
 	return l != nil && l.phase == held && m.host.NowMs() < l.untilMs-SlackMs
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -130,6 +130,7 @@
 	Waiting    int64           // unstarted tasks that are no batch's
 	Batch      []QueueUse      // room of the batches it holds that are not this shard's
 	LagPercent int64           // run time against the estimate, in percent, smoothed
+	Urgent     resource.Amount // room of all it holds of the most urgent queues, queued too
 	// Partial tells that Attempts are only those that wait or have ended: what isn't
 	// listed goes on as before. The central scheduler is only ever told of guaranteed
 	// attempts, and of queueable ones that it may promote.
@@ -215,7 +216,10 @@
 	Round        int64
 	TargetMs     int64
 	WaitsForRoom bool // firm work waits for room
-	Ranks        []WorkerRank
+	// UrgentPercent is the share of each worker, by dimension, that queues below the most
+	// urgent ones leave to those.
+	UrgentPercent resource.Amount
+	Ranks         []WorkerRank
 }
 
 // Promotion makes a running queueable task guaranteed, if its resources are sure.
