New work goes to workers that were just heard of; ends of gangs are acknowledged at once

Hypothesis: a worker that is cut off or dark got work for another 1.5 s (contactMs); of a job of 16 tasks nearly each has one there when a seventh of the fleet is cut. Change: agents tell owners at least each 250 ms; workers of which nothing new was heard for 600 ms come after all others, at owners and at the central scheduler, and what waits unstarted at a silent worker goes back after that time. Policy shun_quiet.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -66,6 +66,7 @@
 	reported         map[string]reportMark // shard, "" for the central scheduler -> its last report
 	changesAtMs      int64                 // before that no partial report leaves
 	changesWait      bool                  // something has ended since the last one
+	quiet            bool                  // as owners were last told
 	guaranteedEnded  bool                  // since the central scheduler was last told
 }
 
--- a/internal/daemon/agent_changes.go
+++ b/internal/daemon/agent_changes.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"otterchute/internal/wire"
 )
 
@@ -23,6 +25,13 @@
 	// centralReportMs is the pace of reports to the central scheduler, which needs no
 	// less while it rebuilds: see rebuildMs.
 	centralReportMs = 300
+	// aliveReportMs is the pace at which owners hear of a worker at the least, if only that
+	// it is there: see quietMs.
+	aliveReportMs = 250
+	// quietMs: a worker of which nothing was heard for so long, while its heartbeats come
+	// each heartbeatMs and reports each aliveReportMs, is likely to be gone or cut off: new
+	// work goes elsewhere, long before that is sure.
+	quietMs = 600
 	// endRepeatMs is how long an end may stay without acknowledgement before it is told again.
 	endRepeatMs = 250
 )
@@ -61,7 +70,7 @@
 	if n.now < ag.changesAtMs || !n.isActiveAgent(ag) {
 		return
 	}
-	ag.changesWait, ag.changesAtMs = false, n.now+changesMs
+	ag.changesWait = false
 	base, keys := n.reportOf(ag), ag.keys()
 	base.Partial = true
 	news := map[string]bool{}
@@ -70,6 +79,9 @@
 			news[n.shardOfAttempt(h)] = true
 		}
 	}
+	if len(news) > 0 {
+		ag.changesAtMs = n.now + changesMs
+	}
 	for _, shard := range n.core.Shards {
 		if news[shard] || n.now-ag.reported[shard].atMs >= roomNewsMs {
 			n.sendReport(ag, base, shard, keys)
@@ -97,18 +109,30 @@
 
 // tickReports sends the reports that are due.
 func (n *node) tickReports(ag *agent) {
-	if n.now >= ag.syncAt || n.hasNewOwner(ag) {
+	quiet := n.now-ag.heardMs > quietMs
+	if n.now >= ag.syncAt || quiet != ag.quiet || n.hasNewOwner(ag) {
+		ag.quiet = quiet
 		n.reportAgent(ag)
 		return
 	}
 	if n.now-ag.reported[""].atMs >= centralReportMs {
 		n.reportCentral(ag)
 	}
-	if ag.changesWait || n.hasOverdue(ag) {
+	if ag.changesWait || n.hasOverdue(ag) || n.isDueToAny(ag) {
 		n.reportChanges(ag)
 	}
 }
 
+// isDueToAny tells whether some owner has not heard of the worker lately.
+func (n *node) isDueToAny(ag *agent) bool {
+	return slices.ContainsFunc(n.core.Shards, func(shard string) bool {
+		return n.now-ag.reported[shard].atMs >= aliveReportMs
+	})
+}
+
+// isQuiet tells whether an agent told nothing of its worker lately, or nothing new.
+func isQuiet(sinceMs, silentMs int64) bool { return sinceMs+silentMs > quietMs }
+
 // hasNewOwner tells whether a role that is told of this worker has gone to another daemon.
 func (n *node) hasNewOwner(ag *agent) bool {
 	for _, target := range append([]string{""}, n.core.Shards...) {
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -112,6 +112,9 @@
 			continue
 		}
 		fit = append(fit, r)
+		if n.Policies.On(scheduler.ShunQuiet) && r.w.Colocated && isQuiet(n.now-r.w.heardMs, r.w.SilentMs) {
+			continue
+		}
 		if r.w.unhealthyUntilMs <= n.now && !r.w.Suspect || !n.Policies.On(scheduler.EjectUnhealthy) {
 			healthy = append(healthy, r)
 		}
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/schema"
 	"otterchute/internal/wire"
 
@@ -521,7 +522,7 @@
 		h := ag.attempts[key]
 		active := h.state == wire.AttemptRunning || h.state == wire.AttemptOrdered
 		switch {
-		case h.state == wire.AttemptQueued && (n.now-ag.heardMs > contactMs || ag.goneMs != 0):
+		case h.state == wire.AttemptQueued && (n.now-ag.heardMs > n.queuedSilenceMs() || ag.goneMs != 0):
 			h.state, h.result, changed = wire.AttemptEnded, wire.ResultShed, true
 		case active && h.stopMs == 0 && n.now > max(h.confirmedMs+ownerSpanMs, h.adoptedMs+ownerSpanMs)-staleStopMs:
 			n.count("stale_stops")
@@ -539,6 +540,15 @@
 	}
 }
 
+// queuedSilenceMs is how long a worker may be silent before what waits for it, and never
+// started, goes back to its owner.
+func (n *node) queuedSilenceMs() int64 {
+	if n.Policies.On(scheduler.ShunQuiet) {
+		return quietMs
+	}
+	return contactMs
+}
+
 // endAfterSilence gives up what the worker held once its hold has surely lapsed, or it is gone.
 func (n *node) endAfterSilence(ag *agent) (changed bool) {
 	if n.now > ag.lapseUntilMs && ag.lapseUntilMs != 0 { // the hold has lapsed: late ends may go
--- a/internal/daemon/job_trace.go
+++ b/internal/daemon/job_trace.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"otterchute/internal/jobtrace"
 	"otterchute/internal/wire"
 )
@@ -19,6 +21,17 @@
 	agentEpoch uint64
 }
 
+// awaitCommit has an end acknowledged to its agent once a version of the record is at a quorum.
+func (js *jobState) awaitCommit(m *wire.AgentReport, h wire.AttemptStatus, version, nowMs int64) {
+	if slices.ContainsFunc(js.ended, func(e endedAttempt) bool { return e.status.Key == h.Key }) {
+		return
+	}
+	js.ended = append(js.ended, endedAttempt{
+		status: h, version: version, heardMs: nowMs, sentMs: m.SentMs,
+		agent: m.Agent, worker: m.Worker, agentEpoch: m.Epoch,
+	})
+}
+
 // observeStage counts how long a task or job was in a stage.
 func (n *node) observeStage(js *jobState, class wire.TaskClass, stage jobtrace.Stage, ms int64) {
 	n.stages.Observe(jobtrace.Key{Queue: js.Queue, Class: class.String(), Stage: stage}, ms)
--- a/internal/daemon/newrules_test.go
+++ b/internal/daemon/newrules_test.go
@@ -177,7 +177,7 @@
 		t.Logf("%d ends acknowledged after %d ms in the median, %d ms for 95 of 100, %d ms at the most",
 			len(waits), waits[len(waits)/2], waits[len(waits)*95/100], waits[len(waits)-1])
 		must.LessEq(t, 100, waits[len(waits)*95/100])
-		must.LessEq(t, 400, waits[len(waits)-1])
+		must.LessEq(t, 200, waits[len(waits)-1])
 	})
 }
 
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -74,6 +74,9 @@
 		func(r ranked) bool {
 			return on(scheduler.EjectUnhealthy) && (n.ranks.unhealthy[r.name] != 0 || r.w.suspect)
 		},
+		func(r ranked) bool {
+			return on(scheduler.ShunQuiet) && r.w.colocated && isQuiet(n.now-r.w.heardMs, r.w.silentMs)
+		},
 		func(r ranked) bool { return on(scheduler.AvoidLast) && r.name == t.Last },
 		func(r ranked) bool { return pinned && !t.Resources.Fits(n.roomFor(sl, q, r.name, r.w)) },
 		func(r ranked) bool {
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -156,7 +156,11 @@
 	}
 	late := js.endsLate(i, h)
 	if (h.Key.Attempt < t.Attempt || t.State != taskPlaced) && !late {
-		return js.decideFormer(t, h)
+		decision := js.decideFormer(t, h)
+		if decision == 0 { // as of a gang whose end another member told: it stands with the next commit
+			js.awaitCommit(m, h, t.ChangedIn, n.now)
+		}
+		return decision
 	}
 	js.runtime[i].observe(h, n.now)
 	if h.State == wire.AttemptEnded {
@@ -168,10 +172,7 @@
 		}
 		n.traceEnded(js, i, h)
 		n.resolveAttempt(sl, js, i, h.Result, h.RanMs)
-		js.ended = append(js.ended, endedAttempt{
-			status: h, version: js.Version, heardMs: n.now, sentMs: m.SentMs,
-			agent: m.Agent, worker: m.Worker, agentEpoch: m.Epoch,
-		})
+		js.awaitCommit(m, h, js.Version, n.now)
 		return 0 // acknowledged once it is committed
 	}
 	return n.decideHeld(sl, m, js, i, h)
