--- a/guards.sh
+++ b/guards.sh
@@ -17,7 +17,8 @@
 # name | file, from the repository's root | text that stands there | what stands there instead
 guards() {
   cat << 'G'
-room|internal/daemon/agent_dispatch.go|if h.spec.Resources.Fits(*avail) {|if true {
+room|internal/daemon/agent_dispatch.go|if h.spec.Resources.Fits(n.startRoom(ag, h, q, *avail)) {|if true {
+a patch needs the version it builds on|internal/daemon/core_member.go|if !fits(x, m.Patches) {|if false {
 unsettled orders hold room|internal/daemon/agent_dispatch.go|if ag.colocated \|\| !h.listed {|if ag.colocated {
 new agent waits for the worker's fresh word|internal/daemon/agent_report.go|if !ag.rebuilt && ag.tokenMs > ag.startMs+flightMs {|if !ag.rebuilt {
 lost only once rebuilt|internal/daemon/reconcile.go|case m.Epoch > t.AgentEpoch && m.Rebuilt:|case m.Epoch > t.AgentEpoch:
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -88,14 +88,14 @@
 	ordered     bool // an order may have left; the worker may know it
 	acked       bool
 
-	unknown   bool  // found running: its room is not known yet
-	orderSeq  int64 // the heartbeat whose answer carried the order
-	percent   int64
-	movedMs   int64 // when its work last moved
-	lateEnd   bool  // ended by itself, and its owner may have given it up meanwhile
-	voided    bool  // ended, and the hold has lapsed since
-	adoptedMs int64
-	toldMs    int64 // when its owner was last told of its end
+	unknown    bool  // found running: its room is not known yet
+	orderSeq   int64 // the heartbeat whose answer carried the order
+	percent    int64
+	movedMs    int64 // when its work last moved
+	lateEnd    bool  // ended by itself, and its owner may have given it up meanwhile
+	voided     bool  // ended, and the hold has lapsed since
+	adoptedMs  int64
+	reportedMs int64 // when its owner was last told of its end
 }
 
 // reportMark is whom a report last went to, and when.
--- a/internal/daemon/agent_changes.go
+++ b/internal/daemon/agent_changes.go
@@ -43,7 +43,7 @@
 	case wire.AttemptQueued:
 		return true
 	case wire.AttemptEnded:
-		return !h.acked && (h.toldMs == 0 || n.now-h.toldMs > endRepeatMs)
+		return !h.acked && (h.reportedMs == 0 || n.now-h.reportedMs > endRepeatMs)
 	}
 	return false
 }
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -206,7 +206,7 @@
 		default:
 			m.Attempts = append(m.Attempts, n.statusOf(h))
 			if h.state == wire.AttemptEnded {
-				h.toldMs = n.now
+				h.reportedMs = n.now
 			}
 		}
 	}
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -251,6 +251,25 @@
 	m := &wire.Ranks{
 		Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c), UrgentPercent: c.urgent.Percent(),
 	}
+	n.rankWorkers(c, m)
+	// Ranks are for those that place tasks; agents need the target alone.
+	brief := &wire.Ranks{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs, UrgentPercent: m.UrgentPercent}
+	owners := map[string]bool{n.Name: true}
+	for _, s := range n.core.Shards {
+		to, _ := n.leases.Holder(lease.ShardRole(s))
+		owners[to] = true
+	}
+	for _, name := range n.peers.AliveNames() {
+		if owners[name] {
+			n.send(name, m)
+		} else {
+			n.send(name, brief)
+		}
+	}
+}
+
+// rankWorkers puts the workers' ranks into a round, and the target that follows from them.
+func (n *node) rankWorkers(c *central, m *wire.Ranks) {
 	var sum, sum2, count float64
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
@@ -268,20 +287,6 @@
 		mean := sum / count
 		m.TargetMs = int64(mean + n.TargetSigma*math.Sqrt(max(0, sum2/count-mean*mean)))
 	}
-	// Ranks are for those that place tasks; agents need the target alone.
-	brief := &wire.Ranks{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs, UrgentPercent: m.UrgentPercent}
-	owners := map[string]bool{n.Name: true}
-	for _, s := range n.core.Shards {
-		to, _ := n.leases.Holder(lease.ShardRole(s))
-		owners[to] = true
-	}
-	for _, name := range n.peers.AliveNames() {
-		if owners[name] {
-			n.send(name, m)
-		} else {
-			n.send(name, brief)
-		}
-	}
 }
 
 // observeUrgent takes what the most urgent queues hold at all workers now.
--- a/internal/daemon/queue_counts.go
+++ b/internal/daemon/queue_counts.go
@@ -59,14 +59,14 @@
 	if old := n.queueCounts[m.Shard]; old != nil && m.Epoch < old.epoch {
 		return
 	}
-	told := &queueCounts{epoch: m.Epoch, heardMs: n.now, pending: map[string]int64{}}
+	counts := &queueCounts{epoch: m.Epoch, heardMs: n.now, pending: map[string]int64{}}
 	for _, c := range m.Counts {
-		told.pending[c.Queue] = c.Pending
+		counts.pending[c.Queue] = c.Pending
 	}
 	if n.queueCounts == nil {
 		n.queueCounts = map[string]*queueCounts{}
 	}
-	n.queueCounts[m.Shard] = told
+	n.queueCounts[m.Shard] = counts
 }
 
 // pendingIn counts a queue's jobs, in all shards, that wait for their first start; false
@@ -77,11 +77,11 @@
 			count += pendingByQueue(sl)[queue]
 			continue
 		}
-		told := n.queueCounts[shard]
-		if told == nil || n.now-told.heardMs > queueCountsStaleMs {
+		counts := n.queueCounts[shard]
+		if counts == nil || n.now-counts.heardMs > queueCountsStaleMs {
 			return 0, false
 		}
-		count += told.pending[queue]
+		count += counts.pending[queue]
 	}
 	return count, len(n.core.Shards) > 0
 }
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -168,8 +168,14 @@
 var jobOps map[string]func(*node, *shard, *request)
 
 func init() {
-	jobOps = map[string]func(*node, *shard, *request){"job.put": (*node).handleSubmit, "job.get": (*node).handleGet,
-		"job.explain": (*node).handleExplain, "job.cancel": (*node).handleCancel, "job.state": (*node).handleState, "worker.lost": (*node).handleWorkerLost}
+	jobOps = map[string]func(*node, *shard, *request){
+		"job.put":     (*node).handleSubmit,
+		"job.get":     (*node).handleGet,
+		"job.explain": (*node).handleExplain,
+		"job.cancel":  (*node).handleCancel,
+		"job.state":   (*node).handleState,
+		"worker.lost": (*node).handleWorkerLost,
+	}
 }
 
 func (n *node) startShard(name string, epoch uint64) {
--- a/internal/daemon/shard_write.go
+++ b/internal/daemon/shard_write.go
@@ -60,7 +60,10 @@
 		if len(sl.dirty) == 0 && !whole && (len(sl.confirmed) == 0 || n.now-sl.confirmedSentMs < writeRetry) {
 			continue
 		}
-		b := &writeBatch{acked: map[string]bool{}, patches: map[string]statestore.Patch{}, sentMs: n.now, firstMs: n.now, settled: sl.confirmed}
+		b := &writeBatch{
+			acked: map[string]bool{}, patches: map[string]statestore.Patch{},
+			sentMs: n.now, firstMs: n.now, settled: sl.confirmed,
+		}
 		sl.confirmed, sl.confirmedSentMs = nil, n.now
 		for _, id := range sorted(sl.dirty) {
 			js := sl.jobs[id]
--- a/internal/daemon/urgent_room.go
+++ b/internal/daemon/urgent_room.go
@@ -17,7 +17,8 @@
 // keptRoom is the room of a worker that queueable tasks of other queues leave free. While the
 // coordinator's word is stale nothing is kept.
 func (n *node) keptRoom(capacity, urgentUsed resource.Amount) resource.Amount {
-	if n.now-n.ranks.heardMs > rankStaleMs || n.ranks.urgent == (resource.Amount{}) || !n.Policies.On(scheduler.UrgentRoom) {
+	stale := n.now-n.ranks.heardMs > rankStaleMs
+	if stale || n.ranks.urgent == (resource.Amount{}) || !n.Policies.On(scheduler.UrgentRoom) {
 		return resource.Amount{}
 	}
 	return scheduler.KeptRoom(capacity, urgentUsed, n.ranks.urgent)
