Kept room follows the mean use of the most urgent queues

Change: a mean that rises within about two seconds and falls within four, 6 to 40 percent; workers count as quiet after 700 ms, agents tell each 300 ms.

--- a/internal/daemon/agent_changes.go
+++ b/internal/daemon/agent_changes.go
@@ -27,11 +27,11 @@
 	centralReportMs = 300
 	// aliveReportMs is the pace at which owners hear of a worker at the least, if only that
 	// it is there: see quietMs.
-	aliveReportMs = 250
+	aliveReportMs = 300
 	// quietMs: a worker of which nothing was heard for so long, while its heartbeats come
 	// each heartbeatMs and reports each aliveReportMs, is likely to be gone or cut off: new
 	// work goes elsewhere, long before that is sure.
-	quietMs = 600
+	quietMs = 700
 	// endRepeatMs is how long an end may stay without acknowledgement before it is told again.
 	endRepeatMs = 250
 )
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -246,8 +246,6 @@
 	c.roundAt += rankMs
 	c.round++
 	n.updateHealth(c)
-	c.urgent.Decay()
-	n.observeUrgent(c)
 	m := &wire.Ranks{
 		Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c), UrgentPercent: c.urgent.Percent(),
 	}
@@ -300,7 +298,7 @@
 			used, all = used.Plus(w.Urgent), all.Plus(w.Capacity)
 		}
 	}
-	c.urgent.Raise(used, all)
+	c.urgent.Observe(used, all)
 }
 
 // updateHealth finds workers that fail or lag far more than their peers.
--- a/internal/scheduler/urgentroom.go
+++ b/internal/scheduler/urgentroom.go
@@ -7,53 +7,59 @@
 	// while nobody has seen what they use.
 	UrgentPercent = 12
 	// urgentLeast and urgentMost bound what is kept, in percent: a queue that rests still
-	// finds room for a few tasks, and one that floods the fleet leaves others half of it.
+	// finds room for a few tasks, and one that floods the fleet leaves others most of it.
 	urgentLeast = 6
-	urgentMost  = 50
+	urgentMost  = 40
 	// urgentMargin, in percent of what is used, and urgentSlack, in percent of all room, stand
-	// for what arrivals vary by within a round and how unevenly they meet workers.
+	// for what arrivals vary by and how unevenly they meet workers.
 	urgentMargin = 25
-	urgentSlack  = 5
-	// urgentDecay is the part, in percent, of the kept share that goes each round in which
-	// less was used: a pause of some seconds between two waves doesn't give the room away.
-	urgentDecay = 10
+	urgentSlack  = 4
+	// The mean follows a rise of use within about two seconds and a fall within four, at ten
+	// observations a second: a wave finds room, and does not keep it for long from others.
+	urgentRise = 0.05
+	urgentFall = 0.025
 )
 
 // UrgentShare follows how much of all room the most urgent queues use and says how much of
 // each worker is kept for them, by dimension. Its zero value keeps UrgentPercent.
-type UrgentShare struct{ percent [dimensions]float64 }
+type UrgentShare struct {
+	used  [dimensions]float64 // mean share of all room, in percent
+	known bool
+}
 
 // dimensions of an amount: processor, memory, accelerators.
 const dimensions = 3
 
 func parts(a resource.Amount) [dimensions]int64 { return [dimensions]int64{a.CPU, a.Memory, a.GPU} }
 
-// Raise takes what the urgent queues hold, or wait for, of all room, and keeps more where
-// that is more than before.
-func (s *UrgentShare) Raise(used, all resource.Amount) {
+// Observe takes what the urgent queues hold, or wait for, of all room, ten times a second.
+func (s *UrgentShare) Observe(used, all resource.Amount) {
 	u, a := parts(used), parts(all)
-	for i := range s.percent {
+	for i := range s.used {
 		if a[i] <= 0 {
 			continue
 		}
-		want := 100*float64(u[i])/float64(a[i])*(100+urgentMargin)/100 + urgentSlack
-		s.percent[i] = max(s.percent[i], min(max(want, urgentLeast), urgentMost))
-	}
-}
-
-// Decay lets go of some of the share, once a round.
-func (s *UrgentShare) Decay() {
-	for i := range s.percent {
-		s.percent[i] *= (100.0 - urgentDecay) / 100
+		share, weight := 100*float64(u[i])/float64(a[i]), urgentFall
+		switch {
+		case !s.known:
+			weight = 1
+		case share > s.used[i]:
+			weight = urgentRise
+		}
+		s.used[i] += weight * (share - s.used[i])
 	}
+	s.known = s.known || all != (resource.Amount{})
 }
 
 // Percent is the share of each dimension of a worker to keep.
 func (s *UrgentShare) Percent() resource.Amount {
-	if s.percent == ([dimensions]float64{}) {
+	if !s.known {
 		return resource.Amount{CPU: UrgentPercent, Memory: UrgentPercent, GPU: UrgentPercent}
 	}
-	return resource.Amount{CPU: int64(s.percent[0]), Memory: int64(s.percent[1]), GPU: int64(s.percent[2])}
+	keep := func(i int) int64 {
+		return min(max(int64(s.used[i]*(100+urgentMargin)/100+urgentSlack), urgentLeast), urgentMost)
+	}
+	return resource.Amount{CPU: keep(0), Memory: keep(1), GPU: keep(2)}
 }
 
 // KeptRoom is the room of a worker that other queues leave to the urgent ones: the kept
