--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	replyMs = 4000 // the control thread answers long before; this guards against a fault in it
+	replyMs     = 4000            // the control thread answers long before; this guards against a fault in it
+	stageMetric = "stage_seconds" // the histogram of where the time of jobs goes
 )
 
 // httpServer is the HTTP side: it turns calls into requests for the control thread
@@ -253,7 +254,7 @@
 
 // collectStages gives the histograms of where the time of jobs went.
 func collectStages(ch chan<- prometheus.Metric, stages map[jobtrace.Key]jobtrace.Histogram) {
-	desc := prometheus.NewDesc("otterchute_stage_seconds",
+	desc := prometheus.NewDesc("otterchute_"+stageMetric,
 		"How long tasks and jobs of the shards owned here were in a stage.", []string{"queue", "class", "stage"}, nil)
 	for key, h := range stages { // the registry sorts them
 		ch <- prometheus.MustNewConstHistogram(desc, h.Count(), h.SumSeconds(), h.Buckets(),
