--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -537,7 +537,7 @@
 // allocationsWait tells whether firm work has waited for room some time.
 func (n *node) allocationsWait(c *central) bool {
 	for _, ws := range c.pending {
-		if n.now-ws.firstMs > batchCalmMs && len(ws.open()) > 0 {
+		if n.now-ws.firstMs > batchCalmMs && ws.hasOpen() {
 			return true
 		}
 	}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -61,6 +61,6 @@
 	js := &jobState{job: job{Queue: "guild-4000", Steps: []jobStep{{Size: 1}}, Tasks: []task{{Resources: resource.Amount{CPU: 1}}}}}
 	sl := &shard{name: "east"}
 	for b.Loop() {
-		n.selectWorker(sl, js, 0)
+		n.selectWorker(sl, js, 0, &schedulePass{queue: c.Queues[js.Queue]})
 	}
 }
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -31,6 +31,8 @@
 	roundAt int64
 	round   int64
 	urgent  scheduler.UrgentShare
+
+	allocateAtMs int64 // before this requests wait for the next pass
 }
 
 // allocationKey names a want by its first task's step: (job, round and step), or the
@@ -64,11 +66,20 @@
 	atMs    int64
 }
 
+// isOpen tells whether a task has no grant.
+func (ws *pendingAllocation) isOpen(t wire.RequestedTask) bool {
+	g, granted := ws.granted[t.Task]
+	return !granted || g.attempt != t.Attempt
+}
+
+// hasOpen tells whether some task has no grant.
+func (ws *pendingAllocation) hasOpen() bool { return slices.ContainsFunc(ws.Tasks, ws.isOpen) }
+
 // open gives the tasks without a grant.
 func (ws *pendingAllocation) open() []wire.RequestedTask {
 	out := make([]wire.RequestedTask, 0, len(ws.Tasks))
 	for _, t := range ws.Tasks {
-		if g, ok := ws.granted[t.Task]; !ok || g.attempt != t.Attempt {
+		if ws.isOpen(t) {
 			out = append(out, t)
 		}
 	}
@@ -162,7 +173,7 @@
 	}
 	n.promote(c, w)
 	if len(c.pending) <= allocateNowMax {
-		n.allocateAll(c)
+		n.allocateSoon(c)
 	}
 }
 
@@ -184,17 +195,16 @@
 		}
 	}
 	if len(c.pending) <= allocateNowMax {
-		n.allocateAll(c)
+		n.allocateSoon(c)
 	}
 }
 
-// granted is the firm room of a worker that its agent does not show yet.
-func (c *central) granted(worker string) (room resource.Amount) {
-	for _, ws := range c.pending {
+// grantedRoom is the guaranteed room, by worker, that agents do not show yet.
+func (c *central) grantedRoom() map[string]resource.Amount {
+	room := map[string]resource.Amount{}
+	for _, ws := range c.pending { // sums: the order does not matter
 		for _, g := range ws.granted {
-			if g.worker == worker {
-				room = room.Plus(ws.Resources)
-			}
+			room[g.worker] = room[g.worker].Plus(ws.Resources)
 		}
 	}
 	return room
@@ -206,12 +216,18 @@
 	if !n.leases.Holds(lease.Central) || n.now-c.startMs < rebuildMs || !n.Policies.On(scheduler.Promotion) {
 		return
 	}
-	sure := w.Capacity.Minus(w.guaranteed).Minus(c.granted(w.Worker))
+	long := func(h wire.AttemptStatus) bool {
+		return h.Class == wire.ClassQueueable && n.mayBePromoted(h.State, h.RanMs, h.EstimateMs)
+	}
+	if !slices.ContainsFunc(w.Attempts, long) {
+		return
+	}
+	sure := w.Capacity.Minus(w.guaranteed).Minus(c.grantedRoom()[w.Worker])
 	for _, h := range w.Attempts {
 		if q := n.config.current.Queues[h.Queue]; q != nil && q.Batch != nil {
 			continue // batches are never firm
 		}
-		if h.Class == wire.ClassQueueable && n.mayBePromoted(h.State, h.RanMs, h.EstimateMs) && h.Resources.Fits(sure) {
+		if long(h) && h.Resources.Fits(sure) {
 			sure = sure.Minus(h.Resources)
 			n.send(w.Agent, &wire.Promotion{Worker: w.Worker, Epoch: w.Epoch, Key: h.Key})
 		}
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -66,6 +66,7 @@
 	batch       bool
 	outstanding int    // queueable tasks that are placed
 	ready       []bool // by step; filled when it is first needed
+	choice      *workerChoice
 }
 
 func (n *node) newSchedulePass(js *jobState) *schedulePass {
@@ -121,13 +122,16 @@
 	worker, candidates := "", 0
 	if pass.batch {
 		worker = n.selectBatchWorker(sl, js, i)
-	} else if worker, candidates = n.selectWorker(sl, js, i); worker == "" {
+	} else if worker, candidates = n.selectWorker(sl, js, i, pass); worker == "" {
 		sl.starvedMs = n.now
 	}
 	if worker != "" {
 		n.placeTask(sl, js, i, worker, wire.ClassQueueable)
 		n.tracePlaced(js, i, candidates)
 		pass.outstanding++
+		if pass.choice != nil {
+			n.placed(pass.choice, worker)
+		}
 	}
 }
 
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -1,19 +1,13 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
-
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
-	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
 const (
-	kLowest            = 50   // the design's k: the most workers a queueable task is drawn among
-	kLeast             = 3    // and the fewest; between them a quarter of the allowed ones, see docs/rounds.md
 	thresholdMs        = 2500 // learned run time below this is queueable; see docs/rounds.md
 	preemptMax         = 2    // after two preemptions a task is guaranteed
 	allocationRetryMs  = 1000 // owners repeat their requests for firm places
@@ -45,66 +39,6 @@
 	return used
 }
 
-// selectWorker is the local scheduler: at random among the k allowed workers
-// of lowest rank. Those with room now go before those where it would wait, and
-// among them those near its data. It tells among how many it drew, too.
-func (n *node) selectWorker(sl *shard, js *jobState, i int) (worker string, candidates int) {
-	t := &js.Tasks[i]
-	st := &js.Steps[t.Step]
-	q := n.config.current.Queues[js.Queue]
-	var used map[string]int32
-	if st.PerWorker > 0 {
-		used = js.usedBy(i)
-	}
-	type ranked struct {
-		name string
-		rank int64
-		w    *workerView
-	}
-	var list []ranked
-	for _, name := range sorted(n.workers) {
-		w := n.workers[name]
-		if n.allowed(w, q, t.Needs, t.Resources) && (st.PerWorker == 0 || used[name] < st.PerWorker) {
-			list = append(list, ranked{name, n.ranks.of(n, name), w})
-		}
-	}
-	pinned := slices.ContainsFunc(list, func(r ranked) bool { return r.w.colocated })
-	on := n.Policies.On
-	for _, shun := range []func(ranked) bool{ // as long as others are left
-		func(r ranked) bool {
-			return on(scheduler.EjectUnhealthy) && (n.ranks.unhealthy[r.name] != 0 || r.w.suspect)
-		},
-		func(r ranked) bool {
-			return on(scheduler.ShunQuiet) && r.w.colocated && isQuiet(n.now-r.w.heardMs, r.w.silentMs)
-		},
-		func(r ranked) bool { return on(scheduler.AvoidLast) && r.name == t.Last },
-		func(r ranked) bool { return pinned && !t.Resources.Fits(n.roomFor(sl, q, r.name, r.w)) },
-		func(r ranked) bool {
-			return pinned && !t.Resources.Fits(n.freeAt(sl, r.name, r.w).Plus(n.batchLoad(sl, "", r.name)))
-		},
-		func(r ranked) bool { return on(scheduler.NearData) && st.Near != "" && r.w.rack != st.Near },
-	} {
-		if left := slices.DeleteFunc(slices.Clone(list), shun); len(left) > 0 {
-			list = left
-		}
-	}
-	// The agents' queues are bounded, and so is what is sent to them.
-	list = slices.DeleteFunc(list, func(r ranked) bool { return n.workers[r.name].queued >= agentQueueMax/2 })
-	if len(list) == 0 {
-		return "", 0
-	}
-	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	k := n.KLowest
-	if k == 0 {
-		k = min(max(len(list)/4, kLeast), kLowest)
-	}
-	if !on(scheduler.RankedChoice) {
-		k = len(list)
-	}
-	list = list[:min(k, len(list))]
-	return list[n.rand().IntN(len(list))].name, len(list)
-}
-
 func (n *node) placeTask(sl *shard, js *jobState, i int, worker string, class wire.TaskClass) {
 	t := &js.Tasks[i]
 	n.markDirty(sl, js)
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -176,7 +176,7 @@
 	for _, name := range sorted(c.workers) {
 		w := c.workers[name]
 		tell("sees %s heard %d ms ago, rebuilt %v fresh %v leaving %v suspect %v bad for %d, capacity %v firm %v busy %v promised %v held %d", name, now-w.heardMs, w.Rebuilt, w.Fresh, w.Leaving,
-			w.Suspect, w.unhealthyUntilMs-now, w.Capacity, w.guaranteed, w.busy, c.granted(name), len(w.Attempts))
+			w.Suspect, w.unhealthyUntilMs-now, w.Capacity, w.guaranteed, w.busy, c.grantedRoom()[name], len(w.Attempts))
 	}
 	for k, ws := range c.pending {
 		tell("wants %s queue %s since %d ms, last %d ms ago, %d tasks of %v, open %d, gang %v needs %v", k.Job, ws.Queue, now-ws.firstMs, now-ws.lastMs, len(ws.Tasks), ws.Resources, len(ws.open()), ws.Gang, ws.Needs)
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -55,6 +55,7 @@
 	bytes              int                                     // of all live jobs' records
 	placed             map[string]map[placedAt]resource.Amount // worker -> tasks placed there, and their room
 	load               map[string]resource.Amount              // worker -> room of those
+	loadChanges        uint64                                  // counts the changes of load
 	confirmed          []string                                // finished at a majority, not yet told to the members
 	confirmedSentMs    int64
 	allocationRequests int // requests for firm places sent in this tick
@@ -78,6 +79,7 @@
 func (sl *shard) indexTask(js *jobState, i int) {
 	t := &js.Tasks[i]
 	at := placedAt{js.ID, js.taskID(i)}
+	sl.loadChanges++
 	if room, was := sl.placed[t.Worker][at]; was {
 		delete(sl.placed[t.Worker], at)
 		sl.load[t.Worker] = sl.load[t.Worker].Minus(room)
--- a/internal/daemon/urgent_room_test.go
+++ b/internal/daemon/urgent_room_test.go
@@ -76,10 +76,10 @@
 	}
 	n.observeUrgent(c)
 	must.Eq(t, 29, c.urgent.Percent().CPU) // a fifth is used; a quarter of that and a slack are added
-	r := &candidateWorker{name: "w1", guaranteed: resource.Amount{CPU: 450}, w: c.workers["w1"]}
+	r := &scheduler.Candidate{Name: "w1", Capacity: resource.Amount{CPU: 1000}, Sure: resource.Amount{CPU: 450}}
 	may := func(queue string, cpu int64) bool {
 		ws := &pendingAllocation{AllocationRequest: wire.AllocationRequest{Queue: queue, Resources: resource.Amount{CPU: cpu}}}
-		return n.newAssignmentSearch(ws, n.config.current.Queues[queue], nil).may(r)
+		return n.newAssignment(ws, n.config.current.Queues[queue], nil).May(r)
 	}
 	must.True(t, may("slow", 160))
 	must.False(t, may("slow", 161))
--- /dev/null
+++ b/internal/daemon/worker_choice.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+
+	"otterchute/internal/configuration"
+	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
+	"otterchute/internal/wire"
+)
+
+// workerChoice is what the choice of a worker goes by for queueable tasks of one step that ask
+// for the same. It is gathered once for all of them: a placement changes one worker alone.
+type workerChoice struct {
+	shard       *shard
+	queue       *configuration.Queue
+	job         *jobState
+	step        int32
+	round       int32
+	resources   resource.Amount
+	needs       []wire.Label
+	near        string
+	perWorker   int32
+	used        map[string]int32 // tasks of the step by worker
+	views       []*workerView
+	workers     []scheduler.Choosable // in the order of their names
+	pinned      bool                  // agents stand beside workers: they can tell what room is left
+	loadChanges uint64                // of the shard, when this was gathered
+}
+
+// selectWorker is the local scheduler: at random among the k allowed workers of lowest rank.
+// It tells among how many it drew, too.
+func (n *node) selectWorker(sl *shard, js *jobState, i int, pass *schedulePass) (worker string, candidates int) {
+	t := &js.Tasks[i]
+	if !pass.choice.serves(sl, js, t) {
+		pass.choice = n.newWorkerChoice(sl, js, i, pass.queue)
+	}
+	choice := pass.choice
+	k := n.KLowest
+	if !n.Policies.On(scheduler.RankedChoice) {
+		k = -1
+	}
+	last, avoids := choice.find(t.Last)
+	avoids = avoids && n.Policies.On(scheduler.AvoidLast)
+	if avoids {
+		choice.workers[last].Shun |= scheduler.ShunLast
+	}
+	at, among := scheduler.Choose(choice.workers, k, n.rand().IntN)
+	if avoids {
+		choice.workers[last].Shun &^= scheduler.ShunLast
+	}
+	if at < 0 {
+		return "", 0
+	}
+	return choice.workers[at].Name, among
+}
+
+// newWorkerChoice gathers the workers that a task may go to.
+func (n *node) newWorkerChoice(sl *shard, js *jobState, i int, q *configuration.Queue) *workerChoice {
+	t := &js.Tasks[i]
+	st := &js.Steps[t.Step]
+	c := &workerChoice{
+		shard: sl, queue: q, job: js, step: t.Step, round: t.Round, resources: t.Resources, needs: t.Needs,
+		near: st.Near, perWorker: st.PerWorker, loadChanges: sl.loadChanges,
+	}
+	if st.PerWorker > 0 {
+		c.used = js.usedBy(i)
+	}
+	for _, name := range sorted(n.workers) {
+		w := n.workers[name]
+		if n.allowed(w, q, t.Needs, t.Resources) && (st.PerWorker == 0 || c.used[name] < st.PerWorker) {
+			c.views = append(c.views, w)
+			c.workers = append(c.workers, scheduler.Choosable{Name: name})
+			c.pinned = c.pinned || w.colocated
+		}
+	}
+	for at := range c.workers {
+		n.observeChoosable(c, at)
+	}
+	return c
+}
+
+// observeChoosable takes what is known now of one worker.
+func (n *node) observeChoosable(c *workerChoice, at int) {
+	worker, w := &c.workers[at], c.views[at]
+	worker.RankMs = n.ranks.of(n, worker.Name)
+	worker.QueueFull = w.queued >= agentQueueMax/2
+	worker.Shun = n.shunOf(c, worker.Name, w)
+}
+
+// shunOf gives the reasons to place a task elsewhere that hold for all tasks of a step.
+func (n *node) shunOf(c *workerChoice, name string, w *workerView) (shun scheduler.Shun) {
+	on := n.Policies.On
+	if on(scheduler.EjectUnhealthy) && (n.ranks.unhealthy[name] != 0 || w.suspect) {
+		shun |= scheduler.ShunUnhealthy
+	}
+	if on(scheduler.ShunQuiet) && w.colocated && isQuiet(n.now-w.heardMs, w.silentMs) {
+		shun |= scheduler.ShunSilent
+	}
+	if c.pinned && !c.resources.Fits(n.roomFor(c.shard, c.queue, name, w)) {
+		shun |= scheduler.ShunKept
+		if !c.resources.Fits(n.freeAt(c.shard, name, w).Plus(n.batchLoad(c.shard, "", name))) {
+			shun |= scheduler.ShunFull
+		}
+	}
+	if on(scheduler.NearData) && c.near != "" && w.rack != c.near {
+		shun |= scheduler.ShunFar
+	}
+	return shun
+}
+
+// serves tells whether what was gathered holds for a task.
+func (c *workerChoice) serves(sl *shard, js *jobState, t *task) bool {
+	return c != nil && c.shard == sl && c.job == js && c.step == t.Step && c.round == t.Round &&
+		c.resources == t.Resources && slices.Equal(c.needs, t.Needs) && c.loadChanges == sl.loadChanges
+}
+
+// find gives a worker's position.
+func (c *workerChoice) find(worker string) (at int, found bool) {
+	if worker == "" {
+		return 0, false
+	}
+	byName := func(w scheduler.Choosable, name string) int { return cmp.Compare(w.Name, name) }
+	return slices.BinarySearchFunc(c.workers, worker, byName)
+}
+
+// placed takes note of a task that went to a worker, the only thing that has changed since.
+func (n *node) placed(c *workerChoice, worker string) {
+	at, found := c.find(worker)
+	if !found {
+		return
+	}
+	c.loadChanges = c.shard.loadChanges
+	if c.perWorker > 0 {
+		if c.used[worker]++; c.used[worker] >= c.perWorker {
+			c.views = slices.Delete(c.views, at, at+1)
+			c.workers = slices.Delete(c.workers, at, at+1)
+			return
+		}
+	}
+	n.observeChoosable(c, at)
+}
--- /dev/null
+++ b/internal/scheduler/choice_test.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Reasons to shun a worker count in their order, and only where another is left.
+func TestLeastShunned(t *testing.T) {
+	for name, c := range map[string]struct {
+		workers []Choosable
+		want    []int
+	}{
+		"none":                       {nil, nil},
+		"all alike":                  {[]Choosable{{}, {}}, []int{0, 1}},
+		"a weightier reason decides": {[]Choosable{{Shun: ShunUnhealthy}, {Shun: ShunFar | ShunFull | ShunKept}}, []int{1}},
+		"fewer reasons decide":       {[]Choosable{{Shun: ShunKept | ShunFar}, {Shun: ShunKept}, {Shun: ShunKept}}, []int{1, 2}},
+		"all unhealthy":              {[]Choosable{{Shun: ShunUnhealthy}, {Shun: ShunUnhealthy | ShunLast}}, []int{0}},
+		"queues are bounded":         {[]Choosable{{QueueFull: true}, {}}, []int{1}},
+		"even where nobody else is":  {[]Choosable{{QueueFull: true}, {Shun: ShunLast}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) { must.SliceContainsAll(t, c.want, leastShunned(c.workers)) })
+	}
+}
+
+// The draw is even among the k of lowest rank, and leaves all others out.
+func TestChoose(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var workers []Choosable
+	for i := range 100 {
+		workers = append(workers, Choosable{Name: fmt.Sprintf("w%02d", i), RankMs: int64(100 - i)})
+	}
+	for name, c := range map[string]struct{ k, among int }{
+		"a quarter": {0, 25}, "as set": {7, 7}, "more than there are": {500, 100}, "all": {-1, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			drawn := map[int]int{}
+			for range 100 * c.among {
+				at, among := Choose(workers, c.k, random.IntN)
+				must.Eq(t, c.among, among)
+				drawn[at]++
+			}
+			must.MapLen(t, c.among, drawn)
+			for at, times := range drawn {
+				must.GreaterEq(t, 100-c.among, at)
+				must.Between(t, 40, times, 160)
+			}
+		})
+	}
+	few, _ := Choose(workers[:0], 0, random.IntN)
+	must.Eq(t, -1, few)
+	_, among := Choose(workers[:4], 0, random.IntN)
+	must.Eq(t, kLeast, among)
+}
