--- a/guards.sh
+++ b/guards.sh
@@ -26,7 +26,7 @@
 placement is durable first|internal/daemon/job_schedule.go|if t.ChangedIn <= js.committed && rt.sentMs == 0|if rt.sentMs == 0
 end is durable before it is acknowledged|internal/daemon/reconcile.go|if t.ChangedIn > js.committed {\n\t\treturn 0\n\t}\n\tif !t.counted|if !t.counted
 steps in order|internal/daemon/job_schedule.go|return pass.ready[js.stepAt(t)] && |return 
-a median of all clocks|internal/daemon/core_member.go|return n.granter.FleetTime(n.now, len(n.peers.AliveNames()))|return n.wall
+a median of all clocks|internal/daemon/core_member.go|return n.granter.FleetTime(n.now, n.peers.AliveCount())|return n.wall
 due time|internal/daemon/job_schedule.go|due != 0 && pass.wall < due+dueMarginMs|due != 0 && false
 group at the agent|internal/daemon/agent_dispatch.go|if q == nil \|\| lack \|\| !q.Matches(ag.labels, ag.zone) \|\||if q == nil \|\| false && lack \|\|
 allowed failures|internal/daemon/attempt_result.go|case t.Failures >= t.allowedRuns() && !st.Lasting:|case t.Failures > t.allowedRuns() && !st.Lasting:
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -22,12 +22,21 @@
 const (
 	// AliveMs is how long a peer's heartbeat may stand still before it counts as dead.
 	AliveMs = 4000
+	// ColocatedAliveMs is the same for daemons beside workers, whose heartbeats come with each
+	// fullRounds-th round alone: they hold no role that anybody waits to take over.
+	ColocatedAliveMs = 15_000
 	// RoundMs is the pace of gossip.
 	RoundMs = 500
+	// colocatedRoundMs is the pace of daemons beside workers, which gossip with others alone.
+	colocatedRoundMs = 2000
+	// fullRounds: once in so many rounds a digest holds the daemons beside workers too.
+	fullRounds = 4
 	// firstRoundMs is the pace of a disk that knows no cluster, before the first one is formed.
 	firstRoundMs = 200
 	// Fanout is how many peers a daemon gossips with: log2 of today's fleets.
 	Fanout = 4
+	// colocatedFanout is that of a daemon beside a worker.
+	colocatedFanout = 2
 	// keepMs: a zone cut off for hours must still know where the others were.
 	keepMs = 48 * 3600 * 1000
 	// MaxPeers bounds the table; the longest silent one goes first.
@@ -67,6 +76,7 @@
 	name      string
 	seeds     []string
 	heartbeat uint64
+	rounds    uint64
 	nextMs    int64
 	peers     map[string]*Peer
 	byHash    map[uint64]string // peers by what is said of them
@@ -108,7 +118,27 @@
 		return true
 	}
 	p := d.peers[name]
-	return p != nil && d.host.NowMs()-p.HeardMs < AliveMs
+	return p != nil && d.host.NowMs()-p.HeardMs < d.aliveMs(p)
+}
+
+// aliveMs is how long a peer's heartbeat may stand still here. What a daemon beside a worker
+// hears of others is older, and so is what others hear of it.
+func (d *Directory) aliveMs(p *Peer) int64 {
+	if p.Colocated || d.host.Self().Colocated {
+		return ColocatedAliveMs
+	}
+	return AliveMs
+}
+
+// AliveCount is how many daemons are alive, the own one too.
+func (d *Directory) AliveCount() int {
+	count := 1
+	for name := range d.peers {
+		if d.Alive(name) {
+			count++
+		}
+	}
+	return count
 }
 
 // AliveNames returns the names of all daemons that are alive, the own one too, in order.
@@ -168,11 +198,20 @@
 // GossipSoon has the next tick gossip: what the daemon says of itself has changed.
 func (d *Directory) GossipSoon() { d.nextMs = 0 }
 
-// targets names the few peers that this daemon gossips with.
+// targets names the few peers that this daemon gossips with: none beside a worker, as long
+// as there are enough others.
 func (d *Directory) targets() []string {
 	others := slices.DeleteFunc(d.AliveNames(), func(name string) bool { return name == d.name })
+	standalone := slices.DeleteFunc(slices.Clone(others), func(name string) bool { return d.peers[name].Colocated })
+	if len(standalone) >= colocatedFanout {
+		others = standalone
+	}
+	fanout := Fanout
+	if d.host.Self().Colocated {
+		fanout = colocatedFanout
+	}
 	others = rendezvous.Order(d.name, others)
-	return others[:min(Fanout, len(others))]
+	return others[:min(fanout, len(others))]
 }
 
 // forgetOld drops peers that were silent for very long, and the longest silent one
--- a/internal/cluster/directory_test.go
+++ b/internal/cluster/directory_test.go
@@ -147,3 +147,83 @@
 	must.Nil(t, d.Get("old"))
 	must.Nil(t, d.Get(fmt.Sprint("p", MaxPeers)))
 }
+
+// Daemons beside workers are many: others' rounds leave them out but for one in four, they
+// gossip with others alone, and what they send and get doesn't grow with their number.
+func TestGossipOfColocatedDaemons(t *testing.T) {
+	h, d := newHost("a")
+	d.seeds = nil
+	for i := range 200 {
+		d.merge(wire.Peer{Name: fmt.Sprintf("side%03d", i), Incarnation: 1, Heartbeat: 1, Colocated: true})
+	}
+	for i := range 6 {
+		d.merge(wire.Peer{Name: fmt.Sprint("edge", i), Incarnation: 1, Heartbeat: 1})
+	}
+	entries := map[int]int{}
+	for range 4 * fullRounds {
+		h.nowMs += RoundMs
+		d.Tick()
+		for i, m := range h.sent {
+			if digest, ok := m.(*wire.Digest); ok {
+				entries[len(digest.Heartbeats)]++
+				must.StrHasPrefix(t, "edge", h.to[i])
+			}
+		}
+		h.take()
+		for _, p := range d.peers { // all live on
+			p.HeardMs = h.nowMs
+		}
+	}
+	must.Eq(t, map[int]int{6: 3 * 4 * Fanout, 206: 4 * Fanout}, entries)
+
+	side, s := newHost("side000")
+	s.seeds = nil
+	side.self.Colocated = true
+	for i := range 200 {
+		s.merge(wire.Peer{Name: fmt.Sprintf("side%03d", i), Incarnation: 1, Heartbeat: 1, Colocated: true})
+	}
+	for i := range 6 {
+		s.merge(wire.Peer{Name: fmt.Sprint("edge", i), Incarnation: 1, Heartbeat: 1})
+	}
+	side.nowMs += RoundMs
+	must.True(t, s.Tick())
+	must.Len(t, colocatedFanout, side.sent)
+	digest := side.take()[0].(*wire.Digest)
+	must.True(t, digest.Partial)
+	must.Len(t, 6, digest.Heartbeats)
+	side.nowMs += RoundMs
+	must.False(t, s.Tick()) // its rounds are further apart
+	d.OnDigest("side000", digest)
+	reply := h.take()[0].(*wire.DigestReply)
+	must.LessEq(t, 7, len(reply.Table)+len(reply.Heartbeats))
+	must.True(t, d.Alive("side000"))
+}
+
+// Heartbeats of daemons beside workers come seldom: they count as alive for longer, and for
+// them others do.
+func TestAliveOfColocatedDaemons(t *testing.T) {
+	h, d := newHost("a")
+	d.merge(wire.Peer{Name: "side", Incarnation: 1, Colocated: true})
+	d.merge(wire.Peer{Name: "edge", Incarnation: 1})
+	must.Eq(t, 3, d.AliveCount())
+	h.nowMs += AliveMs
+	must.Eq(t, []string{"a", "side"}, d.AliveNames())
+	h.self.Colocated = true
+	must.Eq(t, 3, d.AliveCount())
+	h.nowMs += ColocatedAliveMs
+	must.Eq(t, 1, d.AliveCount())
+}
+
+// A daemon whose clock was set back before its start hears of its earlier process from
+// whoever it gossips with.
+func TestReplyNamesEarlierIncarnation(t *testing.T) {
+	h, d := newHost("a")
+	d.merge(wire.Peer{Name: "side", Incarnation: 9, Heartbeat: 4, Colocated: true})
+	d.OnDigest("side", &wire.Digest{Self: wire.Peer{Name: "side", Incarnation: 7, Colocated: true}, Partial: true})
+	reply := h.take()[0].(*wire.DigestReply)
+	must.Eq(t, 9, reply.Table[0].Incarnation)
+	side, s := newHost("side")
+	side.self.Incarnation, side.self.Colocated = 7, true
+	s.OnDigestReply("a", reply)
+	must.Eq(t, 9, side.raised)
+}
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -9,10 +9,14 @@
 		return false
 	}
 	d.nextMs = now + RoundMs
-	if d.host.Forming() {
+	switch {
+	case d.host.Forming():
 		d.nextMs = now + firstRoundMs
+	case d.host.Self().Colocated && len(d.peers) >= colocatedFanout:
+		d.nextMs = now + colocatedRoundMs
 	}
 	d.heartbeat++
+	d.rounds++
 	d.forgetOld()
 	round := d.digest()
 	for _, name := range d.targets() {
@@ -49,7 +53,7 @@
 func (d *Directory) gossipWithDead(round *wire.Digest) {
 	var dead []string
 	for _, name := range d.Names() {
-		if !d.Alive(name) {
+		if !d.Alive(name) && !d.peers[name].Colocated { // which finds the others itself
 			dead = append(dead, name)
 		}
 	}
@@ -61,9 +65,14 @@
 
 // Table returns the whole table of live peers, and the core set.
 func (d *Directory) Table(replyRequested bool) *wire.Gossip {
+	return d.table(replyRequested, false)
+}
+
+// table returns the table, if it is partial without the daemons beside workers.
+func (d *Directory) table(replyRequested, partial bool) *wire.Gossip {
 	m := &wire.Gossip{Self: d.Self(), Core: d.host.CoreSet(), ReplyRequested: replyRequested}
 	for _, name := range d.Names() {
-		if d.Alive(name) {
+		if d.Alive(name) && !(partial && d.peers[name].Colocated) {
 			m.Table = append(m.Table, d.peers[name].Peer)
 		}
 	}
@@ -106,7 +115,7 @@
 	if m.ReplyRequested && from != d.name {
 		// To where it says it is: a daemon that is new at its address, with a
 		// clock set back, is known at its old one until it has heard of that.
-		d.host.SendAt(from, m.Self.Addr, d.Table(false))
+		d.host.SendAt(from, m.Self.Addr, d.table(false, m.Self.Colocated))
 	}
 }
 
@@ -138,8 +147,9 @@
 // digest is one round of gossip.
 func (d *Directory) digest() *wire.Digest {
 	m := &wire.Digest{Self: d.Self(), SetVersion: d.host.CoreSet().Version}
+	m.Partial = m.Self.Colocated || d.rounds%fullRounds != 1
 	for _, name := range d.Names() {
-		if p := d.peers[name]; d.Alive(name) {
+		if p := d.peers[name]; d.Alive(name) && !(m.Partial && p.Colocated) {
 			m.Heartbeats = append(m.Heartbeats, wire.Heartbeat{Hash: p.hash, Heartbeat: int32(p.Heartbeat)})
 		}
 	}
@@ -177,7 +187,10 @@
 		said[name] = h.Heartbeat
 		d.recordHeartbeat(h, name)
 	}
-	d.addDifferences(reply, said, own)
+	if p := d.peers[from]; p != nil && p.Incarnation > m.Self.Incarnation {
+		reply.Table = append(reply.Table, p.Peer) // an earlier process of its name began by a later clock
+	}
+	d.addDifferences(reply, said, own, m.Partial)
 	d.host.SendAt(from, m.Self.Addr, reply)
 	if m.SetVersion < set.Version {
 		d.host.SendAt(from, m.Self.Addr, d.CoreSetUpdate())
@@ -185,11 +198,11 @@
 }
 
 // addDifferences puts into a reply the live daemons that weren't said there, and
-// the higher heartbeats of those that were.
-func (d *Directory) addDifferences(reply *wire.DigestReply, said map[string]int32, own uint64) {
+// the higher heartbeats of those that were. A partial digest speaks of no daemon beside a worker.
+func (d *Directory) addDifferences(reply *wire.DigestReply, said map[string]int32, own uint64, partial bool) {
 	for _, name := range d.Names() {
 		p := d.peers[name]
-		if !d.Alive(name) {
+		if _, known := said[name]; !d.Alive(name) || partial && p.Colocated && !known {
 			continue
 		}
 		if heartbeat, ok := said[name]; !ok {
@@ -199,6 +212,9 @@
 		}
 	}
 	self := d.Self()
+	if partial && self.Colocated {
+		return
+	}
 	if _, ok := said[d.name]; ok {
 		reply.Heartbeats = append(reply.Heartbeats, wire.Heartbeat{Hash: own, Heartbeat: int32(self.Heartbeat)})
 	} else {
--- a/internal/daemon/core_member.go
+++ b/internal/daemon/core_member.go
@@ -161,6 +161,9 @@
 		a.Epochs = append(a.Epochs, last.Epoch)
 	}
 	a.Holders = n.granter.Holders(n.now)
+	if m.HoldersHash != 0 && m.HoldersHash == wire.HashHolders(a.Holders) {
+		a.Holders, a.HoldersSame = nil, true
+	}
 	a.Config = n.store.Register(configuration.Register).Accepted
 	n.persist(nil, n.sendEffect(from, a))
 }
@@ -180,7 +183,7 @@
 	if n.now-n.wokeMs < 2*lease.PollColocatedMs {
 		return 0
 	}
-	return n.granter.FleetTime(n.now, len(n.peers.AliveNames()))
+	return n.granter.FleetTime(n.now, n.peers.AliveCount())
 }
 
 // dropExpired lets go of finished records past their keeping. Where less than a
--- a/internal/daemon/estimate.go
+++ b/internal/daemon/estimate.go
@@ -73,7 +73,7 @@
 	return e
 }
 
-// tickEstimates tells all daemons what this one learned since the last round, so
+// tickEstimates tells all daemons that may own a shard what this one learned since the last round, so
 // that estimates outlive their owner: whoever takes a shard has them.
 func (n *node) tickEstimates() {
 	if n.now < n.learnedAt || len(n.owned) == 0 {
@@ -91,7 +91,7 @@
 		return
 	}
 	for _, name := range n.peers.AliveNames() {
-		if name != n.Name {
+		if name != n.Name && !n.peers.Describe(name).Colocated { // agents place nothing
 			n.send(name, m)
 		}
 	}
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -76,8 +76,11 @@
 // newPlatformWorld builds a deployment: edge daemons, of which three have disks,
 // and a side daemon beside each worker.
 func newPlatformWorld(seed uint64, name string) *platformWorld {
-	site := platformDeploymentOf(name)
-	dep := historycheck.Deployment{Name: name, Daemons: site.edges + site.sides}
+	return newPlatformWorldOf(seed, platformDeploymentOf(name))
+}
+
+func newPlatformWorldOf(seed uint64, site platformDeployment) *platformWorld {
+	dep := historycheck.Deployment{Name: site.name, Daemons: site.edges + site.sides}
 	b := &platformWorld{world: newWorld(seed, dep), deployment: site, byHost: map[string]*platformWorker{}, jobs: map[string]*platformJob{}, gangs: map[gangName]*platformEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1,
 		cutOneWay: map[string]cutWay{}, sentSetups: map[string]*sentSetup{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
--- a/internal/daemon/world_node_test.go
+++ b/internal/daemon/world_node_test.go
@@ -136,6 +136,9 @@
 			}
 		}
 	}
+	if n.w.onSend != nil {
+		n.w.onSend(n.Name, to, msg, len(frame))
+	}
 	if target == nil {
 		return
 	}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -44,6 +44,7 @@
 	resetUs      map[[2]string]int64 // when the connections one way were last reset
 	answerLoss   map[string]float64  // by caller, the share of answers lost on their way
 	onAnswer     []func(sentAnswer) (over bool)
+	onSend       func(from, to string, msg any, bytes int)
 	// detain tells how many us longer than others a message takes, past those sent after it.
 	detain func(from, to string, msg any) int64
 }
--- a/internal/lease/clock.go
+++ b/internal/lease/clock.go
@@ -13,6 +13,9 @@
 	// ClockWaitMs is how long a core member hears clocks before it tells the
 	// fleet's time.
 	ClockWaitMs = 800
+	// medianMs is how long a core member tells the fleet's time by one median of all clocks:
+	// it answers each daemon's polls, and clocks move little.
+	medianMs = 100
 )
 
 // Clock is the fleet's time as one daemon knows it: the median of what the core
--- a/internal/lease/granter.go
+++ b/internal/lease/granter.go
@@ -15,6 +15,17 @@
 	grants  map[string]*grant
 	clocks  map[string]clockReading // of all daemons that poll here
 	polls   map[string]pollMark     // the newest poll of each daemon
+	median  clockMedian
+
+	forgotMs int64 // when silent clocks were last dropped
+}
+
+// clockMedian is the median of all clocks as it was last worked out.
+type clockMedian struct {
+	offsetMs int64
+	atMs     int64
+	clocks   int
+	known    bool
 }
 
 // grant is a lease given to one process; without a holder, one that was given back.
@@ -84,16 +95,29 @@
 	if nowMs-g.startMs < ClockWaitMs {
 		return 0
 	}
-	maps.DeleteFunc(g.clocks, func(_ string, c clockReading) bool { return nowMs-c.atMs > 2*clockOldMs })
+	if nowMs-g.forgotMs >= medianMs {
+		g.forgotMs = nowMs
+		maps.DeleteFunc(g.clocks, func(_ string, c clockReading) bool { return nowMs-c.atMs > 2*clockOldMs })
+	}
 	if 2*len(g.clocks) <= alive {
 		return 0
 	}
+	return g.medianOffset(nowMs) + nowMs
+}
+
+// medianOffset is the median of all clocks' offsets, worked out anew each medianMs at the most,
+// and whenever clocks have come or gone.
+func (g *Granter) medianOffset(nowMs int64) int64 {
+	if m := g.median; m.known && nowMs-m.atMs < medianMs && m.clocks == len(g.clocks) {
+		return m.offsetMs
+	}
 	all := make([]int64, 0, len(g.clocks))
 	for _, c := range g.clocks {
 		all = append(all, c.offsetMs)
 	}
 	slices.Sort(all)
-	return all[(len(all)-1)/2] + nowMs
+	g.median = clockMedian{offsetMs: all[(len(all)-1)/2], atMs: nowMs, clocks: len(all), known: true}
+	return g.median.offsetMs
 }
 
 // ClockOffsets returns each daemon's wall clock minus a time, in ms, as now.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -19,6 +19,9 @@
 	// PollColocatedMs is the pace of daemons beside workers: they hold no lease, and
 	// the configuration they go by is confirmed this often.
 	PollColocatedMs = 400
+	// unheardMs: a member that answered no poll of a daemon beside a worker for so long is told
+	// where that daemon is.
+	unheardMs = 2 * PollColocatedMs
 	// acquireStepMs: each lower-ranked candidate waits this much longer for a free role.
 	acquireStepMs = 400
 	// returnMs: a role's holder hands it to a better machine when it has held it this long.
@@ -58,6 +61,7 @@
 	Seq      uint64
 	SentMs   int64
 	Answers  map[string]*wire.PollResponse // by member
+	hashes   map[string]uint64             // member -> the holders that it was asked to leave out
 	wanted   []wire.LeaseRequest
 	leases   []*lease // what each of wanted was asked for: one given up since is another
 	releases []wire.LeaseRelease
@@ -99,15 +103,16 @@
 	peers *cluster.Directory
 	clock Clock
 
-	seq       uint64
-	nextMs    int64
-	lastMs    int64 // when the last round was sent
-	firstMs   int64 // when this daemon first polled
-	contactMs int64 // when the newest round that a majority answered was sent
-	guardMs   int64 // until then too many members grant nothing
-	sent      map[uint64]*Round
-	heardMs   map[string]int64 // member -> when it last answered a poll
-	syncMs    map[string]int64 // member -> its last sync
+	seq           uint64
+	nextMs        int64
+	lastMs        int64 // when the last round was sent
+	firstMs       int64 // when this daemon first polled
+	contactMs     int64 // when the newest round that a majority answered was sent
+	guardMs       int64 // until then too many members grant nothing
+	sent          map[uint64]*Round
+	heardMs       map[string]int64         // member -> when it last answered a poll
+	syncMs        map[string]int64         // member -> its last sync
+	memberHolders map[string]memberHolders // by member
 
 	leases    map[string]*lease
 	holders   map[string]wire.RoleHolder // as far as a majority told
@@ -123,7 +128,7 @@
 func NewManager(host Host, peers *cluster.Directory) *Manager {
 	return &Manager{
 		host: host, peers: peers,
-		sent: map[uint64]*Round{}, heardMs: map[string]int64{}, syncMs: map[string]int64{},
+		sent: map[uint64]*Round{}, heardMs: map[string]int64{}, syncMs: map[string]int64{}, memberHolders: map[string]memberHolders{},
 		leases: map[string]*lease{}, holders: map[string]wire.RoleHolder{}, former: map[string]formerHolder{},
 	}
 }
--- a/internal/lease/poll.go
+++ b/internal/lease/poll.go
@@ -64,22 +64,43 @@
 		m.nextMs = now + PollColocatedMs
 	}
 	m.seq++
-	round := &Round{Seq: m.seq, SentMs: now, Answers: map[string]*wire.PollResponse{}}
+	round := &Round{Seq: m.seq, SentMs: now, Answers: map[string]*wire.PollResponse{}, hashes: map[string]uint64{}}
 	m.sent[m.seq] = round
 	m.fill(round)
 	maps.DeleteFunc(m.sent, func(_ uint64, r *Round) bool { return now-r.SentMs > DurationMs })
 	if m.firstMs == 0 {
 		m.firstMs = now
 	}
-	request := &wire.PollRequest{
-		Incarnation: self.Incarnation, Seq: m.seq, SetVersion: set.Version, WallMs: m.host.WallMs(),
-		Wanted: round.wanted, Releases: round.releases,
-	}
 	for _, member := range set.Members {
-		m.host.Send(member.Name, request)
+		if self.Colocated && now-m.heardMs[member.Name] > unheardMs {
+			m.peers.AnnounceTo([]string{member.Name}) // gossip may not have told it where to answer
+		}
+		m.host.Send(member.Name, &wire.PollRequest{
+			Incarnation: self.Incarnation, Seq: m.seq, SetVersion: set.Version, WallMs: m.host.WallMs(),
+			HoldersHash: m.memberHolders[member.Name].hash, Wanted: round.wanted, Releases: round.releases,
+		})
+		round.hashes[member.Name] = m.memberHolders[member.Name].hash
 	}
 }
 
+// memberHolders is who holds what, as one member last told in full.
+type memberHolders struct {
+	hash    uint64
+	holders []wire.RoleHolder
+}
+
+// completeHolders fills in the holders that an answer left out. It gives false where a newer
+// answer has overtaken this one: then nobody knows here what it left out.
+func (m *Manager) completeHolders(from string, a *wire.PollResponse, asked uint64) bool {
+	if !a.HoldersSame {
+		m.memberHolders[from] = memberHolders{wire.HashHolders(a.Holders), a.Holders}
+		return true
+	}
+	last := m.memberHolders[from]
+	a.Holders = last.holders
+	return last.hash == asked
+}
+
 // fill puts into a round what is asked for and given back.
 func (m *Manager) fill(round *Round) {
 	for _, role := range m.Roles() {
@@ -109,6 +130,9 @@
 	if len(a.Granted) != len(r.wanted) || len(a.Epochs) != len(r.wanted) {
 		return
 	}
+	if !m.completeHolders(from, a, r.hashes[from]) {
+		return
+	}
 	r.Answers[from] = a
 	m.clock.Observe(from, a.FleetMs, r.SentMs, now)
 	m.syncMs[from] = a.SyncMs
--- a/internal/wire/cluster.go
+++ b/internal/wire/cluster.go
@@ -48,7 +48,9 @@
 
 // Digest is one round of gossip: a short entry for each live daemon.
 type Digest struct {
-	Self       Peer
+	Self Peer
+	// Partial leaves out daemons beside workers: they are many, and few must know them.
+	Partial    bool
 	SetVersion int64
 	Heartbeats []Heartbeat
 }
@@ -79,6 +81,8 @@
 	Seq         uint64
 	SetVersion  int64
 	WallMs      int64 // the sender's wall clock
+	// HoldersHash is that of the holders the member told last, see HashHolders; 0 for none.
+	HoldersHash uint64
 	Wanted      []LeaseRequest
 	Releases    []LeaseRelease
 }
@@ -100,10 +104,12 @@
 	Granted    []bool
 	Epochs     []uint64 // of what was granted: the last epoch that this member knows
 	Holders    []RoleHolder
-	Config     register.Ballot
-	GuardMs    int64 // so long this member grants nothing yet
-	FleetMs    int64 // the fleet's time; 0 while too few clocks are heard
-	SyncMs     int64 // ms of the last sync
+	// HoldersSame says that the holders are those of the request's hash, and left out.
+	HoldersSame bool
+	Config      register.Ballot
+	GuardMs     int64 // so long this member grants nothing yet
+	FleetMs     int64 // the fleet's time; 0 while too few clocks are heard
+	SyncMs      int64 // ms of the last sync
 }
 
 // FormRequest asks a disk for its vote on a formation, or tells that it failed.
@@ -133,6 +139,17 @@
 	Entries  []statestore.Entry
 }
 
+// HashHolders is a hash of who holds what; never 0.
+//
+// Example: same := wire.HashHolders(holders) == request.HoldersHash
+func HashHolders(holders []RoleHolder) uint64 {
+	h := fnv.New64a()
+	for _, holder := range holders {
+		_, _ = h.Write(codec.Append(nil, holder)) // a hash takes any bytes
+	}
+	return max(h.Sum64(), 1)
+}
+
 // DetailHash is a hash of all that a daemon says of itself but for its heartbeat.
 func (p Peer) DetailHash() uint64 {
 	p.Heartbeat = 0
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -96,7 +96,7 @@
 const (
 	// FormVersion rises with each change of how frames or messages are encoded.
 	// Daemons of two forms don't hear each other.
-	FormVersion = 8
+	FormVersion = 9
 	// magic tells frames of this form from all others: "otw" and the form. Up to
 	// the third form a frame began with eight bytes "otterchu" and a version.
 	magic int32 = 0x6f747700 | FormVersion
