--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -5,6 +5,7 @@
 
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -46,6 +47,9 @@
 	succeeded  int64
 	failed     int64
 	lagPct     int64
+	evidence   scheduler.Evidence             // whether it fails more than others
+	ended      map[string]scheduler.EndCounts // lately, by queue
+	failedJobs map[string]int64               // when a job's task last failed here
 	decayAt    int64
 
 	colocated        bool
@@ -200,6 +204,18 @@
 	}
 	ag.decayAt = n.now + healthDecayMs
 	ag.succeeded, ag.failed = ag.succeeded*3/4, ag.failed*3/4
+	for queue, counts := range ag.ended {
+		if counts.Decay(); counts == (scheduler.EndCounts{}) {
+			delete(ag.ended, queue)
+		} else {
+			ag.ended[queue] = counts
+		}
+	}
+	for job, atMs := range ag.failedJobs {
+		if n.now-atMs > healthDecayMs {
+			delete(ag.failedJobs, job)
+		}
+	}
 	if n.now > ag.suspectMs+healthDecayMs {
 		ag.suspects = max(0, ag.suspects-1)
 	}
--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -7,6 +7,7 @@
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -126,6 +127,9 @@
 	if h.spec.Class == wire.ClassGuaranteed || n.isUrgent(q) || !ag.colocated {
 		return avail
 	}
+	if n.fleetIdle() && n.now-h.queuedMs > backfillMs && n.Policies.On(scheduler.Backfill) {
+		return avail // no room is kept back from what waited this long while most of it is free
+	}
 	return avail.Minus(n.keptRoom(ag.capacity, ag.urgentHeld(n, wire.AttemptOrdered, wire.AttemptRunning)))
 }
 
--- a/internal/daemon/agent_report.go
+++ b/internal/daemon/agent_report.go
@@ -101,6 +101,7 @@
 		changed = true
 	}
 	n.respondReport(ag, a, ended)
+	n.judgeWorker(ag)
 	if changed {
 		n.reportAgent(ag)
 	}
@@ -265,6 +266,7 @@
 	case "ok":
 		h.result = wire.ResultOK
 		ag.succeeded++
+		n.observeEnd(ag, h, false)
 		if h.spec.Class == wire.ClassQueueable {
 			ag.lastOK = n.now
 		}
@@ -274,6 +276,7 @@
 	case "failed":
 		h.result = wire.ResultFailed
 		ag.failed++
+		n.observeEnd(ag, h, true)
 	case "overrun":
 		h.result = wire.ResultOverrun
 		ag.failed++
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -152,8 +152,14 @@
 	if to == "" {
 		return
 	}
+	if to != ag.reported[target].to {
+		n.peers.AnnounceTo([]string{to}) // gossip may not have told it where this agent is
+	}
 	m.Shard = target
 	m.Batch = ag.batchHeld(n, target)
+	if target == "" {
+		m.Ends = ag.endsByQueue()
+	}
 	n.addAttempts(&m, ag, keys)
 	n.send(to, &m)
 	if ag.reported == nil {
@@ -184,7 +190,8 @@
 		Rebuilt: ag.rebuilt, Fresh: n.now-ag.tokenMs <= reportMs, SilentMs: n.now - ag.heardMs,
 		Zone: ag.zone, Labels: ag.labels, Rack: ag.rack, Leaving: ag.leaving,
 		Free: ag.free, Capacity: ag.capacity, Spare: spare, Waiting: waiting,
-		Suspect: n.now < ag.suspectMs, Colocated: ag.colocated,
+		Suspect: n.now < ag.suspectMs, Doubtful: ag.evidence.Doubtful(),
+		Probation: ag.suspects > 0 && n.now >= ag.suspectMs, Colocated: ag.colocated,
 		RankMs: rank, QueuedMs: queuedMs, Queued: queued,
 		Succeeded: ag.succeeded, Failed: ag.failed, LagPercent: ag.lagPct,
 		Urgent: ag.urgentHeld(n, wire.AttemptQueued, wire.AttemptOrdered, wire.AttemptRunning),
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -127,6 +127,7 @@
 	q *configuration.Queue,
 	candidates []*scheduler.Candidate,
 ) (fit, healthy []*scheduler.Candidate) {
+	suspects := 0
 	for _, r := range candidates {
 		w := n.central.workers[r.Name]
 		_, lack := configuration.MissingLabel(w.Labels, ws.Needs)
@@ -134,6 +135,9 @@
 			continue
 		}
 		fit = append(fit, r)
+		if w.Suspect {
+			suspects++
+		}
 		if n.Policies.On(scheduler.ShunQuiet) && w.Colocated && isQuiet(n.now-w.heardMs, w.SilentMs) {
 			continue
 		}
@@ -141,7 +145,7 @@
 			healthy = append(healthy, r)
 		}
 	}
-	if len(healthy) == 0 {
+	if len(healthy) == 0 || 2*suspects > len(fit) { // where most are suspect it isn't the workers
 		healthy = fit
 	}
 	return fit, healthy
@@ -174,7 +178,10 @@
 		g.Near = ws.Near
 	}
 	if n.Policies.On(scheduler.AvoidLast) {
-		g.Avoid = ws.Avoid
+		g.Avoid = map[string]bool{}
+		for _, worker := range ws.Avoid {
+			g.Avoid[worker] = true
+		}
 	}
 	return g
 }
--- a/internal/daemon/attempt_result.go
+++ b/internal/daemon/attempt_result.go
@@ -41,6 +41,7 @@
 		return
 	case wire.ResultFailed, wire.ResultOverrun:
 		t.Last, t.Cause = t.Worker, result.String()
+		js.noteFailureAt(t.Worker, n.now)
 		if !n.countFailure(js, i) {
 			break
 		}
@@ -71,6 +72,26 @@
 	}
 }
 
+// jobAvoidMs is how long tasks of a job rather go elsewhere than where one of them failed.
+const jobAvoidMs = 10_000
+
+// noteFailureAt notes where a task of the job failed.
+func (js *jobState) noteFailureAt(worker string, nowMs int64) {
+	if js.failedAt == nil {
+		js.failedAt = map[string]int64{}
+	}
+	js.failedAt[worker] = nowMs
+}
+
+// failedLatelyAt tells whether a task of the job failed at a worker lately.
+func (js *jobState) failedLatelyAt(worker string, nowMs int64) bool {
+	atMs, failed := js.failedAt[worker]
+	return failed && nowMs-atMs <= jobAvoidMs
+}
+
+// onLastAttempt tells whether a task may fail no more.
+func (t *task) onLastAttempt() bool { return t.Failures > 0 && t.Failures+1 >= t.allowedRuns() }
+
 // backoffOf is how long a task waits after a failure. Of many tasks alike some fail, and the
 // next try is elsewhere: the first one comes at once.
 func (n *node) backoffOf(st *jobStep, t *task) int64 {
--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -323,7 +323,7 @@
 	best, least, bestWeight := "", 0.0, uint64(0)
 	for _, name := range sorted(n.workers) {
 		w := n.workers[name]
-		if !n.allowed(w, q, t.Needs, t.Resources) || w.suspect || w.waiting > 0 || n.ranks.unhealthy[name] != 0 ||
+		if !n.allowed(w, q, t.Needs, t.Resources) || w.suspect || w.waiting > 0 || n.ranks.ejected(name) ||
 			st.PerWorker > 0 && used[name] >= st.PerWorker {
 			continue
 		}
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -16,8 +16,9 @@
 	allocationStaleMs = 3000       // the central scheduler drops requests not repeated
 	grantMs           = 2500       // a grant not seen at the agent by then frees its room
 	rebuildMs         = 500        // a new central scheduler listens this long before it grants: agents speak each 300 ms
-	healthMinEnds     = 8          // ends an agent needs before it judges its worker
-	allocateNowMax    = 64         // waiting requests up to which each event tries to grant; beyond, only ticks do
+	unhealthyMs       = 10_000     // a slow worker gets no work for twice this long, doubled each time
+	unhealthyTimesMax = 5
+	allocateNowMax    = 64 // waiting requests up to which each event tries to grant; beyond, only ticks do
 )
 
 // central is the central scheduler with the coordinator inside it. It holds
@@ -102,10 +103,12 @@
 	heardMs   int64
 	targetMs  int64
 	short     bool
+	idle      bool            // most of all room was free
 	urgent    resource.Amount // percent by dimension that is kept for the most urgent queues
 	ranks     map[string]int64
 	unhealthy map[string]int8
-	added     map[string]int64 // estimates of what was placed from here since the round
+	failRates map[string]float64 // by queue
+	added     map[string]int64   // estimates of what was placed from here since the round
 }
 
 // of gives a worker's rank: the coordinator's, and what this daemon itself has
@@ -264,10 +267,12 @@
 	n.updateHealth(c)
 	m := &wire.Ranks{
 		Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c), UrgentPercent: c.urgent.Percent(),
+		Idle: scheduler.MostlyIdle(n.candidateWorkers(c), busyPercent), FailRates: c.failRates(),
 	}
 	n.rankWorkers(c, m)
-	// Ranks are for those that place tasks; agents need the target alone.
-	brief := &wire.Ranks{Epoch: m.Epoch, Round: m.Round, TargetMs: m.TargetMs, UrgentPercent: m.UrgentPercent}
+	// Ranks are for those that place tasks; agents need the rest.
+	brief := *m
+	brief.Ranks = nil
 	owners := map[string]bool{n.Name: true}
 	for _, s := range n.core.Shards {
 		to, _ := n.leases.Holder(lease.ShardRole(s))
@@ -277,7 +282,7 @@
 		if owners[name] {
 			n.send(name, m)
 		} else {
-			n.send(name, brief)
+			n.send(name, &brief)
 		}
 	}
 }
@@ -292,7 +297,9 @@
 		}
 		v := wire.WorkerRank{Worker: name, RankMs: w.RankMs}
 		if w.unhealthyUntilMs > n.now || w.Suspect {
-			v.Unhealthy = 1
+			v.Unhealthy = healthEjected
+		} else if w.Probation {
+			v.Unhealthy = healthProbation
 		}
 		m.Ranks = append(m.Ranks, v)
 		sum, sum2, count = sum+float64(w.RankMs), sum2+float64(w.RankMs)*float64(w.RankMs), count+1
@@ -317,38 +324,25 @@
 	c.urgent.Observe(used, all)
 }
 
-// updateHealth finds workers that fail or lag far more than their peers.
-// Where most look bad the jobs are, and nobody is judged. A worker judged
-// unsound is tried again with real work after a while.
+// updateHealth finds workers that lag far more than their peers. A worker judged unhealthy is
+// tried again with real work after a while. That it fails its tasks is its agent's to find.
 func (n *node) updateHealth(c *central) {
-	var bad []string
+	var names []string
+	var paces []scheduler.Pace
 	for _, name := range sorted(c.workers) {
-		w := c.workers[name]
-		var oks, fails, lag, others int64
-		for other, o := range c.workers {
-			if other != name && n.now-o.heardMs < contactMs {
-				oks, fails, lag, others = oks+o.Succeeded, fails+o.Failed, lag+o.LagPercent, others+1
-			}
+		if w := c.workers[name]; n.now-w.heardMs < contactMs {
+			names = append(names, name)
+			paces = append(paces, scheduler.Pace{Succeeded: w.Succeeded, LagPercent: w.LagPercent})
 		}
-		if others == 0 || w.unhealthyUntilMs > n.now {
+	}
+	for _, at := range scheduler.SlowWorkers(paces) {
+		w := c.workers[names[at]]
+		if w.unhealthyUntilMs > n.now {
 			continue
 		}
-		rate := float64(w.Failed) / float64(max(1, w.Succeeded+w.Failed))
-		rest := float64(fails) / float64(max(1, oks+fails))
-		if w.Succeeded+w.Failed >= healthMinEnds && rate > 0.25 && rate > 3*rest ||
-			w.Succeeded >= healthMinEnds && w.LagPercent > 300 && w.LagPercent > 3*lag/others {
-			bad = append(bad, name)
-		}
-	}
-	if 2*len(bad) > len(c.workers) {
-		return
-	}
-	for _, name := range bad {
-		w := c.workers[name]
-		w.unhealthyTimes = min(w.unhealthyTimes+1, 5)
-		w.unhealthyUntilMs = n.now + 10_000<<w.unhealthyTimes
-		n.log("worker_unhealthy", "worker", name, "fails", w.Failed, "oks", w.Succeeded, "lag_pct", w.LagPercent,
-			"for_ms", w.unhealthyUntilMs-n.now)
+		w.unhealthyTimes = min(w.unhealthyTimes+1, unhealthyTimesMax)
+		w.unhealthyUntilMs = n.now + unhealthyMs<<w.unhealthyTimes
+		n.log("worker_unhealthy", "worker", names[at], "lag_pct", w.LagPercent, "for_ms", w.unhealthyUntilMs-n.now)
 	}
 }
 
@@ -363,9 +357,14 @@
 		heardMs:   n.now,
 		targetMs:  m.TargetMs,
 		short:     m.WaitsForRoom,
+		idle:      m.Idle,
 		urgent:    m.UrgentPercent,
 		ranks:     map[string]int64{},
 		unhealthy: map[string]int8{},
+		failRates: map[string]float64{},
+	}
+	for _, rate := range m.FailRates {
+		r.failRates[rate.Queue] = float64(rate.PerMille) / perMille
 	}
 	for _, v := range m.Ranks {
 		r.ranks[v.Worker] = v.RankMs
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -23,7 +23,6 @@
 	heartbeatMs   = 50     // a worker sends its heartbeat again after this; an order waits half of it in the mean
 	standMs       = 1500   // work that does not move for this long, and a tenth of its estimate, stands still
 	lastPercent   = 99     // a worker tells no more of work that has not ended
-	suspectMs     = 3000   // a worker where work stood still gets no more for this long, doubled each time
 	lateEndsMax   = 100    // ends that wait behind a late one before the hold is let run out
 	endsPage      = 500    // ends that one heartbeat tells of at most
 	goneMs        = 500    // a worker that said it goes has ended this long after
@@ -163,6 +162,7 @@
 		n.log("agent_rebuilt", "worker", ag.worker, "epoch", ag.epoch, "held", len(ag.attempts))
 	}
 	n.detectStalledWork(ag)
+	n.judgeWorker(ag)
 	ag.answering = true
 	n.startPending(ag)
 	ag.answering = false
@@ -508,9 +508,7 @@
 		}
 	}
 	if standing && n.now >= ag.suspectMs {
-		ag.suspects = min(ag.suspects+1, 4)
-		ag.suspectMs = n.now + suspectMs<<(ag.suspects-1)
-		n.log("worker_suspect", "worker", ag.worker, "for_ms", ag.suspectMs-n.now)
+		n.suspectWorker(ag, "stands", standsMs)
 		n.reportAgent(ag)
 	}
 }
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -118,7 +118,6 @@
 		Resources:   t.Resources,
 		Needs:       t.Needs,
 		SubmittedMs: js.SubmitMs,
-		Avoid:       t.Last,
 		Gang:        st.Gang,
 		SameRack:    st.SameRack,
 		Near:        st.Near,
@@ -150,6 +149,7 @@
 		}
 		m.Tasks = append(m.Tasks, wire.RequestedTask{Task: js.taskID(k), Attempt: next})
 	}
+	m.Avoid = n.avoidedBy(js, m.Tasks)
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
 		for _, w := range sorted(used) {
@@ -159,6 +159,37 @@
 	n.send(to, m)
 }
 
+// avoidedMax bounds the workers that a request for guaranteed places asks to avoid.
+const avoidedMax = 32
+
+// avoidedBy gives the workers that requested tasks rather not go to: where they failed, where
+// others of the job did lately, and, if one may fail no more, where anything speaks against the
+// worker.
+func (n *node) avoidedBy(js *jobState, requested []wire.RequestedTask) []string {
+	avoided, last := map[string]bool{}, false
+	for _, r := range requested {
+		i, _, _ := js.position(r.Task)
+		if t := &js.Tasks[i]; t.Last != "" {
+			avoided[t.Last] = true
+			last = last || t.onLastAttempt()
+		}
+	}
+	for worker := range js.failedAt {
+		if js.failedLatelyAt(worker, n.now) {
+			avoided[worker] = true
+		}
+	}
+	if last {
+		for worker, w := range n.workers {
+			if w.doubtful {
+				avoided[worker] = true
+			}
+		}
+	}
+	names := sorted(avoided)
+	return names[:min(len(names), avoidedMax)]
+}
+
 // onAllocation takes firm places from the central scheduler; a gang's all or none.
 func (n *node) onAllocation(_ string, m *wire.Allocation) {
 	sl := n.owned[m.Shard]
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -184,6 +184,11 @@
 	for k, ws := range c.pending {
 		tell("wants %s queue %s since %d ms, last %d ms ago, %d tasks of %v, open %d, gang %v needs %v", k.Job, ws.Queue, now-ws.firstMs, now-ws.lastMs, len(ws.Tasks), ws.Resources, len(ws.open()), ws.Gang, ws.Needs)
 	}
+	for _, name := range sorted(b.nodes) {
+		if b.nodes[name].up {
+			b.tellAgents(b.nodes[name].sh.node, id, tell)
+		}
+	}
 	for _, name := range sorted(b.nodes) {
 		if !b.nodes[name].up {
 			continue
@@ -511,3 +516,17 @@
 		must.NotEq(t, id, w.worker(1).id)
 	})
 }
+
+// tellAgents tells what a daemon's agents hold of a job.
+func (b *platformWorld) tellAgents(n *node, id string, tell func(format string, args ...any)) {
+	for _, worker := range sorted(n.agents) {
+		ag := n.agents[worker]
+		kept := n.keptRoom(ag.capacity, ag.urgentHeld(n, wire.AttemptOrdered, wire.AttemptRunning))
+		for _, key := range ag.keys() {
+			if h := ag.attempts[key]; key.Job == id {
+				tell("agent %s of %s holds task %d attempt %d, %s since %d ms, confirmed %d ms ago, stop %d, kept room %v",
+					n.Name, worker, key.Task, key.Attempt, h.state.String(), n.now-h.queuedMs, n.now-h.confirmedMs, h.stopMs, kept)
+			}
+		}
+	}
+}
--- a/internal/daemon/platformworld_workers_test.go
+++ b/internal/daemon/platformworld_workers_test.go
@@ -39,6 +39,7 @@
 	readyUs   int64 // restored by then
 	failAtMs  float64
 	failing   *platformRun
+	byWorker  bool // it fails by its worker's fault
 	gen       int
 	sinceMs   int64
 	dissolved bool
@@ -56,6 +57,7 @@
 	factor   float64 // work takes that much longer here
 	slow     float64
 	hang     bool
+	failing  float64 // share of what begins there that fails by its fault
 	guards   bool
 	up       bool
 	gen      int
@@ -448,6 +450,13 @@
 			}
 		}
 	}
+	for _, r := range e.members {
+		if share := r.worker.failing; share > 0 && e.b.share(share) {
+			if at := e.b.rng.Float64() * min(e.workMs, 20_000); e.failing == nil || at < e.failAtMs {
+				e.failing, e.failAtMs, e.byWorker = r, at, true
+			}
+		}
+	}
 	e.plan()
 }
 
@@ -526,7 +535,9 @@
 			}
 			e.plan()
 		case "failed":
-			e.failing.job.fates[e.failing.name].failed++
+			if !e.byWorker {
+				e.failing.job.fates[e.failing.name].failed++
+			}
 			e.failing.worker.end(e.failing, "failed")
 		default:
 			e.gen++
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -65,7 +65,7 @@
 			agent: from, epoch: m.Epoch, echoMs: m.SentMs, heardMs: n.now, zone: m.Zone, labels: m.Labels, leaving: m.Leaving,
 			rebuilt: m.Rebuilt, fresh: m.Fresh, free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs,
 			silentMs: m.SilentMs, otherShards: others, batch: batch, waiting: m.Waiting, spare: w.spare.with(n.now, m.Spare),
-			rack: m.Rack, suspect: m.Suspect, colocated: m.Colocated, urgent: m.Urgent,
+			rack: m.Rack, suspect: m.Suspect, doubtful: m.Doubtful, colocated: m.Colocated, urgent: m.Urgent,
 		}
 	}
 	if m.Epoch == w.epoch && m.Shard != "" {
@@ -292,11 +292,18 @@
 func (n *node) fitsElsewhere(sl *shard, js *jobState, i int) bool {
 	t := &js.Tasks[i]
 	q := n.config.current.Queues[js.Queue]
-	if q == nil || js.Steps[t.Step].PerWorker > 0 || !n.Policies.On(scheduler.Recall) {
+	if q == nil || !n.Policies.On(scheduler.Recall) {
 		return false
 	}
+	perWorker, used := js.Steps[t.Step].PerWorker, map[string]int32(nil)
+	if perWorker > 0 {
+		used = js.usedBy(i)
+	}
 	for name, w := range n.workers {
-		if name != t.Worker && !w.suspect && n.ranks.unhealthy[name] == 0 && n.allowed(w, q, t.Needs, t.Resources) &&
+		if perWorker > 0 && used[name] >= perWorker {
+			continue
+		}
+		if name != t.Worker && !w.suspect && !n.ranks.ejected(name) && n.allowed(w, q, t.Needs, t.Resources) &&
 			t.Resources.Fits(n.roomFor(sl, q, name, w)) {
 			return true
 		}
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -116,6 +116,7 @@
 	plan      *batchPlan    // of a batch, once it is planned
 	trace     *jobtrace.Job // nil where nobody follows its way, as in some tests
 	ended     []endedAttempt
+	failedAt  map[string]int64 // worker -> when a task of this job last failed there
 	// The version and value of the record that was last sent to the core: what the next
 	// patch builds on; version 0 for none under this epoch.
 	sentVersion int64
@@ -161,6 +162,7 @@
 	rack        string
 	urgent      resource.Amount // room there of the most urgent queues
 	suspect     bool
+	doubtful    bool
 	colocated   bool
 	queued      int64
 	rankMs      int64
--- a/internal/daemon/urgent_room.go
+++ b/internal/daemon/urgent_room.go
@@ -14,6 +14,9 @@
 // isUrgent tells whether a queue is one of the most urgent ones.
 func (n *node) isUrgent(q *configuration.Queue) bool { return q.Urgency >= n.config.current.Highest }
 
+// fleetIdle tells whether most of all room was free when the coordinator last told.
+func (n *node) fleetIdle() bool { return n.ranks.idle && n.now-n.ranks.heardMs <= rankStaleMs }
+
 // keptRoom is the room of a worker that queueable tasks of other queues leave free. While the
 // coordinator's word is stale nothing is kept.
 func (n *node) keptRoom(capacity, urgentUsed resource.Amount) resource.Amount {
--- a/internal/daemon/urgent_room_test.go
+++ b/internal/daemon/urgent_room_test.go
@@ -47,6 +47,13 @@
 	slow.spec.Class = wire.ClassGuaranteed
 	must.Eq(t, avail, room(slow))
 	slow.spec.Class = wire.ClassQueueable
+	n.now += backfillMs + 1 // it waited long
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, room(slow))
+	n.ranks.idle = true
+	must.Eq(t, avail, room(slow))
+	n.Policies, _ = scheduler.ParseSet(string(scheduler.Backfill))
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, room(slow))
+	n.Policies = scheduler.Set{}
 	n.now += rankStaleMs + 1 // the coordinator's word is stale: nothing is kept by it
 	must.Eq(t, avail, room(slow))
 	n.ranks.heardMs = n.now
@@ -64,6 +71,27 @@
 	must.Eq(t, resource.Amount{CPU: 300, Memory: 100}, n.roomFor(sl, n.config.current.Queues["fast"], "w", w))
 }
 
+// A task of a step that spreads over workers is called back too, to a worker that holds
+// fewer of them: it must not wait for good beside a free one.
+func TestSpreadTasksAreCalledBack(t *testing.T) {
+	n := twoUrgencies(t)
+	sl := &shard{name: "east", load: map[string]resource.Amount{}}
+	for _, name := range []string{"w1", "w2", "w3"} {
+		n.workers[name] = &workerView{
+			heardMs: n.now, rebuilt: true, fresh: true, capacity: resource.Amount{CPU: 1000}, colocated: true,
+		}
+	}
+	js := &jobState{job: job{Queue: "slow", Steps: []jobStep{{Size: 2, PerWorker: 1}}, Tasks: []task{
+		{State: taskPlaced, Worker: "w1", Resources: resource.Amount{CPU: 600}},
+		{State: taskPlaced, Worker: "w2", Resources: resource.Amount{CPU: 600}, InStep: 1},
+	}}}
+	must.True(t, n.fitsElsewhere(sl, js, 0))
+	n.workers["w3"].leaving = true // w2 holds one already
+	must.False(t, n.fitsElsewhere(sl, js, 0))
+	js.Steps[0].PerWorker = 2
+	must.True(t, n.fitsElsewhere(sl, js, 0))
+}
+
 // The central scheduler keeps what urgent work was seen to use from firm tasks of others.
 func TestCentralKeepsUrgentRoom(t *testing.T) {
 	n := twoUrgencies(t)
--- a/internal/daemon/worker_choice.go
+++ b/internal/daemon/worker_choice.go
@@ -26,6 +26,7 @@
 	views       []*workerView
 	workers     []scheduler.Choosable // in the order of their names
 	pinned      bool                  // agents stand beside workers: they can tell what room is left
+	mostSuspect bool                  // most workers are: then it isn't the workers
 	loadChanges uint64                // of the shard, when this was gathered
 }
 
@@ -41,21 +42,34 @@
 	if !n.Policies.On(scheduler.RankedChoice) {
 		k = -1
 	}
-	last, avoids := choice.find(t.Last)
-	avoids = avoids && n.Policies.On(scheduler.AvoidLast)
-	if avoids {
-		choice.workers[last].Shun |= scheduler.ShunLast
-	}
-	at, among := scheduler.Choose(choice.workers, k, n.rand().IntN)
-	if avoids {
-		choice.workers[last].Shun &^= scheduler.ShunLast
+	workers := choice.workers
+	if t.Last != "" && n.Policies.On(scheduler.AvoidLast) {
+		workers = choice.withoutFormer(t)
 	}
+	at, among := scheduler.Choose(workers, k, n.rand().IntN)
 	if at < 0 {
 		return "", 0
 	}
 	return choice.workers[at].Name, among
 }
 
+// withoutFormer gives the workers for a task that failed before: not where it last did, and for
+// its last attempt not where anything speaks against the worker.
+func (c *workerChoice) withoutFormer(t *task) []scheduler.Choosable {
+	workers := slices.Clone(c.workers)
+	if at, found := c.find(t.Last); found {
+		workers[at].Shun |= scheduler.ShunLast
+	}
+	if t.onLastAttempt() {
+		for at, w := range c.views {
+			if w.doubtful {
+				workers[at].Shun |= scheduler.ShunUnhealthy
+			}
+		}
+	}
+	return workers
+}
+
 // newWorkerChoice gathers the workers that a task may go to.
 func (n *node) newWorkerChoice(sl *shard, js *jobState, i int, q *configuration.Queue) *workerChoice {
 	t := &js.Tasks[i]
@@ -67,14 +81,19 @@
 	if st.PerWorker > 0 {
 		c.used = js.usedBy(i)
 	}
+	suspects := 0
 	for _, name := range sorted(n.workers) {
 		w := n.workers[name]
 		if n.allowed(w, q, t.Needs, t.Resources) && (st.PerWorker == 0 || c.used[name] < st.PerWorker) {
 			c.views = append(c.views, w)
 			c.workers = append(c.workers, scheduler.Choosable{Name: name})
 			c.pinned = c.pinned || w.colocated
+			if w.suspect {
+				suspects++
+			}
 		}
 	}
+	c.mostSuspect = 2*suspects > len(c.workers)
 	for at := range c.workers {
 		n.observeChoosable(c, at)
 	}
@@ -92,7 +111,7 @@
 // shunOf gives the reasons to place a task elsewhere that hold for all tasks of a step.
 func (n *node) shunOf(c *workerChoice, name string, w *workerView) (shun scheduler.Shun) {
 	on := n.Policies.On
-	if on(scheduler.EjectUnhealthy) && (n.ranks.unhealthy[name] != 0 || w.suspect) {
+	if on(scheduler.EjectUnhealthy) && !c.mostSuspect && (n.ranks.ejected(name) || w.suspect) {
 		shun |= scheduler.ShunUnhealthy
 	}
 	if on(scheduler.ShunQuiet) && w.colocated && isQuiet(n.now-w.heardMs, w.silentMs) {
@@ -104,6 +123,9 @@
 			shun |= scheduler.ShunFull
 		}
 	}
+	if on(scheduler.AvoidLast) && c.job.failedLatelyAt(name, n.now) {
+		shun |= scheduler.ShunJobFailed
+	}
 	if on(scheduler.NearData) && c.near != "" && w.rack != c.near {
 		shun |= scheduler.ShunFar
 	}
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -54,7 +54,7 @@
 	Gang      bool            // they start together or not at all
 	SameRack  bool            // a gang that runs longer over several racks
 	Near      string          // the rack that holds their data; "" for none
-	Avoid     string          // the worker where one of them just failed; "" for none
+	Avoid     map[string]bool // workers where some of them just failed
 }
 
 // Assignment searches sure room for the tasks of a group.
@@ -149,6 +149,8 @@
 
 // May tells whether a worker's sure room holds one more. Queues below the most urgent ones
 // leave a part of each worker to those, where they can do without it.
+//
+// Example: if search.May(candidate) { … }
 func (a *Assignment) May(c *Candidate) bool {
 	if a.Reserved[c.Name] || a.Group.PerWorker > 0 && a.Used[c.Name] >= a.Group.PerWorker {
 		return false
@@ -174,7 +176,7 @@
 	if a.nearness(c.Rack) > 0 {
 		score += scoreNear
 	}
-	if a.Group.Avoid != "" && c.Name == a.Group.Avoid {
+	if a.Group.Avoid[c.Name] {
 		score -= scoreAvoided
 	}
 	return score
@@ -189,6 +191,8 @@
 
 // LikeliestRack gives the workers of the rack that has sure room for most of a gang already,
 // of those racks that could hold all of it and are not reserved; nil for none.
+//
+// Example: likely := group.LikeliestRack(candidates, reserved)
 func (g *Group) LikeliestRack(candidates []*Candidate, reserved map[string]bool) (best []*Candidate) {
 	isReserved := func(c *Candidate) bool { return reserved[c.Name] }
 	racks := byRack(slices.DeleteFunc(slices.Clone(candidates), isReserved))
@@ -243,6 +247,8 @@
 }
 
 // MostlyIdle tells whether, in some dimension, no more than a share of all room is in use.
+//
+// Example: idle := scheduler.MostlyIdle(candidates, 55)
 func MostlyIdle(candidates []*Candidate, busyPercent int64) bool {
 	var free, all resource.Amount
 	for _, c := range candidates {
--- a/internal/scheduler/assignment_test.go
+++ b/internal/scheduler/assignment_test.go
@@ -46,7 +46,7 @@
 			Assignment{Group: Group{Resources: cores(1), Size: 1, Near: "r1"}}, 1, racks(4000, 4000, 4000, 1500), []string{"w3"},
 		},
 		"where it just failed only if nowhere else": {
-			Assignment{Group: Group{Resources: cores(2), Size: 2, Avoid: "w0"}}, 2, racks(4000, 2000), []string{"w1", "w0"},
+			Assignment{Group: Group{Resources: cores(2), Size: 2, Avoid: map[string]bool{"w0": true}}}, 2, racks(4000, 2000), []string{"w1", "w0"},
 		},
 		"no more than so many on a worker": {
 			Assignment{Group: Group{Resources: cores(1), Size: 3, PerWorker: 1}, Used: map[string]int32{"w2": 1}},
@@ -129,7 +129,7 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		group := Group{
 			Resources: resource.Amount{CPU: 1 + random.Int64N(900), Memory: random.Int64N(300)},
-			PerWorker: int32(random.IntN(4)), Near: fmt.Sprint("r", random.IntN(6)), Avoid: fmt.Sprint("w", random.IntN(30)),
+			PerWorker: int32(random.IntN(4)), Near: fmt.Sprint("r", random.IntN(6)), Avoid: map[string]bool{fmt.Sprint("w", random.IntN(30)): true},
 		}
 		draw := func() []*Candidate {
 			random := rand.New(rand.NewPCG(seed, 2))
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -20,6 +20,7 @@
 // The reasons, the weightiest last.
 const (
 	ShunFar       Shun = 1 << iota // it is not in the rack that holds the task's data
+	ShunJobFailed                  // other tasks of the job failed there lately
 	ShunFull                       // the task would wait there, even if batches made room
 	ShunKept                       // it has no room now that the task's queue may take
 	ShunLast                       // the task last failed there
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -119,7 +119,9 @@
 	Free       resource.Amount
 	Capacity   resource.Amount
 	Others     resource.Amount // room of all it holds, queued ones too, that are not this shard's
-	Suspect    bool            // tasks stand still there, or crawl
+	Suspect    bool            // tasks stand still there, or fail far more often than elsewhere
+	Doubtful   bool            // some failures speak against the worker
+	Probation  bool            // it was suspect lately, and gets work again
 	Colocated  bool            // the agent stands beside its worker, and holds end by themselves
 	RankMs     int64
 	QueuedMs   int64
@@ -131,6 +133,7 @@
 	Batch      []QueueUse      // room of the batches it holds that are not this shard's
 	LagPercent int64           // run time against the estimate, in percent, smoothed
 	Urgent     resource.Amount // room of all it holds of the most urgent queues, queued too
+	Ends       []QueueEnds     // how runs ended lately, by queue: for the central scheduler
 	// Partial tells that Attempts are only those that wait or have ended: what isn't
 	// listed goes on as before. The central scheduler is only ever told of guaranteed
 	// attempts, and of queueable ones that it may promote.
@@ -138,6 +141,18 @@
 	Attempts []AttemptStatus
 }
 
+// QueueEnds counts how runs of a queue's tasks ended at a worker lately, in hundredths.
+type QueueEnds struct {
+	Queue             string
+	Succeeded, Failed int64
+}
+
+// QueueFailRate is how many of a queue's runs fail everywhere, per mille.
+type QueueFailRate struct {
+	Queue    string
+	PerMille int32
+}
+
 // AttemptDecision is the owner's decision on one attempt.
 type AttemptDecision struct {
 	Key      AttemptKey
@@ -166,7 +181,7 @@
 	Resources   resource.Amount
 	Needs       []Label
 	SubmittedMs int64
-	Avoid       string
+	Avoid       []string // workers where tasks like these just failed
 	Gang        bool
 	SameRack    bool
 	Near        string
@@ -202,8 +217,8 @@
 	Worker  string
 }
 
-// WorkerRank is a worker's rank in the coordinator's order; Unhealthy is 1 where it
-// fails much of its work.
+// WorkerRank is a worker's rank in the coordinator's order; Unhealthy is 1 where it is
+// ejected, and 2 where it is on probation.
 type WorkerRank struct {
 	Worker    string
 	RankMs    int64
@@ -216,9 +231,11 @@
 	Round        int64
 	TargetMs     int64
 	WaitsForRoom bool // firm work waits for room
+	Idle         bool // most of all room is free
 	// UrgentPercent is the share of each worker, by dimension, that queues below the most
 	// urgent ones leave to those.
 	UrgentPercent resource.Amount
+	FailRates     []QueueFailRate
 	Ranks         []WorkerRank
 }
 
