--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -72,7 +72,7 @@
 func (d *Directory) table(replyRequested, partial bool) *wire.Gossip {
 	m := &wire.Gossip{Self: d.Self(), Core: d.host.CoreSet(), ReplyRequested: replyRequested}
 	for _, name := range d.Names() {
-		if d.Alive(name) && !(partial && d.peers[name].Colocated) {
+		if omitted := partial && d.peers[name].Colocated; d.Alive(name) && !omitted {
 			m.Table = append(m.Table, d.peers[name].Peer)
 		}
 	}
@@ -149,7 +149,8 @@
 	m := &wire.Digest{Self: d.Self(), SetVersion: d.host.CoreSet().Version}
 	m.Partial = m.Self.Colocated || d.rounds%fullRounds != 1
 	for _, name := range d.Names() {
-		if p := d.peers[name]; d.Alive(name) && !(m.Partial && p.Colocated) {
+		p := d.peers[name]
+		if omitted := m.Partial && p.Colocated; d.Alive(name) && !omitted {
 			m.Heartbeats = append(m.Heartbeats, wire.Heartbeat{Hash: p.hash, Heartbeat: int32(p.Heartbeat)})
 		}
 	}
--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -165,53 +165,41 @@
 	return out
 }
 
-// preempt stops queueable runs until so much room is on its way: the least
-// urgent first, and of those the ones that lose the least work. For a queueable
-// task only runs of less urgent queues are stopped.
-func (n *node) preempt(ag *agent, pending *attempt, room resource.Amount) {
-	urgency := func(h *attempt) int64 { return n.config.current.Urgency(h.spec.Queue) }
-	var runs []*attempt
+// preempt stops queueable runs until so much room is on its way, see scheduler.Victims. For a
+// queueable task only runs of less urgent queues are stopped, and only if that is enough.
+func (n *node) preempt(ag *agent, pending *attempt, lacking resource.Amount) {
+	var attempts []*attempt
+	var runs []scheduler.Run
 	for _, key := range ag.keys() {
 		h := ag.attempts[key]
 		if h.spec.Class != wire.ClassQueueable || h.state != wire.AttemptRunning {
 			continue
 		}
 		if h.stopMs != 0 {
-			room = room.Minus(h.spec.Resources)
-			continue
-		}
-		if pending.spec.Class == wire.ClassQueueable && n.now-pending.queuedMs <= urgentWaitMs &&
-			n.batchSpec(&h.spec) == nil {
+			lacking = lacking.Minus(h.spec.Resources)
 			continue
 		}
-		if urgency(h) < urgency(pending) || pending.spec.Class == wire.ClassGuaranteed && urgency(h) == urgency(pending) {
-			runs = append(runs, h)
-		}
-	}
-	lost := func(h *attempt) int64 { return (n.now - h.startedMs) * max(h.spec.Resources.CPU, 1) }
-	slices.SortStableFunc(runs, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(lost(a), lost(b)))
-	})
-	if pending.spec.Class == wire.ClassQueueable {
-		all := resource.Amount{}
-		for _, h := range runs {
-			all = all.Plus(h.spec.Resources)
-		}
-		if !room.Fits(all) {
-			return // it would not be enough
+		if n.mayPreempt(pending, h) {
+			attempts = append(attempts, h)
+			runs = append(runs, scheduler.Run{
+				Resources: h.spec.Resources, Urgency: n.config.current.Urgency(h.spec.Queue), RanMs: n.now - h.startedMs,
+			})
 		}
 	}
-	for _, h := range runs {
-		if room.Fits(resource.Amount{}) {
-			return
-		}
-		if room.CPU <= 0 && h.spec.Resources.Memory == 0 && h.spec.Resources.GPU == 0 {
-			continue
-		}
-		room = room.Minus(h.spec.Resources)
+	for _, at := range scheduler.Victims(runs, lacking, pending.spec.Class == wire.ClassGuaranteed) {
 		n.count("preemptions")
-		n.stopAttempt(ag, h, wire.ResultPreempted)
+		n.stopAttempt(ag, attempts[at], wire.ResultPreempted)
+	}
+}
+
+// mayPreempt tells whether a queueable run may be stopped for a waiting task.
+func (n *node) mayPreempt(pending, run *attempt) bool {
+	guaranteed := pending.spec.Class == wire.ClassGuaranteed
+	if !guaranteed && n.now-pending.queuedMs <= urgentWaitMs && n.batchSpec(&run.spec) == nil {
+		return false // it may be called back meanwhile
 	}
+	mine, others := n.config.current.Urgency(pending.spec.Queue), n.config.current.Urgency(run.spec.Queue)
+	return others < mine || guaranteed && others == mine
 }
 
 func (n *node) dispatch(ag *agent, h *attempt) {
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -178,14 +178,19 @@
 		g.Near = ws.Near
 	}
 	if n.Policies.On(scheduler.AvoidLast) {
-		g.Avoid = map[string]bool{}
-		for _, worker := range ws.Avoid {
-			g.Avoid[worker] = true
-		}
+		g.Avoid, g.Doubted = setOf(ws.Avoid), setOf(ws.Doubted)
 	}
 	return g
 }
 
+func setOf(names []string) map[string]bool {
+	set := map[string]bool{}
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
 // sendAllocation notes what is granted, and tells the request's owner.
 func (n *node) sendAllocation(
 	c *central, ws *pendingAllocation, open []wire.RequestedTask, workers []*scheduler.Candidate,
--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -188,7 +188,6 @@
 			}}),
 		doctorCommand(),
 		importCommand(),
-		experimentCommand(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -242,7 +242,7 @@
 		fx.Module("log", fx.Provide(newLog)),
 		fx.Module("loop", fx.Provide(newControlLoop)),
 		fx.Module("disk", fx.Provide(provideDisk)),
-		fx.Module("wire", fx.Provide(provideWire, noObserver)),
+		fx.Module("wire", fx.Provide(provideWire)),
 		fx.Module("orders", fx.Provide(func(c *steadyClock) *orderSender {
 			return &orderSender{clock: c, slots: make(chan struct{}, ordersMax)}
 		})),
@@ -297,15 +297,11 @@
 	return diskParts{d, st}, nil
 }
 
-// noObserver is the product's: only experiments count messages.
-func noObserver() wire.Observer { return nil }
-
 func provideWire(
 	lc fx.Lifecycle,
 	s settings,
 	l *controlLoop,
 	log logr.Logger,
-	observer wire.Observer,
 ) (*wire.Transport, error) {
 	compiler := &configuration.Precompiler{}
 	receive := func(h wire.Header, msg any) {
@@ -314,10 +310,9 @@
 	}
 	w, err := wire.NewTransport(
 		wire.Options{
-			Addr:     s.Addr,
-			Receive:  receive,
-			Events:   func(e string, kv ...any) { log.Info(e, kv...) },
-			Observer: observer,
+			Addr:    s.Addr,
+			Receive: receive,
+			Events:  func(e string, kv ...any) { log.Info(e, kv...) },
 		},
 	)
 	if err != nil {
--- a/internal/daemon/disk_test.go
+++ b/internal/daemon/disk_test.go
@@ -35,3 +35,9 @@
 		must.MapContainsKey(t, messageHandlers, reflect.PointerTo(messageType(kind)))
 	}
 }
+
+// messageType gives the type of a kind's messages.
+func messageType(kind uint8) reflect.Type {
+	t, _ := wire.MessageType(kind)
+	return t
+}
--- a/internal/daemon/estimate.go
+++ b/internal/daemon/estimate.go
@@ -5,32 +5,31 @@
 	"otterchute/internal/wire"
 )
 
-const (
-	learnedMax  = 4096 // run-time estimates a daemon keeps
-	learnedTell = 500  // of them told to all others in one round
-)
+// unknownRunMs is what a task is expected to take of which nothing is known, if its limit allows.
+const unknownRunMs = 5000
 
-type estimate struct {
-	meanMs float64
-	usedMs int64 // when a run last ended here; 0 where others told it
-	shared bool
-}
+// guessScale is the name under which a queue's mean of how far guesses are off is learned,
+// in percent.
+func guessScale(queue string) string { return queue + "/%" }
+
+// isGuessed tells whether a task's caller has guessed how long it runs.
+func (js *jobState) isGuessed(t *task) bool { return js.Steps[t.Step].Alike && t.HintMs > 0 }
 
 func (n *node) estimateMs(js *jobState, t *task) int64 {
-	if js.Steps[t.Step].Alike && t.HintMs > 0 {
+	if js.isGuessed(t) {
 		percent := 100.0
-		if e := n.estimates[js.Queue+"/%"]; e != nil && n.Policies.On(scheduler.LearnedEstimates) {
-			percent = e.meanMs
+		if mean, known := n.estimates.Mean(guessScale(js.Queue)); known && n.Policies.On(scheduler.LearnedEstimates) {
+			percent = mean
 		}
 		return max(int64(float64(t.HintMs)*percent/100), 1)
 	}
-	if e := n.estimates[js.Queue+"/"+t.Name]; e != nil {
-		return int64(e.meanMs)
+	if mean, known := n.estimates.Mean(js.Queue + "/" + t.Name); known {
+		return int64(mean)
 	}
 	if t.HintMs > 0 {
 		return t.HintMs
 	}
-	return min(5000, t.LimitMs) // nothing known yet
+	return min(unknownRunMs, t.LimitMs)
 }
 
 // recordRunTime takes one run's time: into its name's mean, or into how far the guesses
@@ -39,38 +38,11 @@
 	if ranMs <= 0 {
 		return // nobody saw how long it took
 	}
-	if js.Steps[t.Step].Alike && t.HintMs > 0 {
-		n.learnRunTime(js.Queue, "%", min(100*ranMs/t.HintMs, 1000))
+	if js.isGuessed(t) {
+		n.estimates.Learn(guessScale(js.Queue), float64(min(100*ranMs/t.HintMs, 1000)), n.now)
 		return
 	}
-	n.learnRunTime(js.Queue, t.Name, ranMs)
-}
-
-// learnRunTime takes one run's time into the mean of its queue's task name.
-func (n *node) learnRunTime(queue, name string, ranMs int64) {
-	e := n.estimateOf(queue+"/"+name, float64(ranMs))
-	e.meanMs += 0.2 * (float64(ranMs) - e.meanMs) // an even memory of about the last ten runs
-	e.usedMs, e.shared = n.now, false
-}
-
-// estimateOf gives an estimate, made with a first mean where there is none; the
-// longest unused one makes room.
-func (n *node) estimateOf(key string, meanMs float64) *estimate {
-	e := n.estimates[key]
-	if e == nil {
-		if len(n.estimates) >= learnedMax {
-			oldest, usedMs := "", int64(0)
-			for k, o := range n.estimates {
-				if oldest == "" || o.usedMs < usedMs || o.usedMs == usedMs && k < oldest {
-					oldest, usedMs = k, o.usedMs
-				}
-			}
-			delete(n.estimates, oldest)
-		}
-		e = &estimate{meanMs: meanMs}
-		n.estimates[key] = e
-	}
-	return e
+	n.estimates.Learn(js.Queue+"/"+t.Name, float64(ranMs), n.now)
 }
 
 // tickEstimates tells all daemons that may own a shard what this one learned since the last round, so
@@ -81,11 +53,9 @@
 	}
 	n.learnedAt = n.now + rankMs
 	m := &wire.Estimates{}
-	for _, key := range sorted(n.estimates) {
-		if e := n.estimates[key]; !e.shared && len(m.Means) < learnedTell {
-			e.shared = true
-			m.Means = append(m.Means, wire.Estimate{Key: key, MeanMs: e.meanMs})
-		}
+	for _, name := range n.estimates.Unshared() {
+		mean, _ := n.estimates.Mean(name)
+		m.Means = append(m.Means, wire.Estimate{Key: name, MeanMs: mean})
 	}
 	if len(m.Means) == 0 {
 		return
@@ -99,8 +69,6 @@
 
 func (n *node) onEstimates(_ string, m *wire.Estimates) {
 	for _, v := range m.Means {
-		if e := n.estimateOf(v.Key, v.MeanMs); n.now-e.usedMs > rankStaleMs { // what was seen here itself lately counts more
-			e.meanMs, e.shared = v.MeanMs, true
-		}
+		n.estimates.Adopt(v.Key, v.MeanMs, n.now, rankStaleMs)
 	}
 }
--- a/internal/daemon/executor.go
+++ b/internal/daemon/executor.go
@@ -26,14 +26,10 @@
 type executor struct {
 	node  *node
 	ports effectPorts
-	meter *meter // only in experiments
 }
 
 func (s *executor) step(ev event) {
-	s.meter.begin()
-	effects := reduce(s.node, ev)
-	s.meter.reduced(ev.Body)
-	for _, e := range effects {
+	for _, e := range reduce(s.node, ev) {
 		s.execute(e)
 	}
 }
@@ -67,9 +63,6 @@
 }
 
 func (s *executor) execute(e effect) {
-	if s.meter != nil {
-		defer s.meter.carried(e, now())
-	}
 	if h, ok := effectHandlers[reflect.TypeOf(e)]; ok {
 		h(s, e)
 	}
--- a/internal/daemon/incident_test.go
+++ b/internal/daemon/incident_test.go
@@ -55,7 +55,8 @@
 	js := &jobState{job: job{Queue: "q", Steps: []jobStep{{Alike: true}}}}
 	n.recordRunTime(js, &task{HintMs: 1000}, 1200)
 	n.recordRunTime(js, &task{HintMs: 1000}, 0)
-	must.Eq(t, 120.0, n.estimates["q/%"].meanMs)
+	mean, _ := n.estimates.Mean(guessScale("q"))
+	must.Eq(t, 120.0, mean)
 }
 
 // A daemon that stood still says so and for how long: the logs of the incidents
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -3,6 +3,7 @@
 import (
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
+	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
 )
 
@@ -244,8 +245,7 @@
 	return true
 }
 
-// classify is the paper's hybrid-GQ rule: a task known to be short may wait
-// or be stopped, all others get a firm place.
+// classify gives a task's class: see scheduler.IsGuaranteed.
 func (n *node) classify(js *jobState, t *task) wire.TaskClass {
 	class, _ := n.explainClass(js, t)
 	return class
@@ -254,24 +254,24 @@
 // explainClass gives a task's class, and why it has that.
 func (n *node) explainClass(js *jobState, t *task) (class wire.TaskClass, reason string) {
 	st := &js.Steps[t.Step]
-	switch {
-	case n.batchOf(&js.job) != nil:
-		return wire.ClassQueueable, "a batch is never firm"
-	case n.ThresholdMs < 0:
-		return wire.ClassQueueable, "threshold_ms is below 0: all tasks are queueable"
-	case st.Gang:
-		return wire.ClassGuaranteed, "a gang starts whole"
-	case st.Lasting:
-		return wire.ClassGuaranteed, "it lasts until it is cancelled"
-	case t.Preempts >= preemptMax:
-		return wire.ClassGuaranteed, "it was preempted as often as a task may be"
-	}
-	e := n.estimates[js.Queue+"/"+t.Name]
-	switch guessed := st.Alike && t.HintMs > 0; { // a guess, corrected by how guesses of its queue turned out
-	case !guessed && e == nil:
-		return wire.ClassGuaranteed, "nothing is known of how long it runs"
-	case guessed && n.estimateMs(js, t) >= n.ThresholdMs, !guessed && int64(e.meanMs) >= n.ThresholdMs:
-		return wire.ClassGuaranteed, "it is expected to run as long as threshold_ms or longer"
-	}
-	return wire.ClassQueueable, "it is expected to run for less than threshold_ms"
+	guaranteed, reason := scheduler.IsGuaranteed(scheduler.TaskFacts{
+		Batch: n.batchOf(&js.job) != nil, Gang: st.Gang, Lasting: st.Lasting,
+		Preempts: int64(t.Preempts), EstimateMs: n.knownRunMs(js, t),
+	}, n.ThresholdMs)
+	if guaranteed {
+		return wire.ClassGuaranteed, reason
+	}
+	return wire.ClassQueueable, reason
+}
+
+// knownRunMs is how long a task is expected to run, if its caller guessed or runs of its name
+// were seen; 0 where nothing is known.
+func (n *node) knownRunMs(js *jobState, t *task) int64 {
+	if js.isGuessed(t) {
+		return n.estimateMs(js, t)
+	}
+	if mean, known := n.estimates.Mean(js.Queue + "/" + t.Name); known {
+		return max(int64(mean), 1)
+	}
+	return 0
 }
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -9,7 +9,6 @@
 
 const (
 	thresholdMs        = 2500 // learned run time below this is queueable; see docs/rounds.md
-	preemptMax         = 2    // after two preemptions a task is guaranteed
 	allocationRetryMs  = 1000 // owners repeat their requests for firm places
 	allocationsPerTick = 64   // requests for firm places a shard sends in one tick, most urgent first
 )
@@ -149,7 +148,7 @@
 		}
 		m.Tasks = append(m.Tasks, wire.RequestedTask{Task: js.taskID(k), Attempt: next})
 	}
-	m.Avoid = n.avoidedBy(js, m.Tasks)
+	m.Avoid, m.Doubted = n.avoidedBy(js, m.Tasks)
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
 		for _, w := range sorted(used) {
@@ -159,35 +158,35 @@
 	n.send(to, m)
 }
 
-// avoidedMax bounds the workers that a request for guaranteed places asks to avoid.
+// avoidedMax bounds the workers that a request for guaranteed places asks to avoid, of each kind.
 const avoidedMax = 32
 
-// avoidedBy gives the workers that requested tasks rather not go to: where they failed, where
-// others of the job did lately, and, if one may fail no more, where anything speaks against the
-// worker.
-func (n *node) avoidedBy(js *jobState, requested []wire.RequestedTask) []string {
-	avoided, last := map[string]bool{}, false
+// avoidedBy gives the workers that requested tasks rather not go to: where they failed; and,
+// doubted, where others of the job did lately, and, if one may fail no more, where anything
+// speaks against the worker.
+func (n *node) avoidedBy(js *jobState, requested []wire.RequestedTask) (avoided, doubted []string) {
+	failed, doubts, last := map[string]bool{}, map[string]bool{}, false
 	for _, r := range requested {
 		i, _, _ := js.position(r.Task)
 		if t := &js.Tasks[i]; t.Last != "" {
-			avoided[t.Last] = true
+			failed[t.Last] = true
 			last = last || t.onLastAttempt()
 		}
 	}
 	for worker := range js.failedAt {
 		if js.failedLatelyAt(worker, n.now) {
-			avoided[worker] = true
+			doubts[worker] = true
 		}
 	}
 	if last {
 		for worker, w := range n.workers {
 			if w.doubtful {
-				avoided[worker] = true
+				doubts[worker] = true
 			}
 		}
 	}
-	names := sorted(avoided)
-	return names[:min(len(names), avoidedMax)]
+	avoided, doubted = sorted(failed), sorted(doubts)
+	return avoided[:min(len(avoided), avoidedMax)], doubted[:min(len(doubted), avoidedMax)]
 }
 
 // onAllocation takes firm places from the central scheduler; a gang's all or none.
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +23,57 @@
 	"github.com/tidwall/gjson"
 )
 
+// runningTime counts the time in which this process got the processor when it asked
+// for it. Where nothing else keeps the machine busy that is the time of the wall.
+type runningTime struct {
+	spent atomic.Int64 // ns
+	stop  chan struct{}
+}
+
+const runningTimeStep = 10 * time.Millisecond
+
+func startRunningTime(t *testing.T) *runningTime {
+	r := &runningTime{stop: make(chan struct{})}
+	t.Cleanup(func() { close(r.stop) })
+	go func() {
+		for {
+			select {
+			case <-r.stop:
+				return
+			case <-time.After(runningTimeStep):
+				r.spent.Add(int64(runningTimeStep)) // however late it comes
+			}
+		}
+	}()
+	return r
+}
+
+// Tests take ports of this range, which lies below that of outgoing connections.
+const (
+	testPortsFrom = 10_000
+	testPorts     = 18_000
+)
+
+// portOfThisProcess is where it looks for free ports, far from other processes that
+// run the same test.
+func portOfThisProcess() int { return testPortsFrom + os.Getpid()%100*(testPorts/100) }
+
+// freeAddrs gives loopback addresses that nobody listens at, from a port on.
+func freeAddrs(from, count int) ([]string, error) {
+	var out []string
+	for port := from; len(out) < count && port < min(from+4*count+100, 32_000); port++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			out = append(out, addr)
+		}
+	}
+	if len(out) < count {
+		return nil, fmt.Errorf("there are not %d free ports from %d on", count, from)
+	}
+	return out, nil
+}
+
 // fleet is a small fleet of real processes on loopback.
 type fleet struct {
 	t     *testing.T
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -139,13 +139,12 @@
 // node is the whole state of a daemon. Only reduce changes it.
 type node struct {
 	nodeConfig
-	now, wall  int64
-	wokeMs     int64 // when this daemon last woke from a freeze, or began
-	seed       uint64
-	rng        *rand.Rand
-	out        []effect
-	counts     map[string]int64
-	onTickPart func(role string) // told of each part of a tick; only in experiments
+	now, wall int64
+	wokeMs    int64 // when this daemon last woke from a freeze, or began
+	seed      uint64
+	rng       *rand.Rand
+	out       []effect
+	counts    map[string]int64
 
 	peers        *cluster.Directory
 	core         quorum.Set
@@ -176,7 +175,7 @@
 	central   *central
 	ranks     rankState
 	workers   map[string]*workerView
-	estimates map[string]*estimate
+	estimates scheduler.Estimates
 	learnedAt int64
 	// What owners told of each shard's queues, and when this daemon tells next.
 	queueCounts   map[string]*queueCounts
@@ -203,7 +202,6 @@
 		owned:       map[string]*shard{},
 		agents:      map[string]*agent{},
 		workers:     map[string]*workerView{},
-		estimates:   map[string]*estimate{},
 		config:      newConfigState(),
 	}
 	n.peers = cluster.New(host{n}, p.Name, p.Seeds)
@@ -291,47 +289,33 @@
 	message(onMessage((*node).onRegisterValue))
 }
 
-// tickParts are what a tick does, each part with the role whose work it is.
-var tickParts []tickPart
-
-type tickPart struct {
-	role string
-	do   func(*node)
-}
+// tickParts are what a tick does, in order.
+var tickParts []func(*node)
 
 func init() {
-	tickParts = []tickPart{
-		{roleEvery, (*node).tickGossip},
-		{roleCore, (*node).tickFormation},
-		{roleCore, (*node).tickLearner},
-		{
-			roleEvery,
-			(*node).tickChanges,
-		},
-		{roleEvery, (*node).tickPoll},
-		{roleEvery, (*node).tickRoles},
-		{roleEvery, (*node).tickConfig},
-		{roleOwner, (*node).tickShards},
-		{roleOwner, (*node).tickEstimates},
-		{roleOwner, (*node).tickQueueCounts},
-		{roleAgent, (*node).tickAgents},
-		{
-			roleCentral,
-			(*node).tickCentral,
-		},
-		{roleFront, (*node).tickRequests},
-		{roleCore, (*node).tickStore},
-		{roleEvery, (*node).tickShutdown},
+	tickParts = []func(*node){
+		(*node).tickGossip,
+		(*node).tickFormation,
+		(*node).tickLearner,
+		(*node).tickChanges,
+		(*node).tickPoll,
+		(*node).tickRoles,
+		(*node).tickConfig,
+		(*node).tickShards,
+		(*node).tickEstimates,
+		(*node).tickQueueCounts,
+		(*node).tickAgents,
+		(*node).tickCentral,
+		(*node).tickRequests,
+		(*node).tickStore,
+		(*node).tickShutdown,
 	}
 }
 
 func (n *node) onTick(evTick) {
 	n.strain.onTick(n.now)
-	for _, p := range tickParts {
-		p.do(n)
-		if n.onTickPart != nil {
-			n.onTickPart(p.role)
-		}
+	for _, do := range tickParts {
+		do(n)
 	}
 }
 
--- a/internal/daemon/worker_choice.go
+++ b/internal/daemon/worker_choice.go
@@ -63,7 +63,7 @@
 	if t.onLastAttempt() {
 		for at, w := range c.views {
 			if w.doubtful {
-				workers[at].Shun |= scheduler.ShunUnhealthy
+				workers[at].Shun |= scheduler.ShunDoubtful
 			}
 		}
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -128,8 +128,9 @@
 func NewManager(host Host, peers *cluster.Directory) *Manager {
 	return &Manager{
 		host: host, peers: peers,
-		sent: map[uint64]*Round{}, heardMs: map[string]int64{}, syncMs: map[string]int64{}, memberHolders: map[string]memberHolders{},
-		leases: map[string]*lease{}, holders: map[string]wire.RoleHolder{}, former: map[string]formerHolder{},
+		sent: map[uint64]*Round{}, heardMs: map[string]int64{}, syncMs: map[string]int64{},
+		memberHolders: map[string]memberHolders{},
+		leases:        map[string]*lease{}, holders: map[string]wire.RoleHolder{}, former: map[string]formerHolder{},
 	}
 }
 
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -16,6 +16,9 @@
 	// its data. Each outweighs all that stands below it.
 	scoreFree = 1 << 40
 	scoreNear = 1 << 30
+	// scoreDoubted is taken off a worker that anything speaks against: it comes after others where
+	// the task starts without a stop, and before those where it doesn't.
+	scoreDoubted = 1 << 35
 	// scoreAvoided is taken off a worker where the task just failed: it comes last.
 	scoreAvoided = 1 << 50
 )
@@ -55,6 +58,7 @@
 	SameRack  bool            // a gang that runs longer over several racks
 	Near      string          // the rack that holds their data; "" for none
 	Avoid     map[string]bool // workers where some of them just failed
+	Doubted   map[string]bool // workers that anything speaks against
 }
 
 // Assignment searches sure room for the tasks of a group.
@@ -176,6 +180,9 @@
 	if a.nearness(c.Rack) > 0 {
 		score += scoreNear
 	}
+	if a.Group.Doubted[c.Name] {
+		score -= scoreDoubted
+	}
 	if a.Group.Avoid[c.Name] {
 		score -= scoreAvoided
 	}
--- a/internal/scheduler/assignment_test.go
+++ b/internal/scheduler/assignment_test.go
@@ -48,6 +48,10 @@
 		"where it just failed only if nowhere else": {
 			Assignment{Group: Group{Resources: cores(2), Size: 2, Avoid: map[string]bool{"w0": true}}}, 2, racks(4000, 2000), []string{"w1", "w0"},
 		},
+		"where anything speaks against the worker only if not free elsewhere": {
+			Assignment{Group: Group{Resources: cores(2), Size: 2, Doubted: map[string]bool{"w0": true}}}, 2,
+			[]*Candidate{racks(4000)[0], {Name: "w1", Capacity: cores(4), Sure: cores(4), Free: cores(2)}}, []string{"w1", "w0"},
+		},
 		"no more than so many on a worker": {
 			Assignment{Group: Group{Resources: cores(1), Size: 3, PerWorker: 1}, Used: map[string]int32{"w2": 1}},
 			3, racks(4000, 4000, 4000), []string{"w0", "w1"},
@@ -130,6 +134,7 @@
 		group := Group{
 			Resources: resource.Amount{CPU: 1 + random.Int64N(900), Memory: random.Int64N(300)},
 			PerWorker: int32(random.IntN(4)), Near: fmt.Sprint("r", random.IntN(6)), Avoid: map[string]bool{fmt.Sprint("w", random.IntN(30)): true},
+			Doubted: map[string]bool{fmt.Sprint("w", random.IntN(30)): true},
 		}
 		draw := func() []*Candidate {
 			random := rand.New(rand.NewPCG(seed, 2))
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -21,6 +21,7 @@
 const (
 	ShunFar       Shun = 1 << iota // it is not in the rack that holds the task's data
 	ShunJobFailed                  // other tasks of the job failed there lately
+	ShunDoubtful                   // some failures speak against it, and the task may fail no more
 	ShunFull                       // the task would wait there, even if batches made room
 	ShunKept                       // it has no room now that the task's queue may take
 	ShunLast                       // the task last failed there
--- /dev/null
+++ b/internal/scheduler/estimate_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestEstimatesLearn(t *testing.T) {
+	var e Estimates
+	_, known := e.Mean("q/t")
+	must.False(t, known)
+	e.Learn("q/t", 100, 1)
+	mean, _ := e.Mean("q/t")
+	must.Eq(t, 100.0, mean)
+	for range 30 {
+		e.Learn("q/t", 200, 2)
+	}
+	mean, _ = e.Mean("q/t")
+	must.InDelta(t, 200, mean, 1)
+}
+
+// What was seen here lately counts more than what others tell, for so long.
+func TestEstimatesAdopt(t *testing.T) {
+	var e Estimates
+	e.Adopt("q/t", 50, 1000, 500)
+	mean, _ := e.Mean("q/t")
+	must.Eq(t, 50.0, mean)
+	e.Learn("q/t", 100, 2000)
+	learned, _ := e.Mean("q/t")
+	e.Adopt("q/t", 900, 2500, 500)
+	mean, _ = e.Mean("q/t")
+	must.Eq(t, learned, mean)
+	e.Adopt("q/t", 900, 2501, 500)
+	mean, _ = e.Mean("q/t")
+	must.Eq(t, 900.0, mean)
+}
+
+// Each is told once, some at a time; what others told isn't told again.
+func TestEstimatesUnshared(t *testing.T) {
+	var e Estimates
+	e.Adopt("told", 1, 1000, 10)
+	for i := range estimatesShared + 3 {
+		e.Learn(fmt.Sprintf("name-%04d", i), 1, 1)
+	}
+	must.Len(t, estimatesShared, e.Unshared())
+	must.Len(t, 3, e.Unshared())
+	must.SliceEmpty(t, e.Unshared())
+	e.Learn("name-0000", 2, 2)
+	must.Eq(t, []string{"name-0000"}, e.Unshared())
+}
+
+func TestEstimatesAreBounded(t *testing.T) {
+	var e Estimates
+	for i := range estimatesMost + 5 {
+		e.Learn(fmt.Sprint(i), 1, int64(i+1))
+	}
+	must.Eq(t, estimatesMost, e.Len())
+	_, known := e.Mean("4")
+	must.False(t, known)
+	_, known = e.Mean("5")
+	must.True(t, known)
+}
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -181,7 +181,8 @@
 	Resources   resource.Amount
 	Needs       []Label
 	SubmittedMs int64
-	Avoid       []string // workers where tasks like these just failed
+	Avoid       []string // workers where these tasks just failed
+	Doubted     []string // workers that they should go to only if they don't start elsewhere
 	Gang        bool
 	SameRack    bool
 	Near        string
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -50,13 +50,6 @@
 	maxInbound = 2000
 )
 
-// Observer counts what goes over a Transport. Its methods are called on many
-// goroutines.
-type Observer interface {
-	Sent(frame []byte)
-	Received(msg any, bytes int)
-}
-
 // Options are what a Transport is made with.
 type Options struct {
 	// Addr is the IP address and port to listen on; port 0 for any free one.
@@ -66,8 +59,6 @@
 	Receive func(h Header, msg any)
 	// Events takes what operators should see.
 	Events func(event string, keysAndValues ...any)
-	// Observer counts messages; nil for none.
-	Observer Observer
 }
 
 // Transport carries frames between daemons over TCP: one connection per peer and
@@ -131,9 +122,6 @@
 	}
 	select {
 	case out.frames <- queuedFrame{frame, time.Now()}:
-		if t.options.Observer != nil {
-			t.options.Observer.Sent(frame)
-		}
 	default: // all that matters is sent again by who needs it
 	}
 }
@@ -189,9 +177,6 @@
 			t.options.Events("frame_rejected", "from", conn.RemoteAddr().String(), "reason", err.Error())
 			return
 		}
-		if t.options.Observer != nil {
-			t.options.Observer.Received(msg, len(frame))
-		}
 		t.options.Receive(h, msg)
 	}
 }
