--- a/fleet.sh
+++ b/fleet.sh
@@ -4,6 +4,7 @@
 #   ./fleet.sh daemons                 HTTP addresses, parted by commas
 #   ./fleet.sh kill NAME | cont NAME | freeze NAME | again NAME
 #   ./fleet.sh stop                    ends every process it started, by id
+#   ./fleet.sh demo [hakata|ikenna]    all at once: builds, starts, sends 30 s of load, judges, stops; exit 0 if no rule broke
 set -euo pipefail
 cd "$(dirname "$0")"
 dir=${FLEET_DIR:-fleet}
@@ -46,7 +47,39 @@
 
 pid() { cat "$dir/$1.pid"; }
 
+progress() { # pid of the load
+  for second in $(seq 600); do
+    kill -0 "$1" 2> /dev/null || return 0
+    if [ $((second % 5)) = 0 ]; then
+      echo "  $second s: $(curl -s -m 1 "http://$(http 0)/metrics" | awk '/^otterchute_jobs_complete_total/ { print $2 + 0 }') jobs ended at d00's shards"
+    fi
+    sleep 1
+  done
+}
+
+demo() { # deployment
+  echo "building and starting a fleet of $1"
+  "$0" start "$1" > /dev/null
+  trap '"$0" stop' EXIT
+  echo "sending 30 s of its usual load; metrics at http://$(http 0)/metrics, logs in $dir/*.log"
+  local verdict=0 load
+  ./bin/otterchute-standin downstream -deployment "$1" -daemons "$(daemons)" -records "$dir/records" -seconds 30 -setup \
+    > "$dir/verdict.json" 2> "$dir/load.log" &
+  load=$!
+  progress "$load"
+  wait "$load" || verdict=$?
+  cat "$dir/verdict.json"
+  ./bin/otterchute doctor -at "$(daemons)" || true
+  if [ "$verdict" = 0 ]; then
+    echo "no rule was broken, and every accepted job ended"
+  else
+    echo "a rule was broken, or an accepted job did not end" >&2
+  fi
+  return "$verdict"
+}
+
 case ${1:-} in
+demo) demo "${2:-hakata}" ;;
 start)
   dep=${2:-hakata}
   [ -e "$dir/deployment" ] && { echo "a fleet is there already: ./fleet.sh stop first" >&2; exit 1; }
@@ -77,5 +110,5 @@
   done
   rm -rf "$dir"
   ;;
-*) sed -n '2,6p' "$0"; exit 2 ;;
+*) sed -n '2,7p' "$0"; exit 2 ;;
 esac
