--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -267,7 +267,7 @@
 	n.updateHealth(c)
 	m := &wire.Ranks{
 		Epoch: c.epoch, Round: c.round, WaitsForRoom: n.allocationsWait(c), UrgentPercent: c.urgent.Percent(),
-		Idle: scheduler.MostlyIdle(n.candidateWorkers(c), busyPercent), FailRates: c.failRates(),
+		Idle: scheduler.IdleThroughout(n.candidateWorkers(c), busyPercent), FailRates: c.failRates(),
 	}
 	n.rankWorkers(c, m)
 	// Ranks are for those that place tasks; agents need the rest.
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -265,6 +265,18 @@
 	return free.CPU > idle.CPU || free.Memory > idle.Memory || free.GPU > idle.GPU
 }
 
+// IdleThroughout tells whether, in every dimension that workers have, no more than a share of
+// all room is in use: then even room that is kept for others may go.
+//
+// Example: idle := scheduler.IdleThroughout(candidates, 55)
+func IdleThroughout(candidates []*Candidate, busyPercent int64) bool {
+	var free, all resource.Amount
+	for _, c := range candidates {
+		free, all = free.Plus(c.Free), all.Plus(c.Capacity)
+	}
+	return len(candidates) > 0 && all.Share(100-busyPercent).Fits(free)
+}
+
 // byRack groups workers by the rack they are in.
 func byRack(candidates []*Candidate) map[string][]*Candidate {
 	racks := map[string][]*Candidate{}
--- a/internal/scheduler/assignment_test.go
+++ b/internal/scheduler/assignment_test.go
@@ -174,6 +174,15 @@
 	must.False(t, MostlyIdle(racks(4000, 1000, 0), 55))
 }
 
+func TestIdleThroughout(t *testing.T) {
+	must.True(t, IdleThroughout(racks(4000, 4000, 0), 55))
+	must.False(t, IdleThroughout(racks(4000, 1000, 0), 55))
+	must.False(t, IdleThroughout(nil, 55))
+	worker := &Candidate{Capacity: resource.Amount{CPU: 100, Memory: 100}, Free: resource.Amount{CPU: 90, Memory: 20}}
+	must.True(t, MostlyIdle([]*Candidate{worker}, 55))
+	must.False(t, IdleThroughout([]*Candidate{worker}, 55), must.Sprint("its memory is in use"))
+}
+
 func TestTimesIn(t *testing.T) {
 	in := resource.Amount{CPU: 100, Memory: 10}
 	must.Eq(t, int64(3), TimesIn(resource.Amount{CPU: 30}, in))
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -232,7 +232,7 @@
 	Round        int64
 	TargetMs     int64
 	WaitsForRoom bool // firm work waits for room
-	Idle         bool // most of all room is free
+	Idle         bool // most of all room is free, in every dimension
 	// UrgentPercent is the share of each worker, by dimension, that queues below the most
 	// urgent ones leave to those.
 	UrgentPercent resource.Amount
