--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -303,7 +303,8 @@
 		if perWorker > 0 && used[name] >= perWorker {
 			continue
 		}
-		if name != t.Worker && !w.suspect && !n.ranks.ejected(name) && n.allowed(w, q, t.Needs, t.Resources) &&
+		healthy := !w.suspect && !n.ranks.ejected(name) || n.fleetIdle()
+		if name != t.Worker && healthy && n.allowed(w, q, t.Needs, t.Resources) &&
 			t.Resources.Fits(n.roomFor(sl, q, name, w)) {
 			return true
 		}
--- a/internal/daemon/urgent_room_test.go
+++ b/internal/daemon/urgent_room_test.go
@@ -92,6 +92,29 @@
 	must.True(t, n.fitsElsewhere(sl, js, 0))
 }
 
+// A task waits for a healthy worker rather than going to an ejected one, but not while most of
+// the fleet is free: it must not stand still beside room.
+func TestEjectedWorkerBeforeStandingStill(t *testing.T) {
+	n := twoUrgencies(t)
+	sl := &shard{name: "east", load: map[string]resource.Amount{"full": {CPU: 900}}}
+	for _, name := range []string{"full", "ejected", "small"} {
+		n.workers[name] = &workerView{heardMs: n.now, rebuilt: true, fresh: true, capacity: resource.Amount{CPU: 1000}, colocated: true}
+	}
+	n.workers["ejected"].suspect, n.workers["small"].leaving = true, true
+	js := &jobState{job: job{Queue: "fast", Steps: []jobStep{{Size: 1}}, Tasks: []task{{State: taskPlaced, Worker: "full", Resources: resource.Amount{CPU: 600}}}}}
+	chosen := func() string {
+		worker, _ := n.selectWorker(sl, js, 0, &schedulePass{queue: n.config.current.Queues["fast"]})
+		return worker
+	}
+	must.Eq(t, "full", chosen())
+	must.False(t, n.fitsElsewhere(sl, js, 0))
+	n.ranks.idle = true
+	must.Eq(t, "ejected", chosen())
+	must.True(t, n.fitsElsewhere(sl, js, 0))
+	sl.load["full"] = resource.Amount{CPU: 100} // a healthy one with room goes first
+	must.Eq(t, "full", chosen())
+}
+
 // The central scheduler keeps what urgent work was seen to use from firm tasks of others.
 func TestCentralKeepsUrgentRoom(t *testing.T) {
 	n := twoUrgencies(t)
--- a/internal/daemon/worker_choice.go
+++ b/internal/daemon/worker_choice.go
@@ -112,7 +112,7 @@
 func (n *node) shunOf(c *workerChoice, name string, w *workerView) (shun scheduler.Shun) {
 	on := n.Policies.On
 	if on(scheduler.EjectUnhealthy) && !c.mostSuspect && (n.ranks.ejected(name) || w.suspect) {
-		shun |= scheduler.ShunUnhealthy
+		shun |= n.shunOfEjected()
 	}
 	if on(scheduler.ShunQuiet) && w.colocated && isQuiet(n.now-w.heardMs, w.silentMs) {
 		shun |= scheduler.ShunSilent
@@ -132,6 +132,16 @@
 	return shun
 }
 
+// shunOfEjected is how much is given to have a task elsewhere than at an ejected worker: it waits
+// for another one, but not while most of the fleet is free. Then all others that it may use are
+// full, and it must not stand still beside room.
+func (n *node) shunOfEjected() scheduler.Shun {
+	if n.fleetIdle() {
+		return scheduler.ShunDoubtful
+	}
+	return scheduler.ShunUnhealthy
+}
+
 // serves tells whether what was gathered holds for a task.
 func (c *workerChoice) serves(sl *shard, js *jobState, t *task) bool {
 	return c != nil && c.shard == sl && c.job == js && c.step == t.Step && c.round == t.Round &&
