--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -58,10 +58,13 @@
 	Contracts  map[string]*Contract
 	Lowest     int64 // urgency, of the queues that take no batches
 	Highest    int64
+	Tenants    map[string]*Tenant // by name; nil where the document declares none
 
 	digest  [sha256.Size]byte // of the document, where an operator sent it
 	emptied []string          // of EmptyZones, what the document itself says
 	hosts   map[string]*hostPrefixes
+
+	tenantsByKey map[KeyDigest]*Tenant
 }
 
 // Empty returns the configuration before the first version: version 0, no queues.
--- a/internal/configuration/queue.go
+++ b/internal/configuration/queue.go
@@ -53,6 +53,7 @@
 	LatencyMs  int64   // the target for a job's time
 	Stretch    float64 // the target for a job's time against its work alone
 	Batch      *Batch  // nil where its jobs don't wait for cheap hours
+	Open       bool    // callers need no key
 }
 
 // Choice is one label of a selector and the values that it may have.
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -49,6 +49,8 @@
 	queue        string // the queue that the address belongs to
 	maybeApplied bool   // it may have been done: handed over and not answered, or under way here
 	byAddress    bool   // it came with an address: an unknown job is told apart from an unknown queue
+	credential   string // the key that the caller showed here
+	tenant       string // whose key that is; "" where none is needed
 }
 
 type forwardedRequest struct {
--- /dev/null
+++ b/internal/quota/borrower.go
@@ -0,0 +1,333 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+
+	"otterchute/internal/resource"
+	"otterchute/internal/wire"
+)
+
+const (
+	reportSpacingMs = 10   // between two reports of one owner to one counter
+	wantRepeatMs    = 250  // a report with wants is repeated, for either message may be lost
+	reportIdleMs    = 1000 // and one without
+	rateWindowMs    = 1000 // what was started in this time tells what to hold ahead
+	aheadShare      = 3    // a third of that
+	wantsMax        = 16   // of one tenant in a report, the most urgent ones
+)
+
+// Borrower is what one shard's owner holds of the limits of all tenants with one counter.
+type Borrower struct {
+	shard    string
+	epoch    uint64
+	counter  string
+	to       string // who counts, as far as is known
+	toEpoch  uint64
+	seq      uint64
+	sentMs   int64
+	due      bool
+	accounts map[string]*account
+}
+
+// account is one tenant's.
+type account struct {
+	held     resource.Amount
+	used     resource.Amount
+	reserved map[string]reservation // by job and step: room was asked for, and the start will follow
+	wants    []*want
+	tight    bool
+
+	windowMs int64
+	started  resource.Amount // since windowMs
+	ahead    resource.Amount
+}
+
+type reservation struct {
+	amount  resource.Amount
+	untilMs int64
+}
+
+// want is a wire.ShareWant and since when it stands.
+type want struct {
+	wire.ShareWant
+	key     string
+	sinceMs int64
+	fresh   bool // told since the last BeginWants
+}
+
+// NewBorrower begins an owner's accounts under its epoch of a shard.
+//
+// Example: borrower := quota.NewBorrower("oita-d", epoch, "fukuoka-a")
+func NewBorrower(shard string, epoch uint64, counter string) *Borrower {
+	return &Borrower{shard: shard, epoch: epoch, counter: counter, accounts: map[string]*account{}}
+}
+
+func (b *Borrower) account(tenant string) *account {
+	a := b.accounts[tenant]
+	if a == nil {
+		a = &account{reserved: map[string]reservation{}}
+		b.accounts[tenant] = a
+	}
+	return a
+}
+
+// CounterIs tells who counts and under which epoch. One of an earlier epoch is never turned to
+// again: what it lends may have been lent by a later one.
+func (b *Borrower) CounterIs(name string, epoch uint64) {
+	if name == "" || epoch < b.toEpoch || epoch == b.toEpoch && name == b.to {
+		return
+	}
+	b.to, b.toEpoch, b.due = name, epoch, true
+}
+
+// Use notes that a task is started, or was by a former owner.
+func (b *Borrower) Use(tenant string, amount resource.Amount, nowMs int64) {
+	a := b.account(tenant)
+	a.used = a.used.Plus(amount)
+	a.held = larger(a.held, a.used)
+	a.rollWindow(nowMs)
+	a.started = a.started.Plus(amount)
+}
+
+// Release notes that a task surely runs no more.
+func (b *Borrower) Release(tenant string, amount resource.Amount) {
+	a := b.account(tenant)
+	a.used = a.used.Minus(amount)
+	if a.tight {
+		b.due = true
+	}
+}
+
+// Fits tells whether tasks of a tenant may be started beside what is used and reserved.
+func (b *Borrower) Fits(tenant string, amount resource.Amount, limit Limit, nowMs int64) bool {
+	if limit.Unlimited() {
+		return true
+	}
+	a := b.account(tenant)
+	return covers(a.held, a.taken(nowMs).Plus(amount), limit)
+}
+
+// FitsReserved is Fits for tasks that a reservation was made for.
+func (b *Borrower) FitsReserved(tenant, key string, amount resource.Amount, limit Limit, nowMs int64) bool {
+	if limit.Unlimited() {
+		return true
+	}
+	a := b.account(tenant)
+	others := a.taken(nowMs).Minus(smaller(a.reservedAt(key, nowMs), amount))
+	return covers(a.held, others.Plus(amount), limit)
+}
+
+// covers tells whether what is held covers an amount, in the dimensions that have a limit.
+func covers(held, amount resource.Amount, limit Limit) bool {
+	return (limit.CPU == 0 || amount.CPU <= held.CPU) &&
+		(limit.Memory == 0 || amount.Memory <= held.Memory) &&
+		(limit.GPU == 0 || amount.GPU <= held.GPU)
+}
+
+// Reserve keeps a part of what is held for starts that were arranged, until a time.
+func (b *Borrower) Reserve(tenant, key string, amount resource.Amount, untilMs int64) {
+	b.account(tenant).reserved[key] = reservation{amount, untilMs}
+}
+
+// Unreserve lets go of a part of a reservation: a task that it was made for is started.
+func (b *Borrower) Unreserve(tenant, key string, amount resource.Amount) {
+	a := b.account(tenant)
+	r, ok := a.reserved[key]
+	if !ok {
+		return
+	}
+	r.amount = larger(r.amount.Minus(amount), resource.Amount{})
+	if r.amount == (resource.Amount{}) {
+		delete(a.reserved, key)
+		return
+	}
+	a.reserved[key] = r
+}
+
+func (a *account) reservedAt(key string, nowMs int64) resource.Amount {
+	if r, ok := a.reserved[key]; ok && r.untilMs > nowMs {
+		return r.amount
+	}
+	return resource.Amount{}
+}
+
+// taken is what is used or reserved.
+func (a *account) taken(nowMs int64) resource.Amount {
+	sum := a.used
+	for key, r := range a.reserved { // a sum: the order does not matter
+		if r.untilMs <= nowMs {
+			delete(a.reserved, key)
+			continue
+		}
+		sum = sum.Plus(r.amount)
+	}
+	return sum
+}
+
+// BeginWants begins a new round of wants: those not told again before EndWants are over.
+func (b *Borrower) BeginWants() {
+	for _, a := range b.accounts {
+		for _, w := range a.wants {
+			w.fresh = false
+		}
+	}
+}
+
+// Want tells what tasks of one step lack; key names the step.
+func (b *Borrower) Want(tenant, key string, v wire.ShareWant, nowMs int64) {
+	a := b.account(tenant)
+	for _, w := range a.wants {
+		if w.key == key {
+			if v.Count > w.Count || v.Unit != w.Unit {
+				b.due = true
+			}
+			w.ShareWant, w.fresh = v, true
+			return
+		}
+	}
+	if len(a.wants) < wantsMax {
+		a.wants = append(a.wants, &want{ShareWant: v, key: key, sinceMs: nowMs, fresh: true})
+		b.due = true
+	}
+}
+
+// EndWants ends a round of wants.
+func (b *Borrower) EndWants() {
+	for _, a := range b.accounts {
+		a.wants = slices.DeleteFunc(a.wants, func(w *want) bool { return !w.fresh })
+	}
+}
+
+// LimitLowered gives up what is held of a tenant beyond what is used: it was lent by a higher limit.
+func (b *Borrower) LimitLowered(tenant string) {
+	a := b.account(tenant)
+	a.held, a.reserved, b.due = a.used, map[string]reservation{}, true
+}
+
+// Report gives the next report, if one is due, and who it is for. From then on no more is used
+// than it says to keep.
+func (b *Borrower) Report(nowMs, version int64) (to string, m *wire.ShareReport) {
+	if b.to == "" || nowMs-b.sentMs < reportSpacingMs {
+		return "", nil
+	}
+	wait := int64(reportIdleMs)
+	if b.wantsSome() {
+		wait = wantRepeatMs
+	}
+	if !b.due && nowMs-b.sentMs < wait && b.seq != 0 {
+		return "", nil
+	}
+	b.seq++
+	b.sentMs, b.due = nowMs, false
+	m = &wire.ShareReport{
+		Counter: b.counter, CounterEpoch: b.toEpoch, Shard: b.shard, ShardEpoch: b.epoch, Seq: b.seq, ConfigVersion: version,
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[tenant]
+		a.trim(nowMs)
+		if a.idle() {
+			delete(b.accounts, tenant)
+			continue
+		}
+		m.Accounts = append(m.Accounts, a.report(tenant, nowMs))
+	}
+	return b.to, m
+}
+
+func (b *Borrower) wantsSome() bool {
+	for _, a := range b.accounts {
+		if len(a.wants) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// rollWindow sets what to hold ahead by what was started in the window that is over.
+func (a *account) rollWindow(nowMs int64) {
+	if nowMs-a.windowMs < rateWindowMs {
+		return
+	}
+	third := func(v int64) int64 { return (v + aheadShare - 1) / aheadShare }
+	a.ahead = resource.Amount{CPU: third(a.started.CPU), Memory: third(a.started.Memory), GPU: third(a.started.GPU)}
+	a.windowMs, a.started = nowMs, resource.Amount{}
+}
+
+// trim gives up what is held beyond use and what is held ahead.
+func (a *account) trim(nowMs int64) {
+	a.rollWindow(nowMs)
+	keep := a.taken(nowMs)
+	if !a.tight {
+		keep = keep.Plus(a.ahead)
+	}
+	a.held = larger(smaller(a.held, keep), a.used)
+}
+
+func (a *account) idle() bool {
+	zero := resource.Amount{}
+	return a.held == zero && a.used == zero && a.ahead == zero && len(a.wants) == 0 && len(a.reserved) == 0
+}
+
+func (a *account) report(tenant string, nowMs int64) wire.ShareAccount {
+	out := wire.ShareAccount{Tenant: tenant, Keep: a.held, Used: a.used}
+	if !a.tight {
+		out.Ahead = larger(a.taken(nowMs).Plus(a.ahead).Minus(a.held), resource.Amount{})
+	}
+	for _, w := range a.wants {
+		v := w.ShareWant
+		v.WaitedMs = nowMs - w.sinceMs
+		out.Wants = append(out.Wants, v)
+	}
+	return out
+}
+
+// OnGrant takes a grant if it answers the newest report, and gives the tenants of which more is
+// held now. A grant by an older configuration than the owner's is left: its limits may be higher.
+func (b *Borrower) OnGrant(m *wire.ShareGrant, version int64) (grown []string) {
+	if m.Counter != b.counter || m.CounterEpoch != b.toEpoch || m.Shard != b.shard || m.ShardEpoch != b.epoch ||
+		m.Seq != b.seq {
+		return nil
+	}
+	if m.ConfigVersion < version {
+		b.due = true
+		return nil
+	}
+	for _, s := range m.Shares {
+		a := b.account(s.Tenant)
+		if s.Tight && !a.tight {
+			b.due = true
+		}
+		a.tight = s.Tight
+		if next := larger(a.held, s.Amount); next != a.held {
+			a.held = next
+			grown = append(grown, s.Tenant)
+		}
+	}
+	return grown
+}
+
+// Settle forgets the wants of a tenant: more is held now, and who still lacks some tells it again.
+func (b *Borrower) Settle(tenant string) {
+	for _, w := range b.account(tenant).wants {
+		w.Count = 0
+	}
+}
+
+// Held is what the owner may have running of a tenant, and what it has.
+func (b *Borrower) Held(tenant string) (held, used resource.Amount) {
+	if a := b.accounts[tenant]; a != nil {
+		return a.held, a.used
+	}
+	return resource.Amount{}, resource.Amount{}
+}
+
+// Waiting is how many units of a tenant wait for a share.
+func (b *Borrower) Waiting(tenant string) (count int) {
+	if a := b.accounts[tenant]; a != nil {
+		for _, w := range a.wants {
+			count += int(w.Count)
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/quota/counter.go
@@ -0,0 +1,265 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"otterchute/internal/resource"
+	"otterchute/internal/wire"
+)
+
+const (
+	// A unit that doesn't fit may be overtaken by smaller ones for holdBackAfterMs; then what gets
+	// free is kept for it for holdBackMs, and so on by turns: a gang doesn't wait for ever beside
+	// single tasks, and they don't wait for long beside a gang.
+	holdBackAfterMs = 1000
+	holdBackMs      = 2000
+	// aheadPercent of a limit is lent ahead of need at most; above tightPercent owners give back
+	// at once what they don't use.
+	aheadPercent = 50
+	tightPercent = 75
+)
+
+// Policy is what the counter's configuration says now.
+type Policy struct {
+	Version int64    // of the configuration
+	Shards  []string // all that may use shares
+	// LimitOf gives a tenant's limit.
+	LimitOf func(tenant string) Limit
+}
+
+// Counter counts what the tenants of one counting shard may have running in each shard.
+type Counter struct {
+	shard  string
+	epoch  uint64
+	shards map[string]*lent
+}
+
+// lent is what one shard's owner was lent, by its newest report.
+type lent struct {
+	owner    string
+	epoch    uint64 // of the shard
+	seq      uint64
+	accounts map[string]*lentAccount
+	changed  bool // since the last grant was sent; a new report is always answered
+}
+
+type lentAccount struct {
+	amount resource.Amount
+	used   resource.Amount
+	ahead  resource.Amount
+	wants  []wire.ShareWant
+	tight  bool
+}
+
+// Grant is a message for a shard's owner.
+type Grant struct {
+	To      string
+	Message *wire.ShareGrant
+}
+
+// NewCounter begins to count under an epoch of the counting shard, knowing nothing.
+//
+// Example: counter := quota.NewCounter("fukuoka-a", epoch)
+func NewCounter(shard string, epoch uint64) *Counter {
+	return &Counter{shard: shard, epoch: epoch, shards: map[string]*lent{}}
+}
+
+// OnReport takes what a shard's owner says it holds. It gives false for a report to another
+// counter, or one that a later report has overtaken.
+func (c *Counter) OnReport(from string, m *wire.ShareReport) bool {
+	if m.Counter != c.shard || m.CounterEpoch != c.epoch {
+		return false
+	}
+	if l := c.shards[m.Shard]; l != nil {
+		if m.ShardEpoch < l.epoch || m.ShardEpoch == l.epoch && m.Seq <= l.seq {
+			return false
+		}
+	}
+	l := &lent{owner: from, epoch: m.ShardEpoch, seq: m.Seq, accounts: map[string]*lentAccount{}, changed: true}
+	for _, a := range m.Accounts {
+		l.accounts[a.Tenant] = &lentAccount{
+			amount: larger(a.Keep, a.Used), used: a.Used, ahead: a.Ahead, wants: slices.Clone(a.Wants),
+		}
+	}
+	c.shards[m.Shard] = l
+	return true
+}
+
+// Complete tells whether each shard has reported: before that nothing is lent.
+func (c *Counter) Complete(shards []string) bool {
+	for _, shard := range shards {
+		if c.shards[shard] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Lend lends what is free to those that want it, and gives the messages that tell them.
+func (c *Counter) Lend(p Policy) []Grant {
+	if !c.Complete(p.Shards) {
+		return nil
+	}
+	for _, tenant := range c.tenants() {
+		if limit := p.LimitOf(tenant); !limit.Unlimited() {
+			c.lendTo(tenant, limit)
+		}
+	}
+	return c.messages(p.Version)
+}
+
+// tenants gives all that some shard has an account of, in order.
+func (c *Counter) tenants() []string {
+	names := map[string]bool{}
+	for _, l := range c.shards {
+		for tenant := range l.accounts {
+			names[tenant] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// claim is one want of one shard.
+type claim struct {
+	*wire.ShareWant
+	shard   string
+	account *lentAccount
+}
+
+// claims gives what shards want of a tenant's limit, the most urgent and oldest first.
+func (c *Counter) claims(tenant string) (claims []claim) {
+	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
+		account := c.shards[shard].accounts[tenant]
+		if account == nil {
+			continue
+		}
+		for i := range account.wants {
+			claims = append(claims, claim{&account.wants[i], shard, account})
+		}
+	}
+	slices.SortStableFunc(claims, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(b.Urgency, a.Urgency), cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.Job, b.Job))
+	})
+	return claims
+}
+
+// Lent is what all shards may use of a tenant's limit.
+func (c *Counter) Lent(tenant string) (sum resource.Amount) {
+	for _, l := range c.shards { // a sum: the order does not matter
+		if account := l.accounts[tenant]; account != nil {
+			sum = sum.Plus(account.amount)
+		}
+	}
+	return sum
+}
+
+func (c *Counter) lendTo(tenant string, limit Limit) {
+	sum, short := c.Lent(tenant), false
+	for _, w := range c.claims(tenant) {
+		for w.Count > 0 && admits(limit, sum, w.ShareWant) {
+			w.account.amount, sum = w.account.amount.Plus(w.Unit), sum.Plus(w.Unit)
+			w.Count--
+			c.shards[w.shard].changed = true
+		}
+		if w.Count == 0 {
+			continue
+		}
+		short = true
+		if holdsBack(w.WaitedMs) {
+			break
+		}
+	}
+	if !short {
+		sum = c.lendAhead(tenant, limit, sum)
+	}
+	c.setTight(tenant, short || !limit.share(tightPercent).Admits(sum))
+}
+
+// holdsBack tells whether a unit that has waited so long keeps what gets free from those behind it.
+func holdsBack(waitedMs int64) bool {
+	return waitedMs%(holdBackAfterMs+holdBackMs) >= holdBackAfterMs
+}
+
+// admits tells whether a unit fits beside a sum that is lent.
+func admits(limit Limit, sum resource.Amount, w *wire.ShareWant) bool {
+	if limit.Admits(sum.Plus(w.Unit)) {
+		return true
+	}
+	return sum == resource.Amount{} && limit.Admits(w.Unit.Minus(w.Task))
+}
+
+// lendAhead lends what owners like to have at hand, while most of the limit is free.
+func (c *Counter) lendAhead(tenant string, limit Limit, sum resource.Amount) resource.Amount {
+	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
+		l := c.shards[shard]
+		account := l.accounts[tenant]
+		if account == nil || account.ahead == (resource.Amount{}) {
+			continue
+		}
+		if next := sum.Plus(account.ahead); limit.share(aheadPercent).Admits(next) {
+			account.amount, sum = account.amount.Plus(account.ahead), next
+			account.ahead = resource.Amount{}
+			l.changed = true
+		}
+	}
+	return sum
+}
+
+// setTight has owners told whether to give back at once what they don't use.
+func (c *Counter) setTight(tenant string, tight bool) {
+	for _, l := range c.shards {
+		account := l.accounts[tenant]
+		if account != nil && account.tight != tight {
+			account.tight, l.changed = tight, true
+		}
+	}
+}
+
+// messages gives a grant for each owner of whose shares something has changed.
+func (c *Counter) messages(version int64) (grants []Grant) {
+	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
+		l := c.shards[shard]
+		if !l.changed {
+			continue
+		}
+		l.changed = false
+		m := &wire.ShareGrant{
+			Counter: c.shard, CounterEpoch: c.epoch, Shard: shard, ShardEpoch: l.epoch, Seq: l.seq, ConfigVersion: version,
+		}
+		for _, tenant := range slices.Sorted(maps.Keys(l.accounts)) {
+			account := l.accounts[tenant]
+			m.Shares = append(m.Shares, wire.TenantShare{Tenant: tenant, Amount: account.amount, Tight: account.tight})
+		}
+		grants = append(grants, Grant{To: l.owner, Message: m})
+	}
+	return grants
+}
+
+// Usage is what a counter knows of one tenant.
+type Usage struct {
+	Tenant string
+	Lent   resource.Amount
+	Used   resource.Amount
+	Wanted int // units that wait for a share
+}
+
+// Usages tells what is lent, used and wanted, by tenant.
+func (c *Counter) Usages() (usages []Usage) {
+	for _, tenant := range c.tenants() {
+		u := Usage{Tenant: tenant, Lent: c.Lent(tenant)}
+		for _, l := range c.shards {
+			account := l.accounts[tenant]
+			if account == nil {
+				continue
+			}
+			u.Used = u.Used.Plus(account.used)
+			for _, w := range account.wants {
+				u.Wanted += int(w.Count)
+			}
+		}
+		usages = append(usages, u)
+	}
+	return usages
+}
