--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -6,6 +6,7 @@
 
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
+	"otterchute/internal/quota"
 	"otterchute/internal/resource"
 	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
@@ -102,6 +103,11 @@
 		n.reportAgent(ag)
 		return true
 	}
+	if n.limitOf(h.spec.Tenant).LowerThan(quota.Limit(h.spec.TenantLimit)) {
+		h.state, h.result = wire.AttemptEnded, wire.ResultShed // its owner must have it counted anew
+		n.reportAgent(ag)
+		return true
+	}
 	if n.now-h.confirmedMs > contactMs {
 		return true
 	}
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -43,6 +43,7 @@
 			}
 		}
 	}
+	n.wantShares(sl, js, pass)
 }
 
 // concludeJob makes a job's outcome part of its record.
@@ -68,6 +69,7 @@
 	outstanding int    // queueable tasks that are placed
 	ready       []bool // by step; filled when it is first needed
 	choice      *workerChoice
+	lacks       map[int]shareLack // by readySteps' index: what waits only for a share
 }
 
 func (n *node) newSchedulePass(js *jobState) *schedulePass {
@@ -103,9 +105,14 @@
 func (n *node) scheduleTask(sl *shard, js *jobState, i int, pass *schedulePass) {
 	rt := &js.runtime[i]
 	if n.classify(js, &js.Tasks[i]) == wire.ClassQueueable {
-		if int64(pass.outstanding) < pass.queue.Quota {
-			n.placeQueueable(sl, js, i, pass)
+		if int64(pass.outstanding) >= pass.queue.Quota {
+			return
 		}
+		if !n.hasShare(sl, js, js.Tasks[i].Resources) {
+			pass.lack(js, i)
+			return
+		}
+		n.placeQueueable(sl, js, i, pass)
 		return
 	}
 	if n.now-rt.allocationMs < allocationRetryMs || sl.allocationRequests >= allocationsPerTick {
@@ -115,7 +122,7 @@
 		sl.starvedMs = n.now
 	}
 	sl.allocationRequests++
-	n.requestAllocation(sl, js, i)
+	n.requestAllocation(sl, js, i, pass)
 }
 
 // placeQueueable places a task at a worker of the local scheduler's choice, if one is fit.
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	thresholdMs        = 2500 // learned run time below this is queueable; see docs/rounds.md
-	allocationRetryMs  = 1000 // owners repeat their requests for firm places
-	allocationsPerTick = 64   // requests for firm places a shard sends in one tick, most urgent first
+	thresholdMs        = 2500                    // learned run time below this is queueable; see docs/rounds.md
+	allocationRetryMs  = 1000                    // owners repeat their requests for firm places
+	reservedMs         = allocationRetryMs + 500 // a share is kept for requested places until they are surely asked for again
+	allocationsPerTick = 64                      // requests for firm places a shard sends in one tick, most urgent first
 )
 
 // allowed tells whether a task may go to a worker now, as far as is known here.
@@ -50,7 +51,8 @@
 	if class == wire.ClassQueueable {
 		n.ranks.add(worker, n.estimateMs(js, t))
 	}
-	js.runtime[i] = taskRuntime{}
+	js.runtime[i] = taskRuntime{limit: n.limitOf(js.Tenant)}
+	sl.shares.unreserve(js, i, t.Resources)
 	n.count("placements_" + class.String())
 }
 
@@ -98,12 +100,14 @@
 		Lasting:     js.Steps[t.Step].Lasting,
 		Saves:       js.Steps[t.Step].Saves,
 		PerWorker:   js.Steps[t.Step].PerWorker,
+		Tenant:      js.Tenant,
+		TenantLimit: resource.Amount(js.runtime[i].limit),
 	}
 }
 
 // requestAllocation asks for a firm place for a task; where tasks of its step are alike,
 // for all of them that wait now, and for a gang once nobody of it is placed.
-func (n *node) requestAllocation(sl *shard, js *jobState, i int) {
+func (n *node) requestAllocation(sl *shard, js *jobState, i int, pass *schedulePass) {
 	to, _ := n.leases.Holder(lease.Central)
 	if to == "" {
 		return
@@ -135,12 +139,21 @@
 		}
 		attempt = max(attempt, o.Attempt+1)
 	}
+	if !n.mayRequest(sl, js, i) {
+		pass.lack(js, i)
+		return
+	}
+	var reserved resource.Amount
 	for k := from; k < to_; k++ {
 		o, rt := &js.Tasks[k], &js.runtime[k]
 		if o.State != taskPending || o.ChangedIn > js.committed || n.now < rt.retryMs ||
 			k != i && n.classify(js, o) != wire.ClassGuaranteed {
 			continue
 		}
+		if !st.Gang && !n.hasReservedShare(sl, js, i, reserved.Plus(o.Resources)) {
+			continue
+		}
+		reserved = reserved.Plus(o.Resources)
 		rt.allocationMs = n.now
 		next := o.Attempt + 1
 		if st.Gang {
@@ -148,6 +161,7 @@
 		}
 		m.Tasks = append(m.Tasks, wire.RequestedTask{Task: js.taskID(k), Attempt: next})
 	}
+	sl.shares.reserve(js, i, reserved, n.now+reservedMs)
 	m.Avoid, m.Doubted = n.avoidedBy(js, m.Tasks)
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
@@ -216,6 +230,10 @@
 			whole++
 		}
 	}
+	if len(m.Places) > 0 && !n.takesPlaces(sl, js, m.Places[0].Task) {
+		n.count("grants_not_taken")
+		return
+	}
 	for _, p := range m.Places {
 		i, ok := good(p)
 		if pos, _, known := js.position(
@@ -233,6 +251,10 @@
 		if st.PerWorker > 0 && js.usedBy(i)[p.Worker] >= st.PerWorker {
 			continue
 		}
+		if !st.Gang && !n.hasReservedShare(sl, js, i, js.Tasks[i].Resources) {
+			n.count("grants_not_taken")
+			continue
+		}
 		n.placeTask(sl, js, i, p.Worker, wire.ClassGuaranteed)
 		n.tracePlaced(js, i, 0)
 		js.Tasks[i].Attempt = p.Attempt
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -13,6 +13,7 @@
 	"otterchute/internal/lease"
 	"otterchute/internal/membership"
 	"otterchute/internal/quorum"
+	"otterchute/internal/quota"
 	"otterchute/internal/register"
 	"otterchute/internal/scheduler"
 	"otterchute/internal/statestore"
@@ -171,13 +172,16 @@
 	coreReads   retryBudget // for reading states from the core
 	forwardSeq  uint64
 
-	owned     map[string]*shard
-	agents    map[string]*agent
-	central   *central
-	ranks     rankState
-	workers   map[string]*workerView
-	estimates scheduler.Estimates
-	learnedAt int64
+	owned    map[string]*shard
+	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
+	// Limits of tenants that a version has dropped: jobs they handed in before go on within them.
+	formerLimits map[string]quota.Limit
+	agents       map[string]*agent
+	central      *central
+	ranks        rankState
+	workers      map[string]*workerView
+	estimates    scheduler.Estimates
+	learnedAt    int64
 	// What owners told of each shard's queues, and when this daemon tells next.
 	queueCounts   map[string]*queueCounts
 	queueCountsAt int64
@@ -201,6 +205,7 @@
 		forwarded:   map[uint64]*forwardedRequest{},
 		quorumReads: map[uint64]*quorumRead{},
 		owned:       map[string]*shard{},
+		counters:    map[string]*quota.Counter{},
 		agents:      map[string]*agent{},
 		workers:     map[string]*workerView{},
 		config:      newConfigState(),
@@ -229,6 +234,7 @@
 	if h, ok := eventHandlers[reflect.TypeOf(ev.Body)]; ok {
 		h(n, ev.Body)
 	}
+	n.flushShares()
 	n.flushWrites()
 	return n.out
 }
@@ -282,6 +288,8 @@
 	message(onMessage((*node).onPromotion))
 	message(onMessage((*node).onEstimates))
 	message(onMessage((*node).onQueueCounts))
+	message(onMessage((*node).onShareReport))
+	message(onMessage((*node).onShareGrant))
 	message(onMessage((*node).onFormRequest))
 	message(onMessage((*node).onFormResponse))
 	message(onMessage((*node).onCopyRequest))
@@ -302,6 +310,7 @@
 		(*node).tickPoll,
 		(*node).tickRoles,
 		(*node).tickConfig,
+		(*node).tickCounters,
 		(*node).tickShards,
 		(*node).tickEstimates,
 		(*node).tickQueueCounts,
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"otterchute/internal/jobtrace"
+	"otterchute/internal/quota"
 	"otterchute/internal/resource"
 	"otterchute/internal/scheduler"
 	"otterchute/internal/statestore"
@@ -66,6 +67,8 @@
 	batchTries   int   // and tasks looked at
 	batchLoads   map[queueOnWorker]resource.Amount
 	starvedMs    int64 // when a task that is no batch's last found no place
+
+	shares tenantShares
 }
 
 // placedAt names a task of a shard.
@@ -81,6 +84,7 @@
 	at := placedAt{js.ID, js.taskID(i)}
 	sl.loadChanges++
 	if room, was := sl.placed[t.Worker][at]; was {
+		sl.shares.release(js.Tenant, room)
 		delete(sl.placed[t.Worker], at)
 		sl.load[t.Worker] = sl.load[t.Worker].Minus(room)
 	}
@@ -89,6 +93,7 @@
 			sl.placed[t.Worker] = map[placedAt]resource.Amount{}
 		}
 		sl.placed[t.Worker][at] = t.Resources
+		sl.shares.use(js.Tenant, t.Resources)
 		sl.load[t.Worker] = sl.load[t.Worker].Plus(t.Resources)
 	}
 	if len(sl.placed[t.Worker]) == 0 {
@@ -117,6 +122,7 @@
 	trace     *jobtrace.Job // nil where nobody follows its way, as in some tests
 	ended     []endedAttempt
 	failedAt  map[string]int64 // worker -> when a task of this job last failed there
+	lacks     bool             // some task waits only for a share of its tenant's limit
 	// The version and value of the record that was last sent to the core: what the next
 	// patch builds on; version 0 for none under this epoch.
 	sentVersion int64
@@ -134,6 +140,9 @@
 	saved         string
 	abort         bool  // of a gang that is begun anew
 	runMs         int64 // since when it is told to run
+	// limit is its tenant's by which it was placed; none for one that a former owner placed,
+	// so that an agent sends it back unstarted where there is a limit now.
+	limit quota.Limit
 }
 
 type waiter struct {
@@ -205,7 +214,9 @@
 		liveByQueue: map[string]int{},
 		placed:      map[string]map[placedAt]resource.Amount{},
 		load:        map[string]resource.Amount{},
+		shares:      newTenantShares(name, epoch, n.core.Shards),
 	}
+	n.counters[name] = quota.NewCounter(name, epoch)
 	n.sendSeals(n.owned[name])
 }
 
@@ -217,6 +228,7 @@
 		return
 	}
 	delete(n.owned, name)
+	delete(n.counters, name)
 	for _, id := range sorted(sl.jobs) {
 		for _, w := range sl.jobs[id].waiters {
 			w.request.maybeApplied = true
@@ -284,9 +296,11 @@
 		}
 		sl.allocationRequests = 0
 		n.tickBatches(sl)
+		sl.shares.beginWants()
 		for _, js := range n.jobsByUrgency(sl) {
 			n.advanceJob(sl, js)
 		}
+		sl.shares.endWants()
 		cut := 0
 		isOld := func(id string) bool { return n.now-sl.finished[id].Version > finishedMs }
 		for cut < len(sl.order) && (len(sl.order)-cut > finishedMax || isOld(sl.order[cut])) {
--- /dev/null
+++ b/internal/daemon/tenant_shares.go
@@ -0,0 +1,311 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"otterchute/internal/configuration"
+	"otterchute/internal/lease"
+	"otterchute/internal/quota"
+	"otterchute/internal/rendezvous"
+	"otterchute/internal/resource"
+	"otterchute/internal/wire"
+)
+
+// tenantShares is what the owner of a shard may have running of each tenant, see package quota.
+type tenantShares struct {
+	shards    []string
+	borrowers map[string]*quota.Borrower // by counting shard
+}
+
+func newTenantShares(shard string, epoch uint64, shards []string) tenantShares {
+	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}}
+	for _, counter := range shards {
+		s.borrowers[counter] = quota.NewBorrower(shard, epoch, counter)
+	}
+	return s
+}
+
+// countingShard is the shard whose owner counts a tenant.
+func countingShard(tenant string, shards []string) string {
+	return rendezvous.Order("tenant/"+tenant, shards)[0]
+}
+
+// of is the account of a tenant; nil where nothing is counted.
+func (s *tenantShares) of(tenant string) *quota.Borrower {
+	if tenant == "" || len(s.shards) == 0 {
+		return nil
+	}
+	return s.borrowers[countingShard(tenant, s.shards)]
+}
+
+func (s *tenantShares) use(tenant string, amount resource.Amount) {
+	if b := s.of(tenant); b != nil {
+		b.Use(tenant, amount)
+	}
+}
+
+func (s *tenantShares) release(tenant string, amount resource.Amount) {
+	if b := s.of(tenant); b != nil {
+		b.Release(tenant, amount)
+	}
+}
+
+func (s *tenantShares) beginWants() {
+	for _, b := range s.borrowers {
+		b.BeginWants()
+	}
+}
+
+func (s *tenantShares) endWants() {
+	for _, b := range s.borrowers {
+		b.EndWants()
+	}
+}
+
+// shareKey names a task's step and round among all jobs.
+func shareKey(js *jobState, i int) string {
+	return js.ID + "/" + js.stepName(i)
+}
+
+func (s *tenantShares) reserve(js *jobState, i int, amount resource.Amount, untilMs int64) {
+	if b := s.of(js.Tenant); b != nil {
+		b.Reserve(js.Tenant, shareKey(js, i), amount, untilMs)
+	}
+}
+
+func (s *tenantShares) unreserve(js *jobState, i int, amount resource.Amount) {
+	if b := s.of(js.Tenant); b != nil {
+		b.Unreserve(js.Tenant, shareKey(js, i), amount)
+	}
+}
+
+// reservedFor is what is reserved for a task's step.
+func (s *tenantShares) reservedFor(js *jobState, i int, nowMs int64) resource.Amount {
+	if b := s.of(js.Tenant); b != nil {
+		return b.Reserved(js.Tenant, shareKey(js, i), nowMs)
+	}
+	return resource.Amount{}
+}
+
+// stepName names a task's round and step in its job.
+func (js *jobState) stepName(i int) string {
+	t := &js.Tasks[i]
+	return strconv.Itoa(int(t.Round)) + "." + strconv.Itoa(int(t.Step))
+}
+
+// unitOf is what starts together with a task: all its gang, or it alone.
+func (js *jobState) unitOf(i int) (sum resource.Amount) {
+	if !js.Steps[js.Tasks[i].Step].Gang {
+		return js.Tasks[i].Resources
+	}
+	from, to := js.gangRange(i)
+	for k := from; k < to; k++ {
+		sum = sum.Plus(js.Tasks[k].Resources)
+	}
+	return sum
+}
+
+// limitOf is what a tenant may have running over all workers.
+func (n *node) limitOf(tenant string) quota.Limit {
+	if t := n.config.current.Tenants[tenant]; t != nil {
+		return quota.Limit(t.Limit)
+	}
+	return n.formerLimits[tenant]
+}
+
+// limitsChanged follows a configuration that has replaced another: what was lent by a higher
+// limit is given up, but for what runs.
+func (n *node) limitsChanged(former *configuration.Configuration) {
+	before := n.formerLimits
+	n.formerLimits = map[string]quota.Limit{}
+	limitBefore := func(tenant string) quota.Limit {
+		if t := former.Tenants[tenant]; t != nil {
+			return quota.Limit(t.Limit)
+		}
+		return before[tenant]
+	}
+	if n.config.current.Authenticates() {
+		for _, tenants := range [][]string{sorted(former.Tenants), sorted(before)} {
+			for _, name := range tenants {
+				if n.config.current.Tenants[name] == nil {
+					n.formerLimits[name] = limitBefore(name)
+				}
+			}
+		}
+	}
+	for _, tenant := range sorted(n.config.current.Tenants) {
+		if !n.limitOf(tenant).LowerThan(limitBefore(tenant)) {
+			continue
+		}
+		for _, name := range sorted(n.owned) {
+			if b := n.owned[name].shares.of(tenant); b != nil {
+				b.LimitLowered(tenant)
+			}
+		}
+	}
+}
+
+// countsTenants tells whether there is any limit to count.
+func (n *node) countsTenants() bool {
+	return len(n.config.current.Tenants) > 0 || len(n.formerLimits) > 0
+}
+
+// hasShare tells whether a task, or more, may be placed beside all that is placed and arranged.
+func (n *node) hasShare(sl *shard, js *jobState, amount resource.Amount) bool {
+	b := sl.shares.of(js.Tenant)
+	return b == nil || b.Fits(js.Tenant, amount, n.limitOf(js.Tenant), n.now)
+}
+
+// hasReservedShare tells the same for tasks that a share may be reserved for.
+func (n *node) hasReservedShare(sl *shard, js *jobState, i int, amount resource.Amount) bool {
+	b := sl.shares.of(js.Tenant)
+	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, n.limitOf(js.Tenant), n.now)
+}
+
+// mayRequest tells whether guaranteed places may be requested for a task, beside those that its
+// step has requested already.
+func (n *node) mayRequest(sl *shard, js *jobState, i int) bool {
+	amount := js.unitOf(i)
+	if !js.Steps[js.Tasks[i].Step].Gang {
+		amount = amount.Plus(sl.shares.reservedFor(js, i, n.now))
+	}
+	return n.hasReservedShare(sl, js, i, amount)
+}
+
+// takesPlaces tells whether a gang that was granted places has the share for all its members.
+func (n *node) takesPlaces(sl *shard, js *jobState, id int64) bool {
+	i, _, known := js.position(id)
+	return !known || !js.Steps[js.Tasks[i].Step].Gang || n.hasReservedShare(sl, js, i, js.unitOf(i))
+}
+
+// shareLack counts the units of a step that wait only for a share.
+type shareLack struct {
+	task  int // one of the tasks
+	count int32
+}
+
+// lack notes that a task waits only for a share of its tenant's limit.
+func (p *schedulePass) lack(js *jobState, i int) {
+	if p.lacks == nil {
+		p.lacks = map[int]shareLack{}
+	}
+	at := js.stepAt(&js.Tasks[i])
+	count := p.lacks[at].count + 1
+	if js.Steps[js.Tasks[i].Step].Gang {
+		count = 1
+	}
+	p.lacks[at] = shareLack{i, count}
+}
+
+// wantShares asks for what a job lacks.
+func (n *node) wantShares(sl *shard, js *jobState, pass *schedulePass) {
+	js.lacks = len(pass.lacks) > 0
+	b := sl.shares.of(js.Tenant)
+	if b == nil {
+		return
+	}
+	for _, at := range sorted(pass.lacks) {
+		lack := pass.lacks[at]
+		b.Want(js.Tenant, shareKey(js, lack.task), wire.ShareWant{
+			Job: js.ID, Urgency: n.config.current.Urgency(js.Queue), SubmittedMs: js.SubmitMs,
+			Unit: js.unitOf(lack.task), Task: js.Tasks[lack.task].Resources, Count: lack.count,
+		}, n.now)
+	}
+}
+
+// flushShares sends the reports that are due to those who count.
+func (n *node) flushShares() {
+	if !n.countsTenants() {
+		return
+	}
+	for _, name := range sorted(n.owned) {
+		sl := n.owned[name]
+		if !sl.serving || !n.leases.Holds(lease.ShardRole(name)) {
+			continue
+		}
+		for _, counter := range sl.shares.shards {
+			to, m := sl.shares.borrowers[counter].Report(n.now, n.config.current.Version)
+			switch {
+			case m == nil:
+			case to == n.Name:
+				n.onShareReport(n.Name, m)
+			default:
+				n.send(to, m)
+			}
+		}
+	}
+}
+
+// tickCounters finds who counts, and lends what has become free.
+func (n *node) tickCounters() {
+	if !n.countsTenants() {
+		return
+	}
+	for _, name := range sorted(n.owned) {
+		for _, counter := range n.owned[name].shares.shards {
+			n.owned[name].shares.borrowers[counter].CounterIs(n.leases.Holder(lease.ShardRole(counter)))
+		}
+	}
+	for _, name := range sorted(n.counters) {
+		n.lendShares(name)
+	}
+}
+
+// lendShares tells owners what they may use, while this daemon surely counts and knows the limits.
+func (n *node) lendShares(counter string) {
+	c := n.counters[counter]
+	if c == nil || !n.leases.Holds(lease.ShardRole(counter)) || !n.configFresh() {
+		return
+	}
+	policy := quota.Policy{Version: n.config.current.Version, Shards: n.core.Shards, LimitOf: n.limitOf}
+	for _, grant := range c.Lend(policy) {
+		if grant.To == n.Name {
+			n.onShareGrant(n.Name, grant.Message)
+		} else {
+			n.send(grant.To, grant.Message)
+		}
+	}
+}
+
+func (n *node) onShareReport(from string, m *wire.ShareReport) {
+	if c := n.counters[m.Counter]; c != nil && c.OnReport(from, m) {
+		n.lendShares(m.Counter)
+	}
+}
+
+// onShareGrant places at once what waited for the share.
+func (n *node) onShareGrant(_ string, m *wire.ShareGrant) {
+	sl := n.owned[m.Shard]
+	if sl == nil || !sl.serving || !n.leases.Holds(lease.ShardRole(m.Shard)) {
+		return
+	}
+	b := sl.shares.borrowers[m.Counter]
+	if b == nil {
+		return
+	}
+	grown := b.OnGrant(m, n.config.current.Version)
+	if len(grown) == 0 {
+		return
+	}
+	for _, tenant := range grown {
+		b.Settle(tenant)
+	}
+	var waiting []*jobState
+	for _, js := range sl.jobs {
+		if js.lacks && slices.Contains(grown, js.Tenant) {
+			waiting = append(waiting, js)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(
+			cmp.Compare(n.config.current.Urgency(b.Queue), n.config.current.Urgency(a.Queue)),
+			cmp.Compare(a.SubmitMs, b.SubmitMs),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	for _, js := range waiting {
+		n.advanceJob(sl, js)
+	}
+}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -82,11 +82,10 @@
 }
 
 // Use notes that a task is started, or was by a former owner.
-func (b *Borrower) Use(tenant string, amount resource.Amount, nowMs int64) {
+func (b *Borrower) Use(tenant string, amount resource.Amount) {
 	a := b.account(tenant)
 	a.used = a.used.Plus(amount)
 	a.held = larger(a.held, a.used)
-	a.rollWindow(nowMs)
 	a.started = a.started.Plus(amount)
 }
 
@@ -130,6 +129,14 @@
 	b.account(tenant).reserved[key] = reservation{amount, untilMs}
 }
 
+// Reserved is what is kept so under a key.
+func (b *Borrower) Reserved(tenant, key string, nowMs int64) resource.Amount {
+	if a := b.accounts[tenant]; a != nil {
+		return a.reservedAt(key, nowMs)
+	}
+	return resource.Amount{}
+}
+
 // Unreserve lets go of a part of a reservation: a task that it was made for is started.
 func (b *Borrower) Unreserve(tenant, key string, amount resource.Amount) {
 	a := b.account(tenant)
@@ -186,10 +193,15 @@
 			return
 		}
 	}
-	if len(a.wants) < wantsMax {
-		a.wants = append(a.wants, &want{ShareWant: v, key: key, sinceMs: nowMs, fresh: true})
-		b.due = true
+	if len(a.wants) >= wantsMax { // those told in this round are more urgent than those not told yet
+		at := slices.IndexFunc(a.wants, func(w *want) bool { return !w.fresh })
+		if at < 0 {
+			return
+		}
+		a.wants = slices.Delete(a.wants, at, at+1)
 	}
+	a.wants = append(a.wants, &want{ShareWant: v, key: key, sinceMs: nowMs, fresh: true})
+	b.due = true
 }
 
 // EndWants ends a round of wants.
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -102,10 +102,8 @@
 	if !c.Complete(p.Shards) {
 		return nil
 	}
-	for _, tenant := range c.tenants() {
-		if limit := p.LimitOf(tenant); !limit.Unlimited() {
-			c.lendTo(tenant, limit)
-		}
+	for _, tenant := range c.tenants() { // a borrower that knows no limit asks for nothing
+		c.lendTo(tenant, p.LimitOf(tenant))
 	}
 	return c.messages(p.Version)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -32,7 +32,7 @@
 	a, b := NewBorrower("a", 1, "a"), NewBorrower("b", 1, "a")
 	a.CounterIs("n1", 1)
 	b.CounterIs("n1", 1)
-	b.Use("t", cpu(6), 0) // loaded from its records
+	b.Use("t", cpu(6)) // loaded from its records
 	a.Want("t", "j", wire.ShareWant{Job: "j", Unit: cpu(2), Task: cpu(2), Count: 5}, 0)
 	exchange(c, a, 100, p)
 	must.False(t, a.Fits("t", cpu(2), Limit{CPU: 10}, 100))
