--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -43,7 +43,7 @@
 			}
 		}
 	}
-	n.wantShares(sl, js, pass)
+	n.claimShares(sl, js, pass)
 }
 
 // concludeJob makes a job's outcome part of its record.
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -296,11 +296,11 @@
 		}
 		sl.allocationRequests = 0
 		n.tickBatches(sl)
-		sl.shares.beginWants()
+		sl.shares.beginClaims()
 		for _, js := range n.jobsByUrgency(sl) {
 			n.advanceJob(sl, js)
 		}
-		sl.shares.endWants()
+		sl.shares.endClaims()
 		cut := 0
 		isOld := func(id string) bool { return n.now-sl.finished[id].Version > finishedMs }
 		for cut < len(sl.order) && (len(sl.order)-cut > finishedMax || isOld(sl.order[cut])) {
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -52,15 +52,15 @@
 	}
 }
 
-func (s *tenantShares) beginWants() {
+func (s *tenantShares) beginClaims() {
 	for _, b := range s.borrowers {
-		b.BeginWants()
+		b.BeginClaims()
 	}
 }
 
-func (s *tenantShares) endWants() {
+func (s *tenantShares) endClaims() {
 	for _, b := range s.borrowers {
-		b.EndWants()
+		b.EndClaims()
 	}
 }
 
@@ -199,8 +199,8 @@
 	p.lacks[at] = shareLack{i, count}
 }
 
-// wantShares asks for what a job lacks.
-func (n *node) wantShares(sl *shard, js *jobState, pass *schedulePass) {
+// claimShares asks for what a job lacks.
+func (n *node) claimShares(sl *shard, js *jobState, pass *schedulePass) {
 	js.lacks = len(pass.lacks) > 0
 	b := sl.shares.of(js.Tenant)
 	if b == nil {
@@ -208,7 +208,7 @@
 	}
 	for _, at := range sorted(pass.lacks) {
 		lack := pass.lacks[at]
-		b.Want(js.Tenant, shareKey(js, lack.task), wire.ShareWant{
+		b.Claim(js.Tenant, shareKey(js, lack.task), wire.ShareClaim{
 			Job: js.ID, Urgency: n.config.current.Urgency(js.Queue), SubmittedMs: js.SubmitMs,
 			Unit: js.unitOf(lack.task), Task: js.Tasks[lack.task].Resources, Count: lack.count,
 		}, n.now)
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -10,11 +10,11 @@
 
 const (
 	reportSpacingMs = 10   // between two reports of one owner to one counter
-	wantRepeatMs    = 250  // a report with wants is repeated, for either message may be lost
+	claimRepeatMs    = 250  // a report with claims is repeated, for either message may be lost
 	reportIdleMs    = 1000 // and one without
 	rateWindowMs    = 1000 // what was started in this time tells what to hold ahead
 	aheadShare      = 3    // a third of that
-	wantsMax        = 16   // of one tenant in a report, the most urgent ones
+	claimsMax        = 16   // of one tenant in a report, the most urgent ones
 )
 
 // Borrower is what one shard's owner holds of the limits of all tenants with one counter.
@@ -35,7 +35,7 @@
 	held     resource.Amount
 	used     resource.Amount
 	reserved map[string]reservation // by job and step: room was asked for, and the start will follow
-	wants    []*want
+	claims    []*claim
 	tight    bool
 
 	windowMs int64
@@ -48,12 +48,12 @@
 	untilMs int64
 }
 
-// want is a wire.ShareWant and since when it stands.
-type want struct {
-	wire.ShareWant
+// claim is a wire.ShareClaim and since when it stands.
+type claim struct {
+	wire.ShareClaim
 	key     string
 	sinceMs int64
-	fresh   bool // told since the last BeginWants
+	fresh   bool // told since the last BeginClaims
 }
 
 // NewBorrower begins an owner's accounts under its epoch of a shard.
@@ -172,42 +172,42 @@
 	return sum
 }
 
-// BeginWants begins a new round of wants: those not told again before EndWants are over.
-func (b *Borrower) BeginWants() {
+// BeginClaims begins a new round of claims: those not told again before EndClaims are over.
+func (b *Borrower) BeginClaims() {
 	for _, a := range b.accounts {
-		for _, w := range a.wants {
+		for _, w := range a.claims {
 			w.fresh = false
 		}
 	}
 }
 
 // Want tells what tasks of one step lack; key names the step.
-func (b *Borrower) Want(tenant, key string, v wire.ShareWant, nowMs int64) {
+func (b *Borrower) Claim(tenant, key string, v wire.ShareClaim, nowMs int64) {
 	a := b.account(tenant)
-	for _, w := range a.wants {
+	for _, w := range a.claims {
 		if w.key == key {
 			if v.Count > w.Count || v.Unit != w.Unit {
 				b.due = true
 			}
-			w.ShareWant, w.fresh = v, true
+			w.ShareClaim, w.fresh = v, true
 			return
 		}
 	}
-	if len(a.wants) >= wantsMax { // those told in this round are more urgent than those not told yet
-		at := slices.IndexFunc(a.wants, func(w *want) bool { return !w.fresh })
+	if len(a.claims) >= claimsMax { // those told in this round are more urgent than those not told yet
+		at := slices.IndexFunc(a.claims, func(w *claim) bool { return !w.fresh })
 		if at < 0 {
 			return
 		}
-		a.wants = slices.Delete(a.wants, at, at+1)
+		a.claims = slices.Delete(a.claims, at, at+1)
 	}
-	a.wants = append(a.wants, &want{ShareWant: v, key: key, sinceMs: nowMs, fresh: true})
+	a.claims = append(a.claims, &claim{ShareClaim: v, key: key, sinceMs: nowMs, fresh: true})
 	b.due = true
 }
 
-// EndWants ends a round of wants.
-func (b *Borrower) EndWants() {
+// EndClaims ends a round of claims.
+func (b *Borrower) EndClaims() {
 	for _, a := range b.accounts {
-		a.wants = slices.DeleteFunc(a.wants, func(w *want) bool { return !w.fresh })
+		a.claims = slices.DeleteFunc(a.claims, func(w *claim) bool { return !w.fresh })
 	}
 }
 
@@ -224,8 +224,8 @@
 		return "", nil
 	}
 	wait := int64(reportIdleMs)
-	if b.wantsSome() {
-		wait = wantRepeatMs
+	if b.claimsSome() {
+		wait = claimRepeatMs
 	}
 	if !b.due && nowMs-b.sentMs < wait && b.seq != 0 {
 		return "", nil
@@ -247,9 +247,9 @@
 	return b.to, m
 }
 
-func (b *Borrower) wantsSome() bool {
+func (b *Borrower) claimsSome() bool {
 	for _, a := range b.accounts {
-		if len(a.wants) > 0 {
+		if len(a.claims) > 0 {
 			return true
 		}
 	}
@@ -278,7 +278,7 @@
 
 func (a *account) idle() bool {
 	zero := resource.Amount{}
-	return a.held == zero && a.used == zero && a.ahead == zero && len(a.wants) == 0 && len(a.reserved) == 0
+	return a.held == zero && a.used == zero && a.ahead == zero && len(a.claims) == 0 && len(a.reserved) == 0
 }
 
 func (a *account) report(tenant string, nowMs int64) wire.ShareAccount {
@@ -286,10 +286,10 @@
 	if !a.tight {
 		out.Ahead = larger(a.taken(nowMs).Plus(a.ahead).Minus(a.held), resource.Amount{})
 	}
-	for _, w := range a.wants {
-		v := w.ShareWant
+	for _, w := range a.claims {
+		v := w.ShareClaim
 		v.WaitedMs = nowMs - w.sinceMs
-		out.Wants = append(out.Wants, v)
+		out.Claims = append(out.Claims, v)
 	}
 	return out
 }
@@ -319,9 +319,9 @@
 	return grown
 }
 
-// Settle forgets the wants of a tenant: more is held now, and who still lacks some tells it again.
+// Settle forgets the claims of a tenant: more is held now, and who still lacks some tells it again.
 func (b *Borrower) Settle(tenant string) {
-	for _, w := range b.account(tenant).wants {
+	for _, w := range b.account(tenant).claims {
 		w.Count = 0
 	}
 }
@@ -337,7 +337,7 @@
 // Waiting is how many units of a tenant wait for a share.
 func (b *Borrower) Waiting(tenant string) (count int) {
 	if a := b.accounts[tenant]; a != nil {
-		for _, w := range a.wants {
+		for _, w := range a.claims {
 			count += int(w.Count)
 		}
 	}
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -49,7 +49,7 @@
 	amount resource.Amount
 	used   resource.Amount
 	ahead  resource.Amount
-	wants  []wire.ShareWant
+	claims  []wire.ShareClaim
 	tight  bool
 }
 
@@ -80,7 +80,7 @@
 	l := &lent{owner: from, epoch: m.ShardEpoch, seq: m.Seq, accounts: map[string]*lentAccount{}, changed: true}
 	for _, a := range m.Accounts {
 		l.accounts[a.Tenant] = &lentAccount{
-			amount: larger(a.Keep, a.Used), used: a.Used, ahead: a.Ahead, wants: slices.Clone(a.Wants),
+			amount: larger(a.Keep, a.Used), used: a.Used, ahead: a.Ahead, claims: slices.Clone(a.Claims),
 		}
 	}
 	c.shards[m.Shard] = l
@@ -97,7 +97,7 @@
 	return true
 }
 
-// Lend lends what is free to those that want it, and gives the messages that tell them.
+// Lend lends what is free to those that claim it, and gives the messages that tell them.
 func (c *Counter) Lend(p Policy) []Grant {
 	if !c.Complete(p.Shards) {
 		return nil
@@ -119,25 +119,25 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// claim is one want of one shard.
-type claim struct {
-	*wire.ShareWant
+// shardClaim is one claim of one shard.
+type shardClaim struct {
+	*wire.ShareClaim
 	shard   string
 	account *lentAccount
 }
 
-// claims gives what shards want of a tenant's limit, the most urgent and oldest first.
-func (c *Counter) claims(tenant string) (claims []claim) {
+// claims gives what shards claim of a tenant's limit, the most urgent and oldest first.
+func (c *Counter) claims(tenant string) (claims []shardClaim) {
 	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
 		account := c.shards[shard].accounts[tenant]
 		if account == nil {
 			continue
 		}
-		for i := range account.wants {
-			claims = append(claims, claim{&account.wants[i], shard, account})
+		for i := range account.claims {
+			claims = append(claims, shardClaim{&account.claims[i], shard, account})
 		}
 	}
-	slices.SortStableFunc(claims, func(a, b claim) int {
+	slices.SortStableFunc(claims, func(a, b shardClaim) int {
 		return cmp.Or(cmp.Compare(b.Urgency, a.Urgency), cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.Job, b.Job))
 	})
 	return claims
@@ -156,7 +156,7 @@
 func (c *Counter) lendTo(tenant string, limit Limit) {
 	sum, short := c.Lent(tenant), false
 	for _, w := range c.claims(tenant) {
-		for w.Count > 0 && admits(limit, sum, w.ShareWant) {
+		for w.Count > 0 && admits(limit, sum, w.ShareClaim) {
 			w.account.amount, sum = w.account.amount.Plus(w.Unit), sum.Plus(w.Unit)
 			w.Count--
 			c.shards[w.shard].changed = true
@@ -181,7 +181,7 @@
 }
 
 // admits tells whether a unit fits beside a sum that is lent.
-func admits(limit Limit, sum resource.Amount, w *wire.ShareWant) bool {
+func admits(limit Limit, sum resource.Amount, w *wire.ShareClaim) bool {
 	if limit.Admits(sum.Plus(w.Unit)) {
 		return true
 	}
@@ -240,10 +240,10 @@
 	Tenant string
 	Lent   resource.Amount
 	Used   resource.Amount
-	Wanted int // units that wait for a share
+	Claimed int // units that wait for a share
 }
 
-// Usages tells what is lent, used and wanted, by tenant.
+// Usages tells what is lent, used and claimed, by tenant.
 func (c *Counter) Usages() (usages []Usage) {
 	for _, tenant := range c.tenants() {
 		u := Usage{Tenant: tenant, Lent: c.Lent(tenant)}
@@ -253,8 +253,8 @@
 				continue
 			}
 			u.Used = u.Used.Plus(account.used)
-			for _, w := range account.wants {
-				u.Wanted += int(w.Count)
+			for _, w := range account.claims {
+				u.Claimed += int(w.Count)
 			}
 		}
 		usages = append(usages, u)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,7 +33,7 @@
 	a.CounterIs("n1", 1)
 	b.CounterIs("n1", 1)
 	b.Use("t", cpu(6)) // loaded from its records
-	a.Want("t", "j", wire.ShareWant{Job: "j", Unit: cpu(2), Task: cpu(2), Count: 5}, 0)
+	a.Claim("t", "j", wire.ShareClaim{Job: "j", Unit: cpu(2), Task: cpu(2), Count: 5}, 0)
 	exchange(c, a, 100, p)
 	must.False(t, a.Fits("t", cpu(2), Limit{CPU: 10}, 100))
 	exchange(c, b, 100, p)
