--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -46,6 +46,7 @@
 	"queues":      {Kind: schema.List, Required: true, Max: 20_000, Elem: &queueField},
 	"contracts":   {Kind: schema.List, Max: 100, Elem: &contractFields},
 	"empty_sites": {Kind: schema.List, Max: 100, Elem: &schema.Field{Kind: schema.Name}},
+	"tenants":     {Kind: schema.List, Max: maxTenants, Elem: &tenantFields},
 	"source":      {Kind: schema.Any},
 }}
 
@@ -145,6 +146,9 @@
 	for i, queue := range root.Get("queues").Array() {
 		c.addQueue("queues."+strconv.Itoa(i), queue.Map()) // one pass over its fields: there are thousands
 	}
+	if tenants := root.Get("tenants"); tenants.Exists() {
+		c.addTenants("tenants", tenants.Array())
+	}
 	for _, zone := range root.Get("empty_sites").Array() {
 		c.config.EmptyZones[zone.Str] = true
 	}
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -14,12 +14,12 @@
 		p, faults := parseJob(j.ID, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, j.Digest) {
+		} else if !bytes.Equal(p.Digest, j.Digest) || !n.sees(a, j) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 		} else {
 			n.respond(a, 200, 0, mustJSON(map[string]any{"id": j.ID, "state": j.State.String()}))
 		}
-	case a.queue != "" && a.queue != j.Queue:
+	case !n.sees(a, j):
 		n.respondMissing(a)
 	case a.op == "job.state":
 		n.respond(a, 200, 0, mustJSON(map[string]any{"state": j.State.String()}))
@@ -39,7 +39,7 @@
 		p, faults := parseJob(a.key, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, js.Digest) {
+		} else if !bytes.Equal(p.Digest, js.Digest) || !n.sees(a, &js.job) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 		} else {
 			n.whenCommitted(js, waiter{version: 1, request: a, status: 200})
@@ -111,7 +111,7 @@
 		n.rejectAdmission(f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
 	}
-	j.SubmitMs = wall
+	j.SubmitMs, j.Tenant = wall, a.tenant
 	if j.DelayMs > 0 {
 		j.DueMs = n.latestFleetTime() + j.DelayMs
 	}
@@ -170,7 +170,7 @@
 }
 
 func (n *node) handleGet(sl *shard, a *request) {
-	if js := sl.jobs[a.key]; js != nil && a.queue != "" && js.Queue != a.queue {
+	if js := sl.jobs[a.key]; js != nil && !n.sees(a, &js.job) {
 		n.respondMissing(a)
 		return
 	}
@@ -197,7 +197,7 @@
 // is told once a majority has it.
 func (n *node) handleState(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js == nil || a.queue != "" && js.Queue != a.queue {
+	if js == nil || !n.sees(a, &js.job) {
 		n.handleGet(sl, a)
 		return
 	}
@@ -226,7 +226,7 @@
 
 func (n *node) handleCancel(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js != nil && a.queue != "" && js.Queue != a.queue {
+	if js != nil && !n.sees(a, &js.job) {
 		n.respondMissing(a)
 		return
 	}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -135,6 +135,7 @@
 			path:        e.Path,
 			base:        e.Base,
 			digest:      e.Digest,
+			credential:  e.Credential,
 		},
 	)
 }
@@ -160,6 +161,7 @@
 			queue:          m.Queue,
 			base:           m.Expect,
 			digest:         m.Digest,
+			tenant:         m.Tenant,
 		},
 	)
 }
@@ -253,6 +255,7 @@
 			Queue:  a.queue,
 			Expect: a.base,
 			Digest: a.digest,
+			Tenant: a.tenant,
 		},
 	)
 }
@@ -356,7 +359,7 @@
 	if j, ok := jobOf(all[at]); ok {
 		delete(n.quorumReads, op)
 		n.count("states_from_core")
-		if r.request.queue != "" && j.Queue != r.request.queue {
+		if !n.sees(r.request, j) {
 			n.respond(r.request, 404, 0, mustJSON(map[string]any{"error": "no such job"}))
 			return
 		}
@@ -526,6 +529,17 @@
 		n.awaitConfirmation(a, "the setup is not confirmed here")
 		return
 	}
+	switch tenant, known := authenticate(c, queue, a.credential); {
+	case known:
+		a.tenant = tenant
+	case n.configConfirmedSince(a):
+		n.count("calls_unauthenticated")
+		n.respond(a, 401, 0, mustJSON(map[string]any{"error": "no tenant has this key"}))
+		return
+	default: // a version acknowledged just now may have it
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+		return
+	}
 	a.queue, a.byAddress, a.key = queue, true, id
 	switch {
 	case id == "" && a.op == "queue.state":
@@ -538,6 +552,31 @@
 	}
 }
 
+// authenticate gives the tenant whose key a call shows; "" where none is needed. It gives false
+// where one is needed and nobody has it.
+func authenticate(c *configuration.Configuration, queue, credential string) (tenant string, known bool) {
+	if !c.Authenticates() {
+		return "", true
+	}
+	if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
+		return t.Name, true
+	}
+	return "", c.Queues[queue].Open
+}
+
+// sees tells whether a job is there for a call: one at an address sees the jobs of its queue,
+// and with a key those of the key's tenant. Jobs without a tenant, and those of a tenant that is
+// no longer declared, are there for all who may call.
+func (n *node) sees(a *request, j *job) bool {
+	switch {
+	case a.queue == "":
+		return true
+	case j.Queue != a.queue:
+		return false
+	}
+	return a.tenant == "" || j.Tenant == a.tenant || n.config.current.Tenants[j.Tenant] == nil
+}
+
 // awaitConfirmation keeps a request until a newer confirmation of the configuration, for a while,
 // where one may still come.
 func (n *node) awaitConfirmation(a *request, reason string) {
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -10,11 +10,11 @@
 
 const (
 	reportSpacingMs = 10   // between two reports of one owner to one counter
-	claimRepeatMs    = 250  // a report with claims is repeated, for either message may be lost
+	claimRepeatMs   = 250  // a report with claims is repeated, for either message may be lost
 	reportIdleMs    = 1000 // and one without
 	rateWindowMs    = 1000 // what was started in this time tells what to hold ahead
 	aheadShare      = 3    // a third of that
-	claimsMax        = 16   // of one tenant in a report, the most urgent ones
+	claimsMax       = 16   // of one tenant in a report, the most urgent ones
 )
 
 // Borrower is what one shard's owner holds of the limits of all tenants with one counter.
@@ -35,7 +35,7 @@
 	held     resource.Amount
 	used     resource.Amount
 	reserved map[string]reservation // by job and step: room was asked for, and the start will follow
-	claims    []*claim
+	claims   []*claim
 	tight    bool
 
 	windowMs int64
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -49,7 +49,7 @@
 	amount resource.Amount
 	used   resource.Amount
 	ahead  resource.Amount
-	claims  []wire.ShareClaim
+	claims []wire.ShareClaim
 	tight  bool
 }
 
@@ -237,9 +237,9 @@
 
 // Usage is what a counter knows of one tenant.
 type Usage struct {
-	Tenant string
-	Lent   resource.Amount
-	Used   resource.Amount
+	Tenant  string
+	Lent    resource.Amount
+	Used    resource.Amount
 	Claimed int // units that wait for a share
 }
 
--- a/internal/wire/tenancy.go
+++ b/internal/wire/tenancy.go
@@ -23,7 +23,7 @@
 	Keep   resource.Amount // the owner starts nothing beyond this until a grant comes
 	Used   resource.Amount // of that: what tasks take that run or may run
 	Ahead  resource.Amount // what it would like to hold beyond that, so that starts need not wait
-	Claims  []ShareClaim     // what waits only for a share, the most urgent first
+	Claims []ShareClaim    // what waits only for a share, the most urgent first
 }
 
 // ShareClaim is what tasks of one step lack: Count units, of which each is granted whole or not
