Owners keep what they used lately of a share

Cause: an owner that gave back all it didn't use needed a grant for each start, and could start nothing while nobody counted.

--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -12,8 +12,8 @@
 	reportSpacingMs = 10   // between two reports of one owner to one counter
 	claimRepeatMs   = 250  // a report with claims is repeated, for either message may be lost
 	reportIdleMs    = 1000 // and one without
-	rateWindowMs    = 1000 // what was started in this time tells what to hold ahead
-	aheadShare      = 3    // a third of that
+	rateWindowMs    = 2000 // what was started and used in this time tells what to hold
+	aheadShare      = 4    // a quarter of what was started
 	claimsMax       = 16   // of one tenant in a report, the most urgent ones
 )
 
@@ -40,7 +40,9 @@
 
 	windowMs int64
 	started  resource.Amount // since windowMs
-	ahead    resource.Amount
+	ahead    resource.Amount // a part of what was started in the window before
+	peak     resource.Amount // of what was used since windowMs
+	lastPeak resource.Amount // and in the window before
 }
 
 type reservation struct {
@@ -87,6 +89,7 @@
 	a.used = a.used.Plus(amount)
 	a.held = larger(a.held, a.used)
 	a.started = a.started.Plus(amount)
+	a.peak = larger(a.peak, a.used)
 }
 
 // Release notes that a task surely runs no more.
@@ -261,17 +264,19 @@
 	if nowMs-a.windowMs < rateWindowMs {
 		return
 	}
-	third := func(v int64) int64 { return (v + aheadShare - 1) / aheadShare }
-	a.ahead = resource.Amount{CPU: third(a.started.CPU), Memory: third(a.started.Memory), GPU: third(a.started.GPU)}
+	quarter := func(v int64) int64 { return (v + aheadShare - 1) / aheadShare }
+	a.ahead = resource.Amount{CPU: quarter(a.started.CPU), Memory: quarter(a.started.Memory), GPU: quarter(a.started.GPU)}
 	a.windowMs, a.started = nowMs, resource.Amount{}
+	a.lastPeak, a.peak = a.peak, a.used
 }
 
-// trim gives up what is held beyond use and what is held ahead.
+// trim gives up what is held beyond recent use and what is held ahead. What was used lately is
+// kept: with a steady load starts need no grants, also while nobody counts.
 func (a *account) trim(nowMs int64) {
 	a.rollWindow(nowMs)
 	keep := a.taken(nowMs)
 	if !a.tight {
-		keep = keep.Plus(a.ahead)
+		keep = larger(keep, larger(a.peak, a.lastPeak)).Plus(a.ahead)
 	}
 	a.held = larger(smaller(a.held, keep), a.used)
 }
