--- a/internal/configuration/tenant.go
+++ b/internal/configuration/tenant.go
@@ -14,6 +14,7 @@
 const (
 	maxTenants    = 10_000
 	maxTenantKeys = 1000
+	maxLimit      = 1 << 40 // of one dimension, as of any resource
 
 	keyDigestDigits = 2 * sha256.Size // in hex
 )
@@ -21,12 +22,19 @@
 var tenantFields = schema.Field{Kind: schema.Object, Fields: map[string]schema.Field{
 	"name":   {Kind: schema.Name, Required: true},
 	"weight": {Kind: schema.Number},
-	"limit":  {Kind: schema.Resources},
+	"limit":  tenantLimitFields,
 	"key_digests": {Kind: schema.List, Max: maxTenantKeys, Elem: &schema.Field{
 		Kind: schema.Text, Min: keyDigestDigits, Max: keyDigestDigits,
 	}},
 }}
 
+// tenantLimitFields allow a limit of 0 in all dimensions, unlike what a task takes: it has none then.
+var tenantLimitFields = schema.Field{Kind: schema.Object, Fields: map[string]schema.Field{
+	"cpu":          {Kind: schema.Count, Max: maxLimit},
+	"memory":       {Kind: schema.Count, Max: maxLimit},
+	"accelerators": {Kind: schema.Count, Max: maxLimit},
+}}
+
 // Tenant is one customer of the fleet: its keys admit calls, its limit bounds what it may have
 // running, and its weight says how much it may send and what it gets when all is full.
 type Tenant struct {
@@ -62,14 +70,9 @@
 		t := &Tenant{
 			Name: doc.Get("name").Str, Weight: doc.Get("weight").Num, Limit: resource.Parse(doc.Get("limit")),
 		}
-		switch {
-		case c.config.Tenants[t.Name] != nil:
+		if c.config.Tenants[t.Name] != nil {
 			c.fault(at+".name", "stands twice")
 			continue
-		case t.Weight < 0:
-			c.fault(at+".weight", "must not be below 0")
-		case min(t.Limit.CPU, t.Limit.Memory, t.Limit.GPU) < 0:
-			c.fault(at+".limit", "must not be below 0")
 		}
 		c.config.Tenants[t.Name] = t
 		for k, text := range doc.Get("key_digests").Array() {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -558,8 +558,10 @@
 	if !c.Authenticates() {
 		return "", true
 	}
-	if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
-		return t.Name, true
+	if credential != "" {
+		if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
+			return t.Name, true
+		}
 	}
 	return "", c.Queues[queue].Open
 }
