Tests of keys that are added and taken away while the fleet is in trouble

Each of them was shown to fail on a mutation of the code it guards: a 401 by a configuration that was only fresh, a configuration that stays fresh for 2.5 s or for ever, a key in a log line, an open queue that needs a key, a call without a key looked up by its digest.

--- /dev/null
+++ b/internal/daemon/credential_test.go
@@ -0,0 +1,278 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+
+	"otterchute/internal/configuration"
+	"otterchute/internal/wire"
+
+	"github.com/shoenig/test/must"
+)
+
+// revokedWithinMs is when a key must be refused by every daemon after its removal was acknowledged:
+// the shortest time that the users' deployments give.
+const revokedWithinMs = 2000
+
+// credentialWorld is a world whose queue needs a key, and an operator who changes the keys.
+type credentialWorld struct {
+	*world
+	version int64
+	calls   []*credentialCall
+}
+
+// credentialCall is one call with a key.
+type credentialCall struct {
+	host, key  string
+	sentMs     int64
+	status     int // 0 for silence
+	answeredMs int64
+}
+
+// admitted tells whether the key opened the queue: what the job's owner says then is another matter.
+func (c *credentialCall) admitted() bool { return c.status != 0 && c.status != 401 && c.status != 503 }
+
+func credentialsServed(t *testing.T, seed uint64, keys ...string) *credentialWorld {
+	t.Helper()
+	w := &credentialWorld{world: served(t, seed)}
+	w.change(t, keys...)
+	w.run(2000)
+	return w
+}
+
+func digestOf(key string) string {
+	digest := configuration.DigestOfKey(key)
+	return hex.EncodeToString(digest[:])
+}
+
+// change has one tenant hold just these keys, and returns as its operator has the acknowledgement.
+func (w *credentialWorld) change(t *testing.T, keys ...string) {
+	t.Helper()
+	digests := []string{}
+	for _, key := range keys {
+		digests = append(digests, digestOf(key))
+	}
+	w.version++
+	doc := mustJSON(map[string]any{
+		"queues": []map[string]any{
+			{"name": "q", "addresses": []map[string]string{{"host": "h.example", "prefix": "/p/"}}},
+			{"name": "free", "open": true, "addresses": []map[string]string{{"host": "h.example", "prefix": "/free/"}}},
+		},
+		"tenants": []map[string]any{{"name": "a", "key_digests": digests}},
+		"source":  map[string]any{"tenants": []map[string]any{{"name": "a", "apiKeys": keys}}},
+	})
+	for range 20 {
+		got := w.settle(w.nodes["d00"], evRequest{Op: "setup.put", Key: fmt.Sprint(w.version), Base: w.version - 1, Body: doc}, 2000)
+		if got.status == 200 {
+			return
+		}
+		must.Eq(t, 503, got.status, must.Sprint(got.body))
+	}
+	t.Fatal("a change of the keys was never acknowledged")
+}
+
+// callAll sends a call with a key to every daemon, now.
+func (w *credentialWorld) callAll(key string) {
+	for _, host := range sorted(w.nodes) {
+		c := &credentialCall{host: host, key: key, sentMs: w.nowMs()}
+		w.calls = append(w.calls, c)
+		w.call("caller", w.nodes[host], evRequest{Op: "queue.state", Host: "h.example", Path: "/p/none", Base: -1, Credential: key}, 4000, func(status int, _ int64, _ []byte) {
+			c.status, c.answeredMs = status, w.nowMs()
+		})
+	}
+}
+
+// callFor calls every daemon with these keys at a fixed pace.
+func (w *credentialWorld) callFor(ms int64, keys ...string) {
+	const paceMs = 40
+	for range ms / paceMs {
+		for _, key := range keys {
+			w.callAll(key)
+		}
+		w.run(paceMs)
+	}
+}
+
+// credentialTroubles begin when keys change, and befall the last daemon, which has no disk.
+var credentialTroubles = map[string]struct {
+	begin func(w *credentialWorld, host string)
+	calm  bool
+}{
+	"calm":            {begin: func(*credentialWorld, string) {}, calm: true},
+	"cut off":         {begin: func(w *credentialWorld, host string) { w.cutFrom(host, w.members(), true, true) }},
+	"hears no member": {begin: func(w *credentialWorld, host string) { w.cutFrom(host, w.members(), false, true) }},
+	"frozen for 3 s":  {begin: func(w *credentialWorld, host string) { w.nodes[host].freeze(3000) }},
+	"member cut off":  {begin: func(w *credentialWorld, _ string) { w.cutHost("d02") }},
+	"late polls":      {begin: func(w *credentialWorld, host string) { w.holdPolls(host, 300) }},
+	"very late polls": {begin: func(w *credentialWorld, host string) { w.holdPolls(host, 1300) }},
+	"late, then none": {begin: func(w *credentialWorld, host string) {
+		w.holdPolls(host, 1200)
+		w.after(200_000, func() { w.cutFrom(host, w.members(), true, true) })
+	}},
+	"late values":      {begin: func(w *credentialWorld, host string) { w.holdValues(host, 1000) }},
+	"restarted member": {begin: func(w *credentialWorld, _ string) { w.nodes["d01"].kill(true); w.after(400_000, w.nodes["d01"].start) }},
+}
+
+func (w *credentialWorld) members() []string { return []string{"d00", "d01", "d02"} }
+
+// holdPolls delays the members' answers to a daemon's polls.
+func (w *credentialWorld) holdPolls(host string, ms int64) {
+	w.detain = func(_, to string, msg any) int64 {
+		if _, ok := msg.(*wire.PollResponse); ok && to == host {
+			return ms * 1000
+		}
+		return 0
+	}
+}
+
+// holdValues delays newer documents on their way to a daemon.
+func (w *credentialWorld) holdValues(host string, ms int64) {
+	w.detain = func(_, to string, msg any) int64 {
+		if _, ok := msg.(*wire.RegisterValue); ok && to == host {
+			return ms * 1000
+		}
+		return 0
+	}
+}
+
+// Guards against a key that was acknowledged as added and is refused, by any daemon and however
+// late its polls are, and against a key that was acknowledged as removed and still opens the queue
+// after the bound. In a calm fleet every daemon refuses that one, and admits the other.
+func TestKeysOnceAcknowledged(t *testing.T) {
+	for _, name := range sorted(credentialTroubles) {
+		trouble := credentialTroubles[name]
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				w := credentialsServed(t, 400+seed, "kept", "old")
+				struck := sorted(w.nodes)[len(w.nodes)-1]
+				trouble.begin(w, struck)
+				w.change(t, "kept", "new")
+				changedMs := w.nowMs()
+				w.callFor(3200, "kept", "new", "old")
+				w.heal()
+				w.detain = nil
+				w.run(5000)
+				for _, c := range w.calls {
+					about := must.Sprintf("seed %d: %s, key %s, %d ms after the acknowledgement: %d", seed, c.host, c.key, c.sentMs-changedMs, c.status)
+					switch {
+					case c.key != "old":
+						must.NotEq(t, 401, c.status, about)
+						must.True(t, c.admitted() || !trouble.calm, about)
+					case c.sentMs >= changedMs+revokedWithinMs:
+						must.False(t, c.admitted(), about)
+						must.True(t, c.status == 401 || !trouble.calm, about)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a 401 by a configuration that was confirmed before the call came: a version
+// acknowledged in between may have the key. Until a newer confirmation the call waits, and where
+// none comes its outcome stays open.
+func TestUnknownKeyIsRefusedByALaterConfirmation(t *testing.T) {
+	w := credentialsServed(t, 17, "kept")
+	host := sorted(w.nodes)[len(w.nodes)-1]
+	n := w.nodes[host]
+	for range 40 {
+		w.run(37)
+		must.True(t, n.sh.node.configFresh())
+		sentBefore, confirmedBy, done := n.sh.node.leases.Polls(), uint64(0), false
+		w.call("caller", n, evRequest{Op: "queue.state", Host: "h.example", Path: "/p/none", Base: -1, Credential: "unknown"}, 3000, func(status int, _ int64, _ []byte) {
+			must.Eq(t, 401, status)
+			done = true
+		})
+		w.until(3000, func() bool {
+			if !done {
+				confirmedBy = n.sh.node.config.confirmedBy
+			}
+			return done
+		})
+		must.True(t, done)
+		must.Greater(t, sentBefore, confirmedBy)
+	}
+	must.Positive(t, n.sh.node.counts["calls_unauthenticated"])
+	w.cutFrom(host, w.members(), true, true)
+	w.callFor(4000, "unknown")
+	w.run(4000)
+	for _, c := range w.calls {
+		if c.host == host {
+			must.True(t, c.status == 503 || c.status == 0, must.Sprintf("cut off, %d ms: %d", c.sentMs, c.status))
+		}
+	}
+}
+
+// Guards against calls without a key, or with one that nobody has, that get past a queue that
+// needs one, for each kind of call, and against open queues and unknown addresses that need one.
+func TestWhichCallsNeedAKey(t *testing.T) {
+	w := credentialsServed(t, 23, "kept", "")
+	job := []byte(`{"steps":[{"name":"a","count":1,"room":1,"estimate_ms":50}]}`)
+	at := func(op, path, key string) int {
+		return w.settle(w.nodes["d00"], evRequest{Op: op, Host: "h.example", Path: path, Base: -1, Body: job, Credential: key}, 4000).status
+	}
+	for _, key := range []string{"", "unknown", digestOf("kept"), "KEPT"} {
+		for _, op := range []string{"queue.submit", "queue.state", "queue.cancel"} {
+			must.Eq(t, 401, at(op, "/p/job-1", key), must.Sprint(op, " ", key))
+			must.Eq(t, 404, at(op, "/nowhere/job-1", key))
+		}
+		must.Eq(t, 401, at("queue.state", "/p/", key))
+		must.Eq(t, 200, at("queue.state", "/free/", key))
+	}
+	must.Eq(t, 201, at("queue.submit", "/free/job-2", ""))
+	must.Eq(t, 201, at("queue.submit", "/p/job-1", "kept"))
+	must.Eq(t, 200, at("queue.state", "/p/job-1", "kept"))
+	must.Eq(t, 401, at("queue.state", "/p/job-1", "unknown"))
+	w.change(t)
+	must.Eq(t, 401, at("queue.state", "/p/job-1", "kept"))
+	must.Eq(t, 401, at("queue.cancel", "/p/job-1", "kept"))
+	must.Eq(t, 200, at("queue.state", "/free/job-2", "kept"))
+}
+
+// Guards against keys that leak: what a caller shows stands in no log line, no message between
+// daemons, no entry on a disk, no answer and no name of a count, whether anyone has it or not.
+func TestKeysStayWithTheDaemonThatGotThem(t *testing.T) {
+	w := &credentialWorld{world: served(t, 29)}
+	w.keepLog = true
+	var leaks []string
+	find := func(where string, text []byte) {
+		for _, key := range []string{"kept-3c1b7f", "unknown-9ac04d"} {
+			digest := configuration.DigestOfKey(key)
+			for form, secret := range map[string][]byte{"key": []byte(key), "digest": digest[:], "digest in hex": []byte(digestOf(key))} {
+				if bytes.Contains(text, secret) {
+					leaks = append(leaks, fmt.Sprintf("the %s of %s in %s", form, key, where))
+				}
+			}
+		}
+	}
+	w.onSend = func(_, _ string, msg any, _ int) { find(fmt.Sprintf("%T", msg), wire.EncodeFrame(wire.Header{}, msg)) }
+	w.change(t, "kept-3c1b7f")
+	w.run(2000)
+	job := []byte(`{"steps":[{"name":"a","count":1,"room":1,"estimate_ms":50}]}`)
+	for i, key := range []string{"kept-3c1b7f", "unknown-9ac04d"} {
+		for _, host := range sorted(w.nodes) {
+			for _, op := range []string{"queue.submit", "queue.state", "queue.cancel"} {
+				got := w.settle(w.nodes[host], evRequest{Op: op, Host: "h.example", Path: "/p/job-" + host, Base: -1, Body: job, Credential: key}, 4000)
+				must.Eq(t, i == 1, got.status == 401, must.Sprint(host, " ", op, " ", got))
+				find("an answer", []byte(got.body))
+			}
+		}
+	}
+	w.change(t)
+	w.run(3000)
+	find("the log", []byte(strings.Join(w.logs, "\n")))
+	for _, host := range sorted(w.nodes) {
+		for _, entry := range w.nodes[host].disk.entries {
+			find("the disk of "+host, entry)
+		}
+		for _, op := range []string{"soundness", "members", "workers"} {
+			find(op, []byte(w.settle(w.nodes[host], evRequest{Op: op, Base: -1}, 2000).body))
+		}
+		find("the counts of "+host, []byte(strings.Join(sorted(w.nodes[host].sh.node.counts), " ")))
+	}
+	must.Positive(t, len(w.logs))
+	must.SliceEmpty(t, leaks)
+}
