--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -174,12 +174,6 @@
 	return n.hasReservedShare(sl, js, i, amount)
 }
 
-// takesPlaces tells whether a gang that was granted places has the share for all its members.
-func (n *node) takesPlaces(sl *shard, js *jobState, id int64) bool {
-	i, _, known := js.position(id)
-	return !known || !js.Steps[js.Tasks[i].Step].Gang || n.hasReservedShare(sl, js, i, js.unitOf(i))
-}
-
 // shareLack counts the units of a step that wait only for a share.
 type shareLack struct {
 	task  int // one of the tasks
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// Want tells what tasks of one step lack; key names the step.
+// Claim tells what tasks of one step lack; key names the step.
 func (b *Borrower) Claim(tenant, key string, v wire.ShareClaim, nowMs int64) {
 	a := b.account(tenant)
 	for _, w := range a.claims {
