A report of shares waits for the answer to the one before

Cause: an owner whose tasks end all the time reported each 10 ms, an answer takes longer beside load, and only the answer to the newest report is taken. Ruled out: lost leases and an incomplete counter (no role moved after 14.7 s; other shards were lent by the same counter meanwhile). Found with the new log event share_delayed.

--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -301,6 +301,7 @@
 			n.advanceJob(sl, js)
 		}
 		sl.shares.endClaims()
+		n.logShareDelays(sl)
 		cut := 0
 		isOld := func(id string) bool { return n.now-sl.finished[id].Version > finishedMs }
 		for cut < len(sl.order) && (len(sl.order)-cut > finishedMax || isOld(sl.order[cut])) {
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -17,8 +17,12 @@
 type tenantShares struct {
 	shards    []string
 	borrowers map[string]*quota.Borrower // by counting shard
+	loggedMs  int64                      // when delays were last logged
 }
 
+// shareLogMs is how long a task waits for a share before that is logged, and how often it is.
+const shareLogMs = 2000
+
 func newTenantShares(shard string, epoch uint64, shards []string) tenantShares {
 	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}}
 	for _, counter := range shards {
@@ -232,6 +236,22 @@
 	}
 }
 
+// logShareDelays tells operators now and then which tenants wait for a share, and where.
+func (n *node) logShareDelays(sl *shard) {
+	if n.now < sl.shares.loggedMs+shareLogMs {
+		return
+	}
+	sl.shares.loggedMs = n.now
+	for _, counter := range sl.shares.shards {
+		for _, d := range sl.shares.borrowers[counter].Delays(n.now, shareLogMs) {
+			n.log("share_delayed", "slice", sl.name, "tenant", d.Tenant, "waited_ms", d.WaitedMs, "job", d.Job,
+				"unit", d.Unit, "held", d.Held, "used", d.Used, "reserved", d.Reserved, "claims", d.Claims,
+				"limit", resource.Amount(n.limitOf(d.Tenant)), "counter", counter, "at", d.Counter,
+				"unanswered_ms", d.UnansweredMs)
+		}
+	}
+}
+
 // tickCounters finds who counts, and lends what has become free.
 func (n *node) tickCounters() {
 	if !n.countsTenants() {
@@ -279,7 +299,7 @@
 	if b == nil {
 		return
 	}
-	grown := b.OnGrant(m, n.config.current.Version)
+	grown := b.OnGrant(m, n.now, n.config.current.Version)
 	if len(grown) == 0 {
 		return
 	}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -10,6 +10,7 @@
 
 const (
 	reportSpacingMs = 10   // between two reports of one owner to one counter
+	answerMs        = 250  // a report is answered at once: the next one waits for that, but no longer than this
 	claimRepeatMs   = 250  // a report with claims is repeated, for either message may be lost
 	reportIdleMs    = 1000 // and one without
 	rateWindowMs    = 2000 // what was started and used in this time tells what to hold
@@ -19,15 +20,18 @@
 
 // Borrower is what one shard's owner holds of the limits of all tenants with one counter.
 type Borrower struct {
-	shard    string
-	epoch    uint64
-	counter  string
-	to       string // who counts, as far as is known
-	toEpoch  uint64
-	seq      uint64
-	sentMs   int64
-	due      bool
-	accounts map[string]*account
+	shard   string
+	epoch   uint64
+	counter string
+	to      string // who counts, as far as is known
+	toEpoch uint64
+	seq     uint64
+	sentMs  int64
+	due     bool
+
+	answered   bool  // the newest report was, see answerMs
+	answeredMs int64 // when a newest report was last answered
+	accounts   map[string]*account
 }
 
 // account is one tenant's.
@@ -80,7 +84,7 @@
 	if name == "" || epoch < b.toEpoch || epoch == b.toEpoch && name == b.to {
 		return
 	}
-	b.to, b.toEpoch, b.due = name, epoch, true
+	b.to, b.toEpoch, b.due, b.answered = name, epoch, true, true
 }
 
 // Use notes that a task is started, or was by a former owner.
@@ -233,8 +237,13 @@
 	if !b.due && nowMs-b.sentMs < wait && b.seq != 0 {
 		return "", nil
 	}
+	// An answer to a report that another has followed is not taken: were the next one sent while
+	// this one's answer is on its way, none might ever come in time.
+	if !b.answered && nowMs-b.sentMs < answerMs && b.seq != 0 {
+		return "", nil
+	}
 	b.seq++
-	b.sentMs, b.due = nowMs, false
+	b.sentMs, b.due, b.answered = nowMs, false, false
 	m = &wire.ShareReport{
 		Counter: b.counter, CounterEpoch: b.toEpoch, Shard: b.shard, ShardEpoch: b.epoch, Seq: b.seq, ConfigVersion: version,
 	}
@@ -301,11 +310,12 @@
 
 // OnGrant takes a grant if it answers the newest report, and gives the tenants of which more is
 // held now. A grant by an older configuration than the owner's is left: its limits may be higher.
-func (b *Borrower) OnGrant(m *wire.ShareGrant, version int64) (grown []string) {
+func (b *Borrower) OnGrant(m *wire.ShareGrant, nowMs, version int64) (grown []string) {
 	if m.Counter != b.counter || m.CounterEpoch != b.toEpoch || m.Shard != b.shard || m.ShardEpoch != b.epoch ||
 		m.Seq != b.seq {
 		return nil
 	}
+	b.answered, b.answeredMs = true, nowMs
 	if m.ConfigVersion < version {
 		b.due = true
 		return nil
@@ -331,6 +341,39 @@
 	}
 }
 
+// Delay is what one tenant's tasks wait for.
+type Delay struct {
+	Tenant       string
+	Held, Used   resource.Amount
+	Reserved     resource.Amount
+	Claims       int
+	Unit         resource.Amount // of the claim that has waited longest
+	Job          string
+	WaitedMs     int64
+	Counter      string // who counts, as far as is known
+	UnansweredMs int64  // since the last grant for the newest report, or an older one
+}
+
+// Delays gives the tenants of which a claim has waited for so long.
+func (b *Borrower) Delays(nowMs, forMs int64) (delays []Delay) {
+	for _, tenant := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[tenant]
+		d := Delay{
+			Tenant: tenant, Held: a.held, Used: a.used, Reserved: a.taken(nowMs).Minus(a.used), Claims: len(a.claims),
+			Counter: b.to, UnansweredMs: nowMs - b.answeredMs,
+		}
+		for _, c := range a.claims {
+			if waited := nowMs - c.sinceMs; waited > d.WaitedMs {
+				d.WaitedMs, d.Unit, d.Job = waited, c.Unit, c.Job
+			}
+		}
+		if d.WaitedMs > forMs {
+			delays = append(delays, d)
+		}
+	}
+	return delays
+}
+
 // Held is what the owner may have running of a tenant, and what it has.
 func (b *Borrower) Held(tenant string) (held, used resource.Amount) {
 	if a := b.accounts[tenant]; a != nil {
