--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -17,6 +17,7 @@
 type tenantShares struct {
 	shards    []string
 	borrowers map[string]*quota.Borrower // by counting shard
+	byTenant  map[string]*quota.Borrower // of those, the one whose counter counts a tenant
 	loggedMs  int64                      // when delays were last logged
 }
 
@@ -24,7 +25,7 @@
 const shareLogMs = 2000
 
 func newTenantShares(shard string, epoch uint64, shards []string) tenantShares {
-	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}}
+	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}, byTenant: map[string]*quota.Borrower{}}
 	for _, counter := range shards {
 		s.borrowers[counter] = quota.NewBorrower(shard, epoch, counter)
 	}
@@ -41,7 +42,12 @@
 	if tenant == "" || len(s.shards) == 0 {
 		return nil
 	}
-	return s.borrowers[countingShard(tenant, s.shards)]
+	b := s.byTenant[tenant]
+	if b == nil {
+		b = s.borrowers[countingShard(tenant, s.shards)]
+		s.byTenant[tenant] = b
+	}
+	return b
 }
 
 func (s *tenantShares) use(tenant string, amount resource.Amount) {
