--- a/internal/daemon/job.go
+++ b/internal/daemon/job.go
@@ -281,7 +281,7 @@
 	j := &job{}
 	if codec.Unmarshal(r.Value, j) != nil {
 		j = &job{}
-		if codec.Unmarshal(append(slices.Clone(r.Value), noTenant...), j) != nil {
+		if codec.Unmarshal(append(slices.Clone(r.Value), noTenant...), j) != nil || j.Tenant != "" {
 			return nil, false
 		}
 	}
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -68,20 +68,21 @@
 		n.reject(a, "the setup is not confirmed here")
 		return
 	}
-	if n.config.current.Queues[j.Queue] == nil {
+	if c := n.config.current; c.Queues[j.Queue] == nil || a.tenant != "" && c.Tenants[a.tenant] == nil {
 		if !n.configConfirmedSince(a) && len(n.config.awaiting) < requestsMax {
-			// A version acknowledged just now may have it: ask the core first.
+			// A version acknowledged just now may have it, and the tenant's limit: ask the core first.
 			n.config.awaiting = append(n.config.awaiting, a)
 			n.leases.PollSoon()
 			return
 		}
 		if a.queue != "" { // whoever resolved its address had another configuration: soon it has this one
-			n.reject(a, "the queue is not in the newest setup")
+			n.reject(a, "the queue or the tenant is not in the newest setup")
 			return
 		}
 		n.rejectFaults(a, 400, 0, []schema.Fault{{Path: "queue", Reason: "is not in the setup"}})
 		return
 	}
+	j.Tenant = a.tenant
 	f := &fetchOp{id: a.key, job: j, requests: []*request{a}}
 	sl.admitting[a.key] = f
 	n.fetchRecord(sl, f)
@@ -93,7 +94,7 @@
 	q := n.config.current.Queues[j.Queue]
 	wall := n.fleetTime()
 	if q == nil || wall == 0 || !n.configFresh() {
-		n.rejectAdmission(f, func(a *request) { n.reject(a, "the setup or the core's time is not confirmed here") })
+		n.rejectAdmission(sl, f, func(a *request) { n.reject(a, "the setup or the core's time is not confirmed here") })
 		return
 	}
 	size := len(j.encode())
@@ -108,10 +109,10 @@
 	}
 	if b := admit(c); b != nil {
 		n.count("jobs_rejected")
-		n.rejectAdmission(f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
+		n.rejectAdmission(sl, f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
 	}
-	j.SubmitMs, j.Tenant = wall, a.tenant
+	j.SubmitMs = wall
 	if j.DelayMs > 0 {
 		j.DueMs = n.latestFleetTime() + j.DelayMs
 	}
@@ -129,13 +130,17 @@
 }
 
 // rejectAdmission answers all who wait for a new job that isn't taken: who hands it in
-// is told why, and for the others there is no such job.
-func (n *node) rejectAdmission(f *fetchOp, tell func(*request)) {
+// is told why, and for the others there is no such job. What another tenant hands in under
+// the same id is another job, to be taken or not for its own sake.
+func (n *node) rejectAdmission(sl *shard, f *fetchOp, tell func(*request)) {
 	for _, a := range f.requests {
-		if a.op == "job.put" {
-			tell(a)
-		} else {
+		switch {
+		case a.op != "job.put":
 			n.respondMissing(a)
+		case a.tenant == f.job.Tenant:
+			tell(a)
+		default:
+			n.handleSubmit(sl, a)
 		}
 	}
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -531,7 +531,7 @@
 	}
 	switch tenant, known := authenticate(c, queue, a.credential); {
 	case known:
-		a.tenant = tenant
+		a.tenant, a.credential = tenant, ""
 	case n.configConfirmedSince(a):
 		n.count("calls_unauthenticated")
 		n.respond(a, 401, 0, mustJSON(map[string]any{"error": "no tenant has this key"}))
@@ -553,28 +553,42 @@
 }
 
 // authenticate gives the tenant whose key a call shows; "" where none is needed. It gives false
-// where one is needed and nobody has it.
+// where one is needed and nobody has it. A call without a key is nobody's, whatever the digests of
+// the configuration are.
 func authenticate(c *configuration.Configuration, queue, credential string) (tenant string, known bool) {
 	if !c.Authenticates() {
 		return "", true
 	}
-	if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
-		return t.Name, true
+	if credential != "" {
+		if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
+			return t.Name, true
+		}
 	}
 	return "", c.Queues[queue].Open
 }
 
 // sees tells whether a job is there for a call: one at an address sees the jobs of its queue,
 // and with a key those of the key's tenant. Jobs without a tenant, and those of a tenant that is
-// no longer declared, are there for all who may call.
+// no longer declared, are there for all who may call. Without a key, at an open queue, any job may
+// be looked at, since its tenant's key may be one that was taken away; but not cancelled.
 func (n *node) sees(a *request, j *job) bool {
 	switch {
 	case a.queue == "":
 		return true
 	case j.Queue != a.queue:
 		return false
+	case j.Tenant == "" || j.Tenant == a.tenant:
+		return true
+	case a.tenant == "" && a.op != "job.cancel":
+		return true
 	}
-	return a.tenant == "" || j.Tenant == a.tenant || n.config.current.Tenants[j.Tenant] == nil
+	return n.surelyUndeclared(j.Tenant)
+}
+
+// surelyUndeclared tells whether a confirmed configuration has no such tenant: one that isn't
+// confirmed may be from before the tenant was declared.
+func (n *node) surelyUndeclared(tenant string) bool {
+	return n.configFresh() && n.config.current.Tenants[tenant] == nil
 }
 
 // awaitConfirmation keeps a request until a newer confirmation of the configuration, for a while,
