--- a/internal/daemon/tenant_keys_test.go
+++ b/internal/daemon/tenant_keys_test.go
@@ -369,7 +369,7 @@
 }
 
 // Guards against callers who lose their jobs when their tenant is renamed, and against the jobs
-// of a declared tenant that are told to others by a configuration that isn't confirmed.
+// of a declared tenant that are shown to others by a configuration that isn't confirmed.
 func TestTenantsThatAreRenamedKeepTheirJobs(t *testing.T) {
 	w := newTenantWorld(t, 5390)
 	must.Eq(t, 201, w.submit("d00", "/seats/j", "key-a1"))
@@ -389,25 +389,25 @@
 }
 
 // Guards against keys that reach what operators and logs show.
-func TestTenantKeysAreToldNobody(t *testing.T) {
+func TestTenantKeysStaySecret(t *testing.T) {
 	w := newTenantWorld(t, 5400)
 	must.Eq(t, 201, w.submit("d03", "/seats/j", "key-a1"))
 	must.Eq(t, 401, w.submit("d03", "/seats/k", "key-nobody"))
 	w.run(2000)
-	told := strings.Join(w.logs, "\n")
+	shown := strings.Join(w.logs, "\n")
 	for _, e := range []evRequest{{Op: "job.get", Key: "j"}, {Op: "job.explain", Key: "j"}, {Op: "setup.get"}, {Op: "soundness"}, {Op: "members"}, {Op: "workers"}} {
 		e.Base = -1
-		told += w.settle(w.nodes["d03"], e, tenantCallMs).body
+		shown += w.settle(w.nodes["d03"], e, tenantCallMs).body
 	}
 	for _, n := range w.nodesInOrder() {
 		for _, entry := range n.disk.entries {
-			told += string(entry)
+			shown += string(entry)
 		}
-		told += strings.Join(sorted(n.sh.node.counts), "\n")
+		shown += strings.Join(sorted(n.sh.node.counts), "\n")
 	}
-	must.StrContains(t, told, tenantA.name)
-	must.StrNotContains(t, told, "key-a1")
-	must.StrNotContains(t, told, "key-nobody")
+	must.StrContains(t, shown, tenantA.name)
+	must.StrNotContains(t, shown, "key-a1")
+	must.StrNotContains(t, shown, "key-nobody")
 }
 
 // Guards against another form of records without a tenant, and of records that are cut short.
