--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -17,10 +17,15 @@
 type tenantShares struct {
 	shards    []string
 	borrowers map[string]*quota.Borrower // by counting shard
+	byTenant  map[string]*quota.Borrower // of those, the one whose counter counts a tenant
+	loggedMs  int64                      // when delays were last logged
 }
 
+// shareLogMs is how long a task waits for a share before that is logged, and how often it is.
+const shareLogMs = 2000
+
 func newTenantShares(shard string, epoch uint64, shards []string) tenantShares {
-	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}}
+	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}, byTenant: map[string]*quota.Borrower{}}
 	for _, counter := range shards {
 		s.borrowers[counter] = quota.NewBorrower(shard, epoch, counter)
 	}
@@ -37,7 +42,12 @@
 	if tenant == "" || len(s.shards) == 0 {
 		return nil
 	}
-	return s.borrowers[countingShard(tenant, s.shards)]
+	b := s.byTenant[tenant]
+	if b == nil {
+		b = s.borrowers[countingShard(tenant, s.shards)]
+		s.byTenant[tenant] = b
+	}
+	return b
 }
 
 func (s *tenantShares) use(tenant string, amount resource.Amount) {
@@ -174,12 +184,6 @@
 	return n.hasReservedShare(sl, js, i, amount)
 }
 
-// takesPlaces tells whether a gang that was granted places has the share for all its members.
-func (n *node) takesPlaces(sl *shard, js *jobState, id int64) bool {
-	i, _, known := js.position(id)
-	return !known || !js.Steps[js.Tasks[i].Step].Gang || n.hasReservedShare(sl, js, i, js.unitOf(i))
-}
-
 // shareLack counts the units of a step that wait only for a share.
 type shareLack struct {
 	task  int // one of the tasks
@@ -238,6 +242,22 @@
 	}
 }
 
+// logShareDelays tells operators now and then which tenants wait for a share, and where.
+func (n *node) logShareDelays(sl *shard) {
+	if n.now < sl.shares.loggedMs+shareLogMs {
+		return
+	}
+	sl.shares.loggedMs = n.now
+	for _, counter := range sl.shares.shards {
+		for _, d := range sl.shares.borrowers[counter].Delays(n.now, shareLogMs) {
+			n.log("share_delayed", "slice", sl.name, "tenant", d.Tenant, "waited_ms", d.WaitedMs, "job", d.Job,
+				"unit", d.Unit, "held", d.Held, "used", d.Used, "reserved", d.Reserved, "claims", d.Claims,
+				"limit", resource.Amount(n.limitOf(d.Tenant)), "counter", counter, "at", d.Counter,
+				"unanswered_ms", d.UnansweredMs)
+		}
+	}
+}
+
 // tickCounters finds who counts, and lends what has become free.
 func (n *node) tickCounters() {
 	if !n.countsTenants() {
@@ -285,7 +305,7 @@
 	if b == nil {
 		return
 	}
-	grown := b.OnGrant(m, n.config.current.Version)
+	grown := b.OnGrant(m, n.now, n.config.current.Version)
 	if len(grown) == 0 {
 		return
 	}
