--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -244,7 +244,11 @@
 	if len(faults) > 0 {
 		return exitFound
 	}
-	fmt.Printf("sound: %d queues, %d sites to empty\n", len(c.Queues), len(c.EmptyZones))
+	fmt.Printf("sound: %d queues, %d sites to empty", len(c.Queues), len(c.EmptyZones))
+	if c.Authenticates() {
+		fmt.Printf(", %d tenants", len(c.Tenants))
+	}
+	fmt.Println()
 	for _, line := range c.ExplainContracts() {
 		fmt.Println(line)
 	}
