A job is told as another tenant's only by a configuration confirmed after the call came

It isn't the call's key (that was admitted) and no lost job: the same call gets 200 a poll later. Now such a call waits for a newer confirmation, as one for an unknown queue or key does; a job handed in again stays open (504), not refused.

Cancels and states of another tenant's job still answer 410, one poll later at most.

--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -14,13 +14,12 @@
 		p, faults := parseJob(j.ID, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, j.Digest) || !n.sees(a, j) {
+		} else if !bytes.Equal(p.Digest, j.Digest) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
-		} else {
+		} else if !n.hides(a, j) {
 			n.respond(a, 200, 0, mustJSON(map[string]any{"id": j.ID, "state": j.State.String()}))
 		}
-	case !n.sees(a, j):
-		n.respondMissing(a)
+	case n.hides(a, j):
 	case a.op == "job.state":
 		n.respond(a, 200, 0, mustJSON(map[string]any{"state": j.State.String()}))
 	case a.op == "job.cancel" && j.State != jobCancelled:
@@ -39,9 +38,9 @@
 		p, faults := parseJob(a.key, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, js.Digest) || !n.sees(a, &js.job) {
+		} else if !bytes.Equal(p.Digest, js.Digest) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
-		} else {
+		} else if !n.hides(a, &js.job) {
 			n.whenCommitted(js, waiter{version: 1, request: a, status: 200})
 		}
 		return
@@ -175,11 +174,10 @@
 }
 
 func (n *node) handleGet(sl *shard, a *request) {
-	if js := sl.jobs[a.key]; js != nil && !n.sees(a, &js.job) {
-		n.respondMissing(a)
-		return
-	}
 	if js := sl.jobs[a.key]; js != nil {
+		if n.hides(a, &js.job) {
+			return
+		}
 		if js.committed == 0 {
 			n.whenCommitted(js, waiter{version: 1, request: a, status: 200})
 			return
@@ -202,10 +200,13 @@
 // is told once a majority has it.
 func (n *node) handleState(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js == nil || !n.sees(a, &js.job) {
+	if js == nil {
 		n.handleGet(sl, a)
 		return
 	}
+	if n.hides(a, &js.job) {
+		return
+	}
 	version := int64(1)
 	if js.DoneMs != 0 || js.State != jobRunning {
 		version = js.Version
@@ -231,8 +232,7 @@
 
 func (n *node) handleCancel(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js != nil && !n.sees(a, &js.job) {
-		n.respondMissing(a)
+	if js != nil && n.hides(a, &js.job) {
 		return
 	}
 	if js == nil {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -359,8 +359,7 @@
 	if j, ok := jobOf(all[at]); ok {
 		delete(n.quorumReads, op)
 		n.count("states_from_core")
-		if !n.sees(r.request, j) {
-			n.respond(r.request, 404, 0, mustJSON(map[string]any{"error": "no such job"}))
+		if n.hides(r.request, j) {
 			return
 		}
 		if r.request.op == "job.state" {
@@ -591,6 +590,24 @@
 	return n.configFresh() && n.config.current.Tenants[tenant] == nil
 }
 
+// hides answers a call that a job isn't there for, and tells whether it isn't. That a job is
+// another tenant's is only said by a configuration confirmed after the call came: an older one
+// may know the callers' tenant by its former name.
+func (n *node) hides(a *request, j *job) bool {
+	switch {
+	case n.sees(a, j):
+		return false
+	case j.Queue == a.queue && !n.configConfirmedSince(a):
+		a.maybeApplied = true // it may be the very job that is handed in again
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+	case a.op == "job.put":
+		n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
+	default:
+		n.respondMissing(a)
+	}
+	return true
+}
+
 // awaitConfirmation keeps a request until a newer confirmation of the configuration, for a while,
 // where one may still come.
 func (n *node) awaitConfirmation(a *request, reason string) {
--- /dev/null
+++ b/internal/daemon/tenant_rename_test.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a job that is told as unknown, or refused as another's, to callers whose tenant was
+// renamed, by an owner whose configuration is older or not confirmed yet.
+func TestJobsOfRenamedTenantsStayKnown(t *testing.T) {
+	for seed := range uint64(3) {
+		w := newTenantWorld(t, 5600+seed)
+		paths := w.submitSome("key-a1")
+		name, answers := tenantA.name, map[string]int{}
+		for round := range 4 {
+			name = fmt.Sprint("renamed-", round)
+			w.declare(tenantSetup(nil, testTenant{name, tenantA.keys}, tenantB))
+			for range 60 {
+				for i, daemon := range sorted(w.nodes) {
+					op := []string{"queue.state", "queue.submit"}[i%2]
+					w.call("caller", w.nodes[daemon], evRequest{Op: op, Host: "h", Path: paths[i%len(paths)], Credential: "key-a1", Body: tenantJob("x", 1), Base: -1}, tenantCallMs,
+						func(status int, _ int64, _ []byte) { answers[fmt.Sprint(op, " ", status)]++ })
+				}
+				w.run(10)
+			}
+			w.run(tenantCallMs)
+		}
+		for answer := range answers {
+			must.SliceContains(t, []string{"queue.state 200", "queue.submit 200", "queue.state 503", "queue.submit 504"}, answer, must.Sprint(answers))
+		}
+		must.Positive(t, answers["queue.state 200"])
+		must.Positive(t, answers["queue.submit 200"])
+		t.Log(answers)
+	}
+}
