Shares are given up where a limit may have been lowered; what ends is replaced only within the limit

After a limit was lowered an owner placed new tasks in the room of those that ended, though the sum over all owners was still above the limit; a grant lent by the former limit was taken where it came with the number of the newer version; an owner that skipped a version kept what a higher limit in between had lent; a task that waited at its agent over a raise and a lowering was started; the share lent to a task larger than the limit was used by others beside it. Single tasks that keep coming kept a gang from its turn for ever, and a gang that can never fit kept room from all others. Change: quota.Limits remembers the version that lowered each limit, also where versions were skipped. Owners void grants on their way and give up what isn't used; what ends is replaced only once the counter tells that all that is lent is within the limit. The counter lends to no report by a later version, and not before all owners go by a lowered limit. Placements carry the version by whose limit they were placed. Requests for places count only when they are sent: one tenant's lack takes no other's turn.

--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -6,7 +6,6 @@
 
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
-	"otterchute/internal/quota"
 	"otterchute/internal/resource"
 	"otterchute/internal/scheduler"
 	"otterchute/internal/wire"
@@ -103,7 +102,7 @@
 		n.reportAgent(ag)
 		return true
 	}
-	if n.limitOf(h.spec.Tenant).LowerThan(quota.Limit(h.spec.TenantLimit)) {
+	if n.limits.Outdated(h.spec.Tenant, h.spec.LimitVersion) {
 		h.state, h.result = wire.AttemptEnded, wire.ResultShed // its owner must have it counted anew
 		n.reportAgent(ag)
 		return true
--- a/internal/daemon/config_state.go
+++ b/internal/daemon/config_state.go
@@ -128,9 +128,8 @@
 			return
 		}
 	}
-	former := n.config.current
 	n.config.current, n.config.record, n.config.ballot = c.WithEmptied(d.Emptied), d, b
-	n.limitsChanged(former)
+	n.adoptLimits()
 	n.config.confirmedMs, n.config.confirmedBy = -1<<40, 0
 	n.log("config_adopted", "version", d.Version, "queues", len(c.Queues))
 	n.leases.PollSoon()
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -115,7 +115,7 @@
 	if j.DelayMs > 0 {
 		j.DueMs = n.latestFleetTime() + j.DelayMs
 	}
-	js := &jobState{job: *j, runtime: make([]taskRuntime, len(j.Tasks)), bytes: size}
+	js := &jobState{job: *j, runtime: make([]taskRuntime, len(j.Tasks)), bytes: size, enteredMs: n.now}
 	n.traceAdmitted(sl, js, f.startMs)
 	sl.jobs[j.ID] = js
 	sl.bytes += size
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -86,7 +86,8 @@
 // come, and the steps before it have ended in the committed record.
 func (n *node) mayStart(js *jobState, i int, pass *schedulePass) bool {
 	t := &js.Tasks[i]
-	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs || !n.configFresh() {
+	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs || !n.configFresh() ||
+		!n.knowsLimit(js) {
 		return false
 	}
 	if due := js.dueOf(t.Round); due != 0 && pass.wall < due+dueMarginMs {
@@ -121,7 +122,10 @@
 	if rt.allocationMs != 0 { // not the first time
 		sl.starvedMs = n.now
 	}
-	sl.allocationRequests++
+	if pass.lacksShare(js, i) {
+		pass.lack(js, i)
+		return
+	}
 	n.requestAllocation(sl, js, i, pass)
 }
 
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -51,7 +51,7 @@
 	if class == wire.ClassQueueable {
 		n.ranks.add(worker, n.estimateMs(js, t))
 	}
-	js.runtime[i] = taskRuntime{limit: n.limitOf(js.Tenant)}
+	js.runtime[i] = taskRuntime{limitVersion: n.limits.Version()}
 	sl.shares.unreserve(js, i, t.Resources)
 	n.count("placements_" + class.String())
 }
@@ -85,23 +85,23 @@
 			Task:    js.taskID(i),
 			Attempt: t.Attempt,
 		},
-		Shard:       sl.name,
-		Queue:       js.Queue,
-		Name:        t.Name,
-		Class:       t.Class,
-		Resources:   t.Resources,
-		Needs:       t.Needs,
-		SubmittedMs: js.SubmitMs,
-		EstimateMs:  n.estimateMs(js, t),
-		LimitMs:     t.LimitMs,
-		Payload:     t.Payload,
-		Saved:       t.Saved,
-		Gang:        js.Steps[t.Step].Gang,
-		Lasting:     js.Steps[t.Step].Lasting,
-		Saves:       js.Steps[t.Step].Saves,
-		PerWorker:   js.Steps[t.Step].PerWorker,
-		Tenant:      js.Tenant,
-		TenantLimit: resource.Amount(js.runtime[i].limit),
+		Shard:        sl.name,
+		Queue:        js.Queue,
+		Name:         t.Name,
+		Class:        t.Class,
+		Resources:    t.Resources,
+		Needs:        t.Needs,
+		SubmittedMs:  js.SubmitMs,
+		EstimateMs:   n.estimateMs(js, t),
+		LimitMs:      t.LimitMs,
+		Payload:      t.Payload,
+		Saved:        t.Saved,
+		Gang:         js.Steps[t.Step].Gang,
+		Lasting:      js.Steps[t.Step].Lasting,
+		Saves:        js.Steps[t.Step].Saves,
+		PerWorker:    js.Steps[t.Step].PerWorker,
+		Tenant:       js.Tenant,
+		LimitVersion: js.runtime[i].limitVersion,
 	}
 }
 
@@ -169,6 +169,7 @@
 			m.Used = append(m.Used, wire.WorkerUse{Worker: w, Count: used[w]})
 		}
 	}
+	sl.allocationRequests++
 	n.send(to, m)
 }
 
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -172,16 +172,15 @@
 	coreReads   retryBudget // for reading states from the core
 	forwardSeq  uint64
 
-	owned    map[string]*shard
-	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
-	// Limits of tenants that a version has dropped: jobs they handed in before go on within them.
-	formerLimits map[string]quota.Limit
-	agents       map[string]*agent
-	central      *central
-	ranks        rankState
-	workers      map[string]*workerView
-	estimates    scheduler.Estimates
-	learnedAt    int64
+	owned     map[string]*shard
+	counters  map[string]*quota.Counter // of tenants, by the shard whose owner counts them
+	limits    quota.Limits
+	agents    map[string]*agent
+	central   *central
+	ranks     rankState
+	workers   map[string]*workerView
+	estimates scheduler.Estimates
+	learnedAt int64
 	// What owners told of each shard's queues, and when this daemon tells next.
 	queueCounts   map[string]*queueCounts
 	queueCountsAt int64
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -122,6 +122,7 @@
 	trace     *jobtrace.Job // nil where nobody follows its way, as in some tests
 	ended     []endedAttempt
 	failedAt  map[string]int64 // worker -> when a task of this job last failed there
+	enteredMs int64            // when it came to this owner
 	lacks     bool             // some task waits only for a share of its tenant's limit
 	// The version and value of the record that was last sent to the core: what the next
 	// patch builds on; version 0 for none under this epoch.
@@ -140,9 +141,9 @@
 	saved         string
 	abort         bool  // of a gang that is begun anew
 	runMs         int64 // since when it is told to run
-	// limit is its tenant's by which it was placed; none for one that a former owner placed,
-	// so that an agent sends it back unstarted where there is a limit now.
-	limit quota.Limit
+	// limitVersion is the configuration by whose limits it was placed; none for one that a former
+	// owner placed, so that an agent sends it back unstarted where its tenant has a limit now.
+	limitVersion int64
 }
 
 type waiter struct {
--- a/internal/daemon/shard_takeover.go
+++ b/internal/daemon/shard_takeover.go
@@ -81,7 +81,7 @@
 			n.log("record_unreadable", "slice", sl.name, "job", id)
 			continue
 		}
-		js := &jobState{job: *j, bytes: len(r.Value)}
+		js := &jobState{job: *j, bytes: len(r.Value), enteredMs: n.now}
 		sl.bytes += js.bytes
 		js.runtime = make([]taskRuntime, len(js.Tasks))
 		js.trace = jobtrace.NewJob(len(js.Tasks), sl.epoch)
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 
-	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/quota"
 	"otterchute/internal/rendezvous"
@@ -107,38 +106,17 @@
 	return sum
 }
 
-// limitOf is what a tenant may have running over all workers.
-func (n *node) limitOf(tenant string) quota.Limit {
-	if t := n.config.current.Tenants[tenant]; t != nil {
-		return quota.Limit(t.Limit)
-	}
-	return n.formerLimits[tenant]
-}
-
-// limitsChanged follows a configuration that has replaced another: what was lent by a higher
-// limit is given up, but for what runs.
-func (n *node) limitsChanged(former *configuration.Configuration) {
-	before := n.formerLimits
-	n.formerLimits = map[string]quota.Limit{}
-	limitBefore := func(tenant string) quota.Limit {
-		if t := former.Tenants[tenant]; t != nil {
-			return quota.Limit(t.Limit)
-		}
-		return before[tenant]
-	}
-	if n.config.current.Authenticates() {
-		for _, tenants := range [][]string{sorted(former.Tenants), sorted(before)} {
-			for _, name := range tenants {
-				if n.config.current.Tenants[name] == nil {
-					n.formerLimits[name] = limitBefore(name)
-				}
-			}
+// adoptLimits follows the configuration: where a tenant's limit may be lower now, what was lent
+// by the higher one is given up, but for what runs.
+func (n *node) adoptLimits() {
+	var limits map[string]quota.Limit
+	if c := n.config.current; c.Authenticates() {
+		limits = make(map[string]quota.Limit, len(c.Tenants))
+		for name, t := range c.Tenants {
+			limits[name] = quota.Limit(t.Limit)
 		}
 	}
-	for _, tenant := range sorted(n.config.current.Tenants) {
-		if !n.limitOf(tenant).LowerThan(limitBefore(tenant)) {
-			continue
-		}
+	for _, tenant := range n.limits.Adopt(n.config.current.Version, limits) {
 		for _, name := range sorted(n.owned) {
 			if b := n.owned[name].shares.of(tenant); b != nil {
 				b.LimitLowered(tenant)
@@ -147,21 +125,23 @@
 	}
 }
 
-// countsTenants tells whether there is any limit to count.
-func (n *node) countsTenants() bool {
-	return len(n.config.current.Tenants) > 0 || len(n.formerLimits) > 0
+// knowsLimit tells whether a job's tenant is counted by its limit here. A tenant that this daemon
+// doesn't know yet was declared by a version that is on its way; one that it doesn't know by a
+// configuration that was confirmed since the job came here is declared no more.
+func (n *node) knowsLimit(js *jobState) bool {
+	return js.Tenant == "" || n.limits.Declared(js.Tenant) || n.config.confirmedMs > js.enteredMs
 }
 
 // hasShare tells whether a task, or more, may be placed beside all that is placed and arranged.
 func (n *node) hasShare(sl *shard, js *jobState, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
-	return b == nil || b.Fits(js.Tenant, amount, n.limitOf(js.Tenant), n.now)
+	return b == nil || b.Fits(js.Tenant, amount, n.limits.Of(js.Tenant), n.now)
 }
 
 // hasReservedShare tells the same for tasks that a share may be reserved for.
 func (n *node) hasReservedShare(sl *shard, js *jobState, i int, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
-	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, n.limitOf(js.Tenant), n.now)
+	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, js.Tasks[i].Resources, n.limits.Of(js.Tenant), n.now)
 }
 
 // mayRequest tells whether guaranteed places may be requested for a task, beside those that its
@@ -199,6 +179,12 @@
 	p.lacks[at] = shareLack{i, count}
 }
 
+// lacksShare tells whether the share of a task's step was found to lack in this pass, as it then
+// does for all tasks that are alike.
+func (p *schedulePass) lacksShare(js *jobState, i int) bool {
+	return js.Steps[js.Tasks[i].Step].Alike && p.lacks[js.stepAt(&js.Tasks[i])].count > 0
+}
+
 // claimShares asks for what a job lacks.
 func (n *node) claimShares(sl *shard, js *jobState, pass *schedulePass) {
 	js.lacks = len(pass.lacks) > 0
@@ -217,7 +203,7 @@
 
 // flushShares sends the reports that are due to those who count.
 func (n *node) flushShares() {
-	if !n.countsTenants() {
+	if !n.limits.Any() {
 		return
 	}
 	for _, name := range sorted(n.owned) {
@@ -240,7 +226,7 @@
 
 // tickCounters finds who counts, and lends what has become free.
 func (n *node) tickCounters() {
-	if !n.countsTenants() {
+	if !n.limits.Any() {
 		return
 	}
 	for _, name := range sorted(n.owned) {
@@ -259,8 +245,7 @@
 	if c == nil || !n.leases.Holds(lease.ShardRole(counter)) || !n.configFresh() {
 		return
 	}
-	policy := quota.Policy{Version: n.config.current.Version, Shards: n.core.Shards, LimitOf: n.limitOf}
-	for _, grant := range c.Lend(policy) {
+	for _, grant := range c.Lend(quota.Policy{Shards: n.core.Shards, Limits: &n.limits}) {
 		if grant.To == n.Name {
 			n.onShareGrant(n.Name, grant.Message)
 		} else {
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -37,6 +37,10 @@
 	reserved map[string]reservation // by job and step: room was asked for, and the start will follow
 	claims   []*claim
 	tight    bool
+	// replaces: what ends makes room for another start. A counter has told that all that is lent is
+	// within the limit; before that as much may run elsewhere.
+	replaces bool
+	reduced  bool // less is held than the newest report says
 
 	windowMs int64
 	started  resource.Amount // since windowMs
@@ -96,35 +100,44 @@
 func (b *Borrower) Release(tenant string, amount resource.Amount) {
 	a := b.account(tenant)
 	a.used = a.used.Minus(amount)
-	if a.tight {
+	if !a.replaces {
+		a.held, a.reduced = larger(a.held.Minus(amount), a.used), true
+	}
+	if a.tight || !a.replaces {
 		b.due = true
 	}
 }
 
-// Fits tells whether tasks of a tenant may be started beside what is used and reserved.
+// Fits tells whether a task of a tenant may be started beside what is used and reserved.
 func (b *Borrower) Fits(tenant string, amount resource.Amount, limit Limit, nowMs int64) bool {
 	if limit.Unlimited() {
 		return true
 	}
 	a := b.account(tenant)
-	return covers(a.held, a.taken(nowMs).Plus(amount), limit)
+	return a.covers(a.taken(nowMs), amount, amount, limit)
 }
 
-// FitsReserved is Fits for tasks that a reservation was made for.
-func (b *Borrower) FitsReserved(tenant, key string, amount resource.Amount, limit Limit, nowMs int64) bool {
+// FitsReserved is Fits for tasks of which each takes as much, and that a reservation may have been
+// made for.
+func (b *Borrower) FitsReserved(tenant, key string, amount, task resource.Amount, limit Limit, nowMs int64) bool {
 	if limit.Unlimited() {
 		return true
 	}
 	a := b.account(tenant)
 	others := a.taken(nowMs).Minus(smaller(a.reservedAt(key, nowMs), amount))
-	return covers(a.held, others.Plus(amount), limit)
+	return a.covers(others, amount, task, limit)
 }
 
-// covers tells whether what is held covers an amount, in the dimensions that have a limit.
-func covers(held, amount resource.Amount, limit Limit) bool {
-	return (limit.CPU == 0 || amount.CPU <= held.CPU) &&
-		(limit.Memory == 0 || amount.Memory <= held.Memory) &&
-		(limit.GPU == 0 || amount.GPU <= held.GPU)
+// covers tells whether what is held covers an amount beside others, in the dimensions that have a
+// limit. What was lent to a unit that passes the limit by its last task is for such units alone.
+func (a *account) covers(others, amount, task resource.Amount, limit Limit) bool {
+	sum := others.Plus(amount)
+	if !limit.admitsUnit(others, amount, task) {
+		return false
+	}
+	return (limit.CPU == 0 || sum.CPU <= a.held.CPU) &&
+		(limit.Memory == 0 || sum.Memory <= a.held.Memory) &&
+		(limit.GPU == 0 || sum.GPU <= a.held.GPU)
 }
 
 // Reserve keeps a part of what is held for starts that were arranged, until a time.
@@ -178,26 +191,26 @@
 // BeginClaims begins a new round of claims: those not told again before EndClaims are over.
 func (b *Borrower) BeginClaims() {
 	for _, a := range b.accounts {
-		for _, w := range a.claims {
-			w.fresh = false
+		for _, c := range a.claims {
+			c.fresh = false
 		}
 	}
 }
 
-// Want tells what tasks of one step lack; key names the step.
+// Claim tells what tasks of one step lack; key names the step.
 func (b *Borrower) Claim(tenant, key string, v wire.ShareClaim, nowMs int64) {
 	a := b.account(tenant)
-	for _, w := range a.claims {
-		if w.key == key {
-			if v.Count > w.Count || v.Unit != w.Unit {
+	for _, c := range a.claims {
+		if c.key == key {
+			if v.Count > c.Count || v.Unit != c.Unit {
 				b.due = true
 			}
-			w.ShareClaim, w.fresh = v, true
+			c.ShareClaim, c.fresh = v, true
 			return
 		}
 	}
 	if len(a.claims) >= claimsMax { // those told in this round are more urgent than those not told yet
-		at := slices.IndexFunc(a.claims, func(w *claim) bool { return !w.fresh })
+		at := slices.IndexFunc(a.claims, func(c *claim) bool { return !c.fresh })
 		if at < 0 {
 			return
 		}
@@ -210,14 +223,17 @@
 // EndClaims ends a round of claims.
 func (b *Borrower) EndClaims() {
 	for _, a := range b.accounts {
-		a.claims = slices.DeleteFunc(a.claims, func(w *claim) bool { return !w.fresh })
+		a.claims = slices.DeleteFunc(a.claims, func(c *claim) bool { return !c.fresh })
 	}
 }
 
-// LimitLowered gives up what is held of a tenant beyond what is used: it was lent by a higher limit.
+// LimitLowered gives up what is held of a tenant beyond what is used: it was lent by a higher
+// limit, as what is on its way may be. Grants for what was reported until now are taken no more.
 func (b *Borrower) LimitLowered(tenant string) {
 	a := b.account(tenant)
-	a.held, a.reserved, b.due = a.used, map[string]reservation{}, true
+	a.held, a.reserved, a.replaces = a.used, map[string]reservation{}, false
+	b.seq++
+	b.due = true
 }
 
 // Report gives the next report, if one is due, and who it is for. From then on no more is used
@@ -241,6 +257,7 @@
 	for _, tenant := range slices.Sorted(maps.Keys(b.accounts)) {
 		a := b.accounts[tenant]
 		a.trim(nowMs)
+		a.reduced = false
 		if a.idle() {
 			delete(b.accounts, tenant)
 			continue
@@ -291,9 +308,9 @@
 	if !a.tight {
 		out.Ahead = larger(a.taken(nowMs).Plus(a.ahead).Minus(a.held), resource.Amount{})
 	}
-	for _, w := range a.claims {
-		v := w.ShareClaim
-		v.WaitedMs = nowMs - w.sinceMs
+	for _, c := range a.claims {
+		v := c.ShareClaim
+		v.WaitedMs = nowMs - c.sinceMs
 		out.Claims = append(out.Claims, v)
 	}
 	return out
@@ -301,13 +318,13 @@
 
 // OnGrant takes a grant if it answers the newest report, and gives the tenants of which more is
 // held now. A grant by an older configuration than the owner's is left: its limits may be higher.
+// The counter answers anew once it goes by the owner's.
 func (b *Borrower) OnGrant(m *wire.ShareGrant, version int64) (grown []string) {
 	if m.Counter != b.counter || m.CounterEpoch != b.toEpoch || m.Shard != b.shard || m.ShardEpoch != b.epoch ||
 		m.Seq != b.seq {
 		return nil
 	}
 	if m.ConfigVersion < version {
-		b.due = true
 		return nil
 	}
 	for _, s := range m.Shares {
@@ -315,7 +332,10 @@
 		if s.Tight && !a.tight {
 			b.due = true
 		}
-		a.tight = s.Tight
+		a.tight, a.replaces = s.Tight, !s.GiveBack
+		if s.GiveBack && a.reduced {
+			continue // the amount has a part that was given up since
+		}
 		if next := larger(a.held, s.Amount); next != a.held {
 			a.held = next
 			grown = append(grown, s.Tenant)
@@ -326,8 +346,8 @@
 
 // Settle forgets the claims of a tenant: more is held now, and who still lacks some tells it again.
 func (b *Borrower) Settle(tenant string) {
-	for _, w := range b.account(tenant).claims {
-		w.Count = 0
+	for _, c := range b.account(tenant).claims {
+		c.Count = 0
 	}
 }
 
@@ -342,8 +362,8 @@
 // Waiting is how many units of a tenant wait for a share.
 func (b *Borrower) Waiting(tenant string) (count int) {
 	if a := b.accounts[tenant]; a != nil {
-		for _, w := range a.claims {
-			count += int(w.Count)
+		for _, c := range a.claims {
+			count += int(c.Count)
 		}
 	}
 	return count
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -11,10 +11,12 @@
 
 const (
 	// A unit that doesn't fit may be overtaken by smaller ones for holdBackAfterMs; then what gets
-	// free is kept for it for holdBackMs, and so on by turns: a gang doesn't wait for ever beside
-	// single tasks, and they don't wait for long beside a gang.
+	// free is kept for it, so that a gang doesn't wait for ever beside single tasks. Where less than
+	// holdBackPercent of the limit is lent meanwhile it is so for holdBackMs, and so on by turns:
+	// they don't wait for long beside a gang, either.
 	holdBackAfterMs = 1000
 	holdBackMs      = 2000
+	holdBackPercent = 50
 	// aheadPercent of a limit is lent ahead of need at most; above tightPercent owners give back
 	// at once what they don't use.
 	aheadPercent = 50
@@ -23,10 +25,8 @@
 
 // Policy is what the counter's configuration says now.
 type Policy struct {
-	Version int64    // of the configuration
-	Shards  []string // all that may use shares
-	// LimitOf gives a tenant's limit.
-	LimitOf func(tenant string) Limit
+	Shards []string // all that may use shares
+	Limits *Limits
 }
 
 // Counter counts what the tenants of one counting shard may have running in each shard.
@@ -41,8 +41,10 @@
 	owner    string
 	epoch    uint64 // of the shard
 	seq      uint64
+	version  int64 // of the configuration that the owner went by
 	accounts map[string]*lentAccount
-	changed  bool // since the last grant was sent; a new report is always answered
+	changed  bool  // since the last grant was sent; a new report is always answered
+	answered int64 // the version that the last grant was by
 }
 
 type lentAccount struct {
@@ -51,6 +53,8 @@
 	ahead  resource.Amount
 	claims []wire.ShareClaim
 	tight  bool
+	// giveBack: what ends is to be given back, too, and not replaced.
+	giveBack bool
 }
 
 // Grant is a message for a shard's owner.
@@ -77,10 +81,14 @@
 			return false
 		}
 	}
-	l := &lent{owner: from, epoch: m.ShardEpoch, seq: m.Seq, accounts: map[string]*lentAccount{}, changed: true}
+	l := &lent{
+		owner: from, epoch: m.ShardEpoch, seq: m.Seq, version: m.ConfigVersion,
+		accounts: map[string]*lentAccount{}, changed: true,
+	}
 	for _, a := range m.Accounts {
 		l.accounts[a.Tenant] = &lentAccount{
 			amount: larger(a.Keep, a.Used), used: a.Used, ahead: a.Ahead, claims: slices.Clone(a.Claims),
+			giveBack: true, // until it is counted beside the others
 		}
 	}
 	c.shards[m.Shard] = l
@@ -103,9 +111,24 @@
 		return nil
 	}
 	for _, tenant := range c.tenants() { // a borrower that knows no limit asks for nothing
-		c.lendTo(tenant, p.LimitOf(tenant))
+		if c.adopted(p.Shards, p.Limits.LoweredIn(tenant)) {
+			c.lendTo(tenant, p.Limits)
+		} else {
+			c.mark(tenant, true, true)
+		}
+	}
+	return c.messages(p.Limits.Version())
+}
+
+// adopted tells whether each shard has reported by a version or a later one. Before that, an
+// owner may hold more than it said: by an earlier version the tenant may have had no limit.
+func (c *Counter) adopted(shards []string, version int64) bool {
+	for _, shard := range shards {
+		if l := c.shards[shard]; l != nil && l.version < version {
+			return false
+		}
 	}
-	return c.messages(p.Version)
+	return true
 }
 
 // tenants gives all that some shard has an account of, in order.
@@ -126,11 +149,12 @@
 	account *lentAccount
 }
 
-// claims gives what shards claim of a tenant's limit, the most urgent and oldest first.
-func (c *Counter) claims(tenant string) (claims []shardClaim) {
+// claims gives what shards claim of a tenant's limit, the most urgent and oldest first. Those by
+// a later version than the counter's wait: it may have a lower limit.
+func (c *Counter) claims(tenant string, version int64) (claims []shardClaim) {
 	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
 		account := c.shards[shard].accounts[tenant]
-		if account == nil {
+		if account == nil || c.shards[shard].version > version {
 			continue
 		}
 		for i := range account.claims {
@@ -153,50 +177,47 @@
 	return sum
 }
 
-func (c *Counter) lendTo(tenant string, limit Limit) {
-	sum, short := c.Lent(tenant), false
-	for _, w := range c.claims(tenant) {
-		for w.Count > 0 && admits(limit, sum, w.ShareClaim) {
-			w.account.amount, sum = w.account.amount.Plus(w.Unit), sum.Plus(w.Unit)
-			w.Count--
-			c.shards[w.shard].changed = true
+func (c *Counter) lendTo(tenant string, limits *Limits) {
+	limit := limits.Of(tenant)
+	sum, short, heldBack := c.Lent(tenant), false, false
+	for _, claim := range c.claims(tenant, limits.Version()) {
+		for claim.Count > 0 && limit.admitsUnit(sum, claim.Unit, claim.Task) {
+			claim.account.amount, sum = claim.account.amount.Plus(claim.Unit), sum.Plus(claim.Unit)
+			claim.Count--
+			c.shards[claim.shard].changed = true
 		}
-		if w.Count == 0 {
-			continue
+		if claim.Count == 0 || !limit.admitsUnit(resource.Amount{}, claim.Unit, claim.Task) {
+			continue // what the whole limit is too low for waits for a higher one
 		}
 		short = true
-		if holdsBack(w.WaitedMs) {
+		if heldBack = limit.holdsBack(sum, claim.WaitedMs); heldBack {
 			break
 		}
 	}
 	if !short {
-		sum = c.lendAhead(tenant, limit, sum)
+		sum = c.lendAhead(tenant, limits, sum)
 	}
-	c.setTight(tenant, short || !limit.share(tightPercent).Admits(sum))
+	c.mark(tenant, short || !limit.share(tightPercent).Admits(sum), heldBack || !limit.Admits(sum))
 }
 
 // holdsBack tells whether a unit that has waited so long keeps what gets free from those behind it.
-func holdsBack(waitedMs int64) bool {
-	return waitedMs%(holdBackAfterMs+holdBackMs) >= holdBackAfterMs
-}
-
-// admits tells whether a unit fits beside a sum that is lent.
-func admits(limit Limit, sum resource.Amount, w *wire.ShareClaim) bool {
-	if limit.Admits(sum.Plus(w.Unit)) {
+func (l Limit) holdsBack(sum resource.Amount, waitedMs int64) bool {
+	if waitedMs >= holdBackAfterMs && !l.share(holdBackPercent).Admits(sum) {
 		return true
 	}
-	return sum == resource.Amount{} && limit.Admits(w.Unit.Minus(w.Task))
+	return waitedMs%(holdBackAfterMs+holdBackMs) >= holdBackAfterMs
 }
 
 // lendAhead lends what owners like to have at hand, while most of the limit is free.
-func (c *Counter) lendAhead(tenant string, limit Limit, sum resource.Amount) resource.Amount {
+func (c *Counter) lendAhead(tenant string, limits *Limits, sum resource.Amount) resource.Amount {
+	most := limits.Of(tenant).share(aheadPercent)
 	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
 		l := c.shards[shard]
 		account := l.accounts[tenant]
-		if account == nil || account.ahead == (resource.Amount{}) {
+		if account == nil || account.ahead == (resource.Amount{}) || l.version > limits.Version() {
 			continue
 		}
-		if next := sum.Plus(account.ahead); limit.share(aheadPercent).Admits(next) {
+		if next := sum.Plus(account.ahead); most.Admits(next) {
 			account.amount, sum = account.amount.Plus(account.ahead), next
 			account.ahead = resource.Amount{}
 			l.changed = true
@@ -205,12 +226,12 @@
 	return sum
 }
 
-// setTight has owners told whether to give back at once what they don't use.
-func (c *Counter) setTight(tenant string, tight bool) {
+// mark has owners told whether to give back at once what they don't use, and what ends.
+func (c *Counter) mark(tenant string, tight, giveBack bool) {
 	for _, l := range c.shards {
 		account := l.accounts[tenant]
-		if account != nil && account.tight != tight {
-			account.tight, l.changed = tight, true
+		if account != nil && (account.tight != tight || account.giveBack != giveBack) {
+			account.tight, account.giveBack, l.changed = tight, giveBack, true
 		}
 	}
 }
@@ -219,16 +240,18 @@
 func (c *Counter) messages(version int64) (grants []Grant) {
 	for _, shard := range slices.Sorted(maps.Keys(c.shards)) {
 		l := c.shards[shard]
-		if !l.changed {
+		if !l.changed && l.answered == version {
 			continue
 		}
-		l.changed = false
+		l.changed, l.answered = false, version
 		m := &wire.ShareGrant{
 			Counter: c.shard, CounterEpoch: c.epoch, Shard: shard, ShardEpoch: l.epoch, Seq: l.seq, ConfigVersion: version,
 		}
 		for _, tenant := range slices.Sorted(maps.Keys(l.accounts)) {
 			account := l.accounts[tenant]
-			m.Shares = append(m.Shares, wire.TenantShare{Tenant: tenant, Amount: account.amount, Tight: account.tight})
+			m.Shares = append(m.Shares, wire.TenantShare{
+				Tenant: tenant, Amount: account.amount, Tight: account.tight, GiveBack: account.giveBack,
+			})
 		}
 		grants = append(grants, Grant{To: l.owner, Message: m})
 	}
@@ -253,8 +276,8 @@
 				continue
 			}
 			u.Used = u.Used.Plus(account.used)
-			for _, w := range account.claims {
-				u.Claimed += int(w.Count)
+			for _, claim := range account.claims {
+				u.Claimed += int(claim.Count)
 			}
 		}
 		usages = append(usages, u)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -37,6 +37,12 @@
 		(l.GPU == 0 || sum.GPU <= l.GPU)
 }
 
+// admitsUnit tells whether a unit is within the limit beside others. Alone it may pass the limit by
+// its last task.
+func (l Limit) admitsUnit(others, unit, task resource.Amount) bool {
+	return l.Admits(others.Plus(unit)) || others == resource.Amount{} && l.Admits(unit.Minus(task))
+}
+
 // LowerThan tells whether the limit is lower than another in some dimension.
 func (l Limit) LowerThan(other Limit) bool {
 	lower := func(a, b int64) bool { return a != 0 && (b == 0 || a < b) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"strconv"
 	"testing"
 
 	"otterchute/internal/resource"
@@ -11,24 +12,27 @@
 
 func cpu(v int64) resource.Amount { return resource.Amount{CPU: v} }
 
-func limited(v int64) func(string) Limit {
-	return func(string) Limit { return Limit{CPU: v} }
+// limitsOf gives the limits of one version with a tenant t.
+func limitsOf(version int64, limit Limit) *Limits {
+	l := &Limits{}
+	l.Adopt(version, map[string]Limit{"t": limit})
+	return l
 }
 
 // exchange has a borrower report and takes the answers.
 func exchange(c *Counter, b *Borrower, nowMs int64, p Policy) {
-	if _, m := b.Report(nowMs, p.Version); m != nil {
+	if _, m := b.Report(nowMs, p.Limits.Version()); m != nil {
 		c.OnReport("owner-"+m.Shard, m)
 	}
 	for _, g := range c.Lend(p) {
-		b.OnGrant(g.Message, p.Version)
+		b.OnGrant(g.Message, p.Limits.Version())
 	}
 }
 
 // Nothing is lent before each shard has told what it holds.
 func TestCounterWaitsForEachShard(t *testing.T) {
 	c := NewCounter("a", 1)
-	p := Policy{Version: 1, Shards: []string{"a", "b"}, LimitOf: limited(10)}
+	p := Policy{Shards: []string{"a", "b"}, Limits: limitsOf(1, Limit{CPU: 10})}
 	a, b := NewBorrower("a", 1, "a"), NewBorrower("b", 1, "a")
 	a.CounterIs("n1", 1)
 	b.CounterIs("n1", 1)
@@ -42,3 +46,292 @@
 	must.False(t, a.Fits("t", cpu(6), Limit{CPU: 10}, 400))
 	must.Eq(t, cpu(10), c.Lent("t"))
 }
+
+// report is what shard says it holds and claims of tenant t.
+func report(shard string, seq uint64, version, keep int64, claims ...wire.ShareClaim) *wire.ShareReport {
+	return &wire.ShareReport{
+		Counter: "a", CounterEpoch: 1, Shard: shard, ShardEpoch: 1, Seq: seq, ConfigVersion: version,
+		Accounts: []wire.ShareAccount{{Tenant: "t", Keep: cpu(keep), Used: cpu(keep), Claims: claims}},
+	}
+}
+
+func claimOf(job string, urgency, submittedMs, unit int64, count int32) wire.ShareClaim {
+	return wire.ShareClaim{
+		Job: job, Urgency: urgency, SubmittedMs: submittedMs, Unit: cpu(unit), Task: cpu(min(unit, 2)), Count: count,
+	}
+}
+
+func waited(claim wire.ShareClaim, ms int64) wire.ShareClaim {
+	claim.WaitedMs = ms
+	return claim
+}
+
+// What is lent to the claims of shards b and c beside what is held, in units of which each is
+// granted whole.
+func TestLendInOrder(t *testing.T) {
+	const tight, giveBack = true, true
+	for _, tt := range []struct {
+		name     string
+		limit    Limit
+		heldByA  int64
+		b, c     wire.ShareClaim
+		toB, toC int64
+		tight    bool
+		giveBack bool
+	}{
+		{"all fit", Limit{CPU: 20}, 0, claimOf("1", 0, 0, 2, 3), claimOf("2", 0, 0, 2, 1), 6, 2, false, false},
+		{"near the limit", Limit{CPU: 20}, 10, claimOf("1", 0, 0, 2, 2), claimOf("2", 0, 0, 2, 1), 4, 2, tight, false},
+		{"the more urgent first", Limit{CPU: 10}, 6, claimOf("1", 0, 0, 2, 2), claimOf("2", 1, 9, 2, 2), 0, 4, tight, false},
+		{"the older first", Limit{CPU: 10}, 6, claimOf("1", 0, 9, 2, 2), claimOf("2", 0, 0, 2, 1), 2, 2, tight, false},
+		{"whole units only", Limit{CPU: 10}, 5, claimOf("1", 0, 0, 4, 2), claimOf("2", 0, 1, 6, 1), 4, 0, tight, false},
+		{"smaller ones pass by", Limit{CPU: 10}, 5, claimOf("1", 0, 0, 6, 1), claimOf("2", 0, 1, 2, 1), 0, 2, tight, false},
+		{
+			"held back for one that waits", Limit{CPU: 10}, 5,
+			waited(claimOf("1", 0, 0, 6, 1), holdBackAfterMs), claimOf("2", 0, 1, 2, 1), 0, 0, tight, giveBack,
+		},
+		{
+			"by turns, where little is lent", Limit{CPU: 10}, 2,
+			waited(claimOf("1", 0, 0, 9, 1), holdBackAfterMs+holdBackMs), claimOf("2", 0, 1, 2, 1), 0, 2, tight, false,
+		},
+		{
+			"until it fits, where much is lent", Limit{CPU: 10}, 6,
+			waited(claimOf("1", 0, 0, 6, 1), holdBackAfterMs+holdBackMs), claimOf("2", 0, 1, 2, 1), 0, 0, tight, giveBack,
+		},
+		{
+			"not for what never fits", Limit{CPU: 10}, 0,
+			waited(claimOf("1", 0, 0, 20, 1), holdBackAfterMs), claimOf("2", 0, 1, 2, 1), 0, 2, false, false,
+		},
+		{"its last task may pass the limit", Limit{CPU: 10}, 0, claimOf("1", 0, 0, 11, 1), claimOf("2", 0, 1, 2, 1), 11, 0, tight, giveBack},
+		{"but only alone", Limit{CPU: 10}, 1, claimOf("1", 0, 0, 11, 1), claimOf("2", 0, 1, 2, 1), 0, 2, tight, false},
+		{"more is held than the limit", Limit{CPU: 10}, 11, claimOf("1", 0, 0, 2, 1), claimOf("2", 0, 1, 2, 1), 0, 0, tight, giveBack},
+		{"another dimension", Limit{Memory: 10}, 90, claimOf("1", 0, 0, 9, 1), claimOf("2", 0, 1, 9, 1), 9, 9, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewCounter("a", 1)
+			p := Policy{Shards: []string{"a", "b", "c"}, Limits: limitsOf(1, tt.limit)}
+			must.True(t, c.OnReport("n1", report("a", 1, 1, tt.heldByA)))
+			must.True(t, c.OnReport("n2", report("b", 1, 1, 0, tt.b)))
+			must.SliceEmpty(t, c.Lend(p))
+			must.True(t, c.OnReport("n3", report("c", 1, 1, 0, tt.c)))
+			grants := c.Lend(p)
+			must.Len(t, 3, grants)
+			must.Eq(t, []wire.TenantShare{{Tenant: "t", Amount: cpu(tt.toB), Tight: tt.tight, GiveBack: tt.giveBack}}, grants[1].Message.Shares)
+			must.Eq(t, []wire.TenantShare{{Tenant: "t", Amount: cpu(tt.toC), Tight: tt.tight, GiveBack: tt.giveBack}}, grants[2].Message.Shares)
+			must.SliceEmpty(t, c.Lend(p)) // nothing has changed
+		})
+	}
+}
+
+// Owners hold what they are likely to need while most of the limit is free, and no more.
+func TestLendAhead(t *testing.T) {
+	for _, tt := range []struct {
+		name               string
+		heldByB, ahead, to int64
+	}{
+		{"free", 4, 6, 6},
+		{"half is lent", 4, 7, 0},
+		{"near the limit", 18, 1, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewCounter("a", 1)
+			p := Policy{Shards: []string{"a", "b"}, Limits: limitsOf(1, Limit{CPU: 20})}
+			c.OnReport("n2", report("b", 1, 1, tt.heldByB))
+			ahead := report("a", 1, 1, 0)
+			ahead.Accounts[0].Ahead = cpu(tt.ahead)
+			c.OnReport("n1", ahead)
+			must.Eq(t, cpu(tt.to), c.Lend(p)[0].Message.Shares[0].Amount)
+		})
+	}
+}
+
+// A counter whose configuration is older than an owner's lends it nothing, not even later by the
+// same report: the limit that it goes by may be the higher one.
+func TestLendNothingByAnEarlierVersion(t *testing.T) {
+	c, limits := NewCounter("a", 1), limitsOf(1, Limit{CPU: 20})
+	p := Policy{Shards: []string{"a", "b"}, Limits: limits}
+	c.OnReport("n1", report("a", 1, 1, 0, claimOf("1", 0, 0, 2, 2)))
+	c.OnReport("n2", report("b", 1, 2, 0, claimOf("2", 0, 0, 2, 9)))
+	c.Lend(p)
+	must.Eq(t, cpu(4), c.Lent("t"))
+	limits.Adopt(2, map[string]Limit{"t": {CPU: 10}})
+	c.Lend(p) // shard a has not reported by version 2
+	must.Eq(t, cpu(4), c.Lent("t"))
+	c.OnReport("n1", report("a", 2, 2, 4))
+	must.Eq(t, cpu(10), c.Lend(p)[0].Message.Shares[0].Amount.Plus(cpu(6)))
+	must.Eq(t, cpu(10), c.Lent("t"))
+}
+
+// Where a tenant gets a limit that it didn't have, owners may use more than they said.
+func TestLendOnceAllGoByALimit(t *testing.T) {
+	c, limits := NewCounter("a", 1), limitsOf(1, Limit{})
+	p := Policy{Shards: []string{"a", "b"}, Limits: limits}
+	c.OnReport("n1", report("a", 1, 1, 0))
+	c.OnReport("n2", report("b", 1, 1, 0))
+	limits.Adopt(2, map[string]Limit{"t": {CPU: 10}})
+	c.OnReport("n1", report("a", 2, 2, 0, claimOf("1", 0, 0, 2, 2)))
+	for _, grant := range c.Lend(p) {
+		must.Eq(t, wire.TenantShare{Tenant: "t", Tight: true, GiveBack: true}, grant.Message.Shares[0])
+	}
+	c.OnReport("n2", report("b", 2, 2, 8))
+	c.Lend(p)
+	must.Eq(t, cpu(10), c.Lent("t"))
+}
+
+// holding gives a borrower that has reported and then was granted an amount.
+func holding(amount int64) *Borrower {
+	b := NewBorrower("b", 1, "a")
+	b.CounterIs("n1", 1)
+	_, m := b.Report(100, 1)
+	b.OnGrant(&wire.ShareGrant{
+		Counter: "a", CounterEpoch: 1, Shard: "b", ShardEpoch: 1, Seq: m.Seq, ConfigVersion: 1,
+		Shares: []wire.TenantShare{{Tenant: "t", Amount: cpu(amount)}},
+	}, 1)
+	return b
+}
+
+func TestFits(t *testing.T) {
+	limit := Limit{CPU: 10}
+	for _, tt := range []struct {
+		name                 string
+		held, used, reserved int64
+		amount, task         int64
+		atMs                 int64
+		fits, fitsReserved   bool
+	}{
+		{"free", 8, 4, 0, 4, 4, 0, true, true},
+		{"not held", 8, 4, 0, 5, 5, 0, false, false},
+		{"reserved for it", 8, 4, 4, 4, 4, 0, false, true},
+		{"more than reserved for it", 8, 4, 2, 4, 4, 0, false, true},
+		{"more than is held", 8, 4, 2, 5, 5, 0, false, false},
+		{"the reservation is over", 8, 4, 4, 4, 4, 500, true, true},
+		{"alone beyond the limit", 14, 0, 0, 14, 14, 0, true, true},
+		{"beside what has its share", 14, 4, 0, 8, 8, 0, false, false},
+		{"beyond the limit by more than one", 14, 0, 0, 14, 2, 0, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := holding(tt.held)
+			if tt.used > 0 {
+				b.Use("t", cpu(tt.used))
+			}
+			b.Reserve("t", "job/0.0", cpu(tt.reserved), 500)
+			must.Eq(t, tt.fits, b.Fits("t", cpu(tt.amount), limit, tt.atMs))
+			must.Eq(t, tt.fitsReserved, b.FitsReserved("t", "job/0.0", cpu(tt.amount), cpu(tt.task), limit, tt.atMs))
+			must.True(t, b.Fits("t", cpu(100), Limit{}, tt.atMs))
+		})
+	}
+}
+
+func TestReserve(t *testing.T) {
+	b := holding(8)
+	b.Reserve("t", "x", cpu(6), 500)
+	b.Unreserve("t", "x", cpu(2))
+	must.Eq(t, cpu(4), b.Reserved("t", "x", 0))
+	must.Eq(t, cpu(0), b.Reserved("t", "x", 500))
+	must.Eq(t, cpu(0), b.Reserved("t", "y", 0))
+	b.Unreserve("t", "x", cpu(9))
+	b.Unreserve("t", "y", cpu(1))
+	must.Eq(t, cpu(0), b.Reserved("t", "x", 0))
+	must.True(t, b.Fits("t", cpu(8), Limit{CPU: 10}, 0))
+}
+
+// When reports are due, and what they keep: what was used lately and a part of what was started,
+// but only what is used where the tenant is near its limit.
+func TestReport(t *testing.T) {
+	b := NewBorrower("b", 1, "a")
+	_, m := b.Report(100, 1)
+	must.Nil(t, m) // nobody counts yet
+	b = holding(40)
+	b.Use("t", cpu(8))
+	b.Release("t", cpu(4))
+	at := int64(100)
+	next := func(afterMs int64) *wire.ShareReport {
+		at += afterMs
+		_, m := b.Report(at, 1)
+		return m
+	}
+	must.Nil(t, next(reportIdleMs-1))
+	m = next(1)
+	must.Eq(t, uint64(2), m.Seq)
+	must.Eq(t, wire.ShareAccount{Tenant: "t", Keep: cpu(8), Used: cpu(4)}, m.Accounts[0])
+	m = next(rateWindowMs)
+	must.Eq(t, wire.ShareAccount{Tenant: "t", Keep: cpu(8), Used: cpu(4)}, m.Accounts[0])
+	b.Claim("t", "x", claimOf("1", 0, 0, 2, 1), at)
+	must.Nil(t, next(reportSpacingMs-1))
+	must.Eq(t, int32(1), next(1).Accounts[0].Claims[0].Count)
+	must.Nil(t, next(claimRepeatMs-1))
+	m = next(1)
+	must.Eq(t, int64(reportSpacingMs+claimRepeatMs), m.Accounts[0].Claims[0].WaitedMs)
+	b.OnGrant(&wire.ShareGrant{
+		Counter: "a", CounterEpoch: 1, Shard: "b", ShardEpoch: 1, Seq: m.Seq, ConfigVersion: 1,
+		Shares: []wire.TenantShare{{Tenant: "t", Amount: cpu(8), Tight: true}},
+	}, 1)
+	must.Eq(t, cpu(4), next(reportSpacingMs).Accounts[0].Keep)
+}
+
+// What ends makes no room before a counter has told that all that is lent is within the limit.
+func TestReleaseBeforeTheCounterAnswers(t *testing.T) {
+	b := NewBorrower("b", 2, "a")
+	b.Use("t", cpu(8)) // placed by the former owner
+	b.CounterIs("n1", 1)
+	_, m := b.Report(100, 1)
+	b.Release("t", cpu(2))
+	held, used := b.Held("t")
+	must.Eq(t, cpu(6), held)
+	must.Eq(t, cpu(6), used)
+	grant := &wire.ShareGrant{
+		Counter: "a", CounterEpoch: 1, Shard: "b", ShardEpoch: 2, Seq: m.Seq, ConfigVersion: 1,
+		Shares: []wire.TenantShare{{Tenant: "t", Amount: cpu(8), GiveBack: true}},
+	}
+	must.SliceEmpty(t, b.OnGrant(grant, 1))
+	must.False(t, b.Fits("t", cpu(1), Limit{CPU: 10}, 100))
+	grant.Shares[0].GiveBack = false
+	must.Eq(t, []string{"t"}, b.OnGrant(grant, 1))
+	must.True(t, b.Fits("t", cpu(2), Limit{CPU: 10}, 100))
+	b.Release("t", cpu(2))
+	must.True(t, b.Fits("t", cpu(4), Limit{CPU: 10}, 100))
+}
+
+// Of more claims than a report may hold, those that were told in this round stay.
+func TestClaimsAreEvicted(t *testing.T) {
+	b := holding(0)
+	tell := func(from, to int) {
+		for i := from; i < to; i++ {
+			b.Claim("t", strconv.Itoa(i), claimOf(strconv.Itoa(i), 0, 0, 2, 1), 100)
+		}
+	}
+	b.BeginClaims()
+	tell(0, claimsMax+4)
+	b.EndClaims()
+	must.Eq(t, claimsMax, b.Waiting("t"))
+	b.BeginClaims()
+	tell(claimsMax-1, claimsMax+4) // takes the places of those not told yet
+	tell(0, 2)
+	b.EndClaims()
+	_, m := b.Report(200, 1)
+	must.Len(t, 7, m.Accounts[0].Claims)
+	b.Settle("t")
+	must.Eq(t, 0, b.Waiting("t"))
+	b.BeginClaims()
+	b.EndClaims()
+	_, m = b.Report(300+reportIdleMs, 1)
+	must.SliceEmpty(t, m.Accounts)
+}
+
+func TestLimitsAdopt(t *testing.T) {
+	l := &Limits{}
+	must.False(t, l.Any())
+	must.Eq(t, []string{"low"}, l.Adopt(4, map[string]Limit{"low": {CPU: 4}, "none": {}})) // none was seen before
+	must.Eq(t, nil, l.Adopt(5, map[string]Limit{"low": {CPU: 5}, "none": {}}))
+	must.Eq(t, []string{"none"}, l.Adopt(6, map[string]Limit{"low": {CPU: 5, GPU: 0}, "none": {GPU: 1}}))
+	must.Eq(t, []string{"low", "none"}, l.Adopt(8, map[string]Limit{"low": {CPU: 9}})) // 7 may have had higher ones
+	must.Eq(t, Limit{GPU: 1}, l.Of("none"))                                            // goes on within its last limit
+	must.True(t, l.Declared("none"))
+	must.False(t, l.Declared("other"))
+	must.Eq(t, int64(8), l.Version())
+	must.True(t, l.Outdated("low", 7))
+	must.False(t, l.Outdated("low", 8))
+	must.False(t, l.Outdated("other", 0))
+	must.Eq(t, nil, l.Adopt(9, nil)) // nothing is counted any more
+	must.False(t, l.Any())
+	must.False(t, l.Outdated("low", 0))
+}
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -65,11 +65,11 @@
 	Saves       bool
 	// PerWorker bounds the tasks of its step and round on one worker; 0 for none.
 	PerWorker int32
-	// Tenant is whose task it is, and TenantLimit the limit by which it was placed: where a
-	// newer configuration has a lower one, an unstarted task goes back to its owner.
-	Tenant      string
-	TenantLimit resource.Amount
-	Excess      bool // its tenant sends more than its weight: it goes after all others
+	// Tenant is whose task it is, and LimitVersion the configuration by whose limit it was placed:
+	// where a later one has lowered that, an unstarted task goes back to its owner.
+	Tenant       string
+	LimitVersion int64
+	Excess       bool // its tenant sends more than its weight: it goes after all others
 }
 
 // Placement sends a task to its worker's agent.
--- a/internal/wire/tenancy.go
+++ b/internal/wire/tenancy.go
@@ -55,4 +55,7 @@
 	Tenant string
 	Amount resource.Amount
 	Tight  bool // the tenant is near its limit: what isn't used is to be given back at once
+	// GiveBack: what ends is to be given back, too, and not replaced. More may be lent than the
+	// limit admits, or a larger unit waits for it.
+	GiveBack bool
 }
