Tenants, keys and limits in the simulated fleet, and the judge's rules on them

The simulated callers showed no key and no tenant stood in any setup, so that nothing in the tests could notice a start over a tenant's limit or a call by a key that was taken away.

Jobs now belong to a tenant, drawn by weight where the deployment has tenants; all calls of a job show its key. Two deployments with 20 tenants, modelled on the grown ones at a third of their size, and a scenario for each failure around keys and limits.

--- a/internal/daemon/platformdays_test.go
+++ b/internal/daemon/platformdays_test.go
@@ -222,7 +222,7 @@
 
 func (b *platformWorld) readJob(j *platformJob, tries int) {
 	asked, to := b.nowMs(), b.edge()
-	b.call("caller", to, platformCall{op: "queue.state", host: j.queue.host, path: j.queue.prefix + j.id}, b.deployment.callerMs, func(status int, _ int64, body []byte) {
+	b.callOfJob(to, "queue.state", j, nil, func(status int, _ int64, body []byte) {
 		switch {
 		case status == 200:
 			b.see(platformEvent{kind: bJobShown, job: j.id, host: to.Name, text: gjson.GetBytes(body, "state").Str, askedMs: asked})
--- a/internal/daemon/platformjudge_state_test.go
+++ b/internal/daemon/platformjudge_state_test.go
@@ -21,7 +21,8 @@
 	spec          *platformJob
 	facts         *workerFacts
 	setup         *platformSetup
-	order         int // in the history
+	key           string // that a call showed
+	order         int    // in the history
 }
 
 // workerFacts are what a worker says of itself.
@@ -76,6 +77,8 @@
 	void    bool  // its worker's hold ran out in between
 	worker  string
 	host    string
+	tenant  string  // whose it is, while it counts as running; "" afterwards
+	room    amounts // of it
 }
 
 type seenJob struct {
@@ -129,7 +132,8 @@
 	emptied  map[string][]*spanSeen
 	out      []platformBreach
 	lastMs   int64
-	starts   []func() // checks that need the whole history
+	starts   []func()           // checks that need the whole history
+	running  map[string]amounts // by tenant
 }
 
 type seenPlatformSetup struct {
@@ -173,7 +177,7 @@
 
 func (j *platformJudge) tried(e *platformEvent) {
 	s := j.jobs[e.job]
-	refused := e.n == 429 || e.n == 503 || e.n == 404 || e.n == 400
+	refused := e.n == 429 || e.n == 503 || e.n == 404 || e.n == 400 || e.n == 401
 	if !refused {
 		s.taken = true
 	}
--- a/internal/daemon/platformjudge_test.go
+++ b/internal/daemon/platformjudge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -40,12 +41,13 @@
 	bCalm         = "calm"          // the trouble of that text and place is over
 	bCore         = "core"          // a core machine was killed, started, frozen, thawed, cut or joined
 	bFinished     = "finished"      // the day's last look at a job; text is its state, "" for no answer
+	bCalled       = "called"        // a job's call was answered; key, queue, n is the status
 	bStuck        = "stuck"         // long after traffic a job has nothing running though it could
 )
 
 // judgePlatform gives every breach in a history.
 func judgePlatform(events []platformEvent, bounds platformBounds) []platformBreach {
-	j := &platformJudge{bounds: bounds, jobs: map[string]*seenJob{}, workers: map[string]*seenWorker{}, troubles: map[string][]*spanSeen{}, emptied: map[string][]*spanSeen{}}
+	j := &platformJudge{bounds: bounds, running: map[string]amounts{}, jobs: map[string]*seenJob{}, workers: map[string]*seenWorker{}, troubles: map[string][]*spanSeen{}, emptied: map[string][]*spanSeen{}}
 	for i := range events {
 		e := events[i]
 		e.order = i + 1
@@ -94,6 +96,8 @@
 		for _, r := range w.open {
 			r.end, r.endMs, r.how = e.order, e.atMs, "crash"
 		}
+		j.stopRunning(slices.Collect(maps.Values(w.open))...)
+		j.stopRunning(w.unlisted...)
 		w.open, w.ends, w.unlisted = map[runName]*seenRun{}, nil, nil
 	},
 	bOrdered: (*platformJudge).ordered,
@@ -108,6 +112,7 @@
 			if s := j.jobs[r.job]; s != nil {
 				w.used = w.used.plus(s.spec.steps[r.name.step].room, -1)
 			}
+			j.stopRunning(r)
 			return true
 		})
 	},
@@ -124,6 +129,7 @@
 		for _, r := range j.workers[e.worker].ends {
 			r.void = true
 		}
+		j.stopRunning(j.workers[e.worker].unlisted...)
 	},
 	bSaved: func(j *platformJudge, e *platformEvent) {
 		if s := j.jobs[e.job]; s != nil {
@@ -143,6 +149,7 @@
 			s.to = min(s.to, e.atMs)
 		}
 	},
+	bCalled: (*platformJudge).called,
 	bSetupSent: func(j *platformJudge, e *platformEvent) {
 		j.setups = append(j.setups, &seenPlatformSetup{version: e.n, base: e.base, sentMs: e.atMs, ackedMs: -1, takenMs: -1, setup: e.setup})
 	},
@@ -288,6 +295,7 @@
 	}
 	s.runs[e.task] = append(s.runs[e.task], r)
 	w.open[runName{e.job, e.task, e.run}] = r
+	j.startRunning(e, r, what)
 
 	if w.used = w.used.plus(step.room, 1); !w.facts.guards && !w.used.within(w.facts.capacity) {
 		j.breach("LIMIT", e.atMs, "%s makes %v of %v", what, w.used, w.facts.capacity)
@@ -379,6 +387,9 @@
 	r.end, r.endMs, r.how, r.number = e.order, e.atMs, e.text, e.n
 	w.ends = append(w.ends, r)
 	w.unlisted = append(w.unlisted, r)
+	if r.how == "lapsed" {
+		j.stopRunning(r)
+	}
 	if e.text == "alone" && (s.cancelMs < 0 && !s.cancelSent) && j.inTouch(e.host, e.atMs) && j.inTouch(e.host, r.startMs) {
 		j.starts = append(j.starts, func() {
 			if j.quiet(r.startMs, e.atMs, "config") {
--- a/internal/daemon/platformscenario_test.go
+++ b/internal/daemon/platformscenario_test.go
@@ -18,7 +18,7 @@
 
 // eventOf is a call as a daemon gets it.
 func eventOf(c platformCall) evRequest {
-	return evRequest{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Base: c.expect, Body: c.body}
+	return evRequest{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Base: c.expect, Body: c.body, Credential: c.credential}
 }
 
 // formPlatform gives a world whose daemons have formed a fleet, with its setup
--- /dev/null
+++ b/internal/daemon/platformtenants_scenario_test.go
@@ -0,0 +1,317 @@
+package daemon
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// urgentStartMs is the longest that an urgent job's first start may take while service goes on,
+// as in the scenarios without tenants.
+const urgentStartMs = 5000
+
+// urgentCheck is an urgent job of a tenant whose load is under its limit, and when it must have begun.
+type urgentCheck struct {
+	job *platformJob
+	why string
+}
+
+// urgentOf sends a small urgent job of a tenant.
+func (b *platformWorld) urgentOf(tenant, why string) {
+	b.onlyTenant = tenant
+	j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
+	b.onlyTenant = ""
+	b.urgentChecks = append(b.urgentChecks, urgentCheck{b.submit(j), why})
+}
+
+// urgentOfAll sends one of each tenant but some.
+func (b *platformWorld) urgentOfAll(why string, but ...string) {
+	for _, t := range b.tenants {
+		if !slices.Contains(but, t.name) {
+			b.urgentOf(t.name, why)
+		}
+	}
+}
+
+// checkUrgent tells of urgent jobs that began too late.
+func (b *platformWorld) checkUrgent(t *testing.T) {
+	firstMs := map[string]int64{}
+	for _, e := range b.events {
+		if e.kind == bStarted && firstMs[e.job] == 0 {
+			firstMs[e.job] = e.atMs
+		}
+	}
+	latest := int64(0)
+	for _, c := range b.urgentChecks {
+		at, began := firstMs[c.job.id]
+		if !began {
+			t.Errorf("urgent job %s of %s, sent at %d ms (%s), never began", c.job.id, c.job.tenant, c.job.sentMs, c.why)
+			continue
+		}
+		latest = max(latest, at-c.job.sentMs)
+		if at-c.job.sentMs > urgentStartMs {
+			t.Errorf("urgent job %s of %s, sent at %d ms (%s), began after %d ms", c.job.id, c.job.tenant, c.job.sentMs, c.why, at-c.job.sentMs)
+		}
+	}
+	t.Logf("%d urgent jobs, the slowest began after %d ms", len(b.urgentChecks), latest)
+}
+
+// largest is the tenant with the largest load.
+func (b *platformWorld) largest() string { return b.tenants[0].name }
+
+// smallest is one with a small load.
+func (b *platformWorld) smallest() string { return b.tenants[len(largeShares)].name }
+
+// successorOf is the machine that counts a tenant once another one no longer does.
+func (b *platformWorld) successorOf(t *testing.T, tenant, former string) string {
+	role := "slice/" + b.countingShard(tenant)
+	must.True(t, b.until(15_000, func() bool { n := b.holderOf(role); return n != nil && n.Name != former }), must.Sprint("nobody took over"))
+	return b.holderOf(role).Name
+}
+
+// tenantScenarios are directed runs on the shared deployments. After each everything must come to
+// its end, no rule may be broken, and urgent jobs under their tenant's limit must begin soon.
+var tenantScenarios = map[string]platformScenario{
+	// Guards against counting that changes what happens on a calm day.
+	"calm": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.urgentOfAll("on a calm day")
+		b.run(8000)
+	},
+	// Guards against a limit that stands still, or is lent twice, when its counter dies.
+	"counter killed": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.after(3_500_000, b.kill(b.countingHost(b.largest()), false))
+		b.run(500)
+		b.urgentOfAll("the counter was killed")
+		b.run(8000)
+		b.urgentOfAll("another one counts")
+		b.run(5000)
+	},
+	// Guards against a counter that wakes up and lends by what it knew before.
+	"counter frozen": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.freeze(b.countingHost(b.largest()), 5000)
+		b.run(500)
+		b.urgentOfAll("the counter is frozen")
+		b.run(9000)
+		b.freeze(b.countingHost(b.largest()), 1500)
+		b.run(9000)
+	},
+	// Guards against two counters that lend the same share on both sides of a cut.
+	"counter cut off": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		heal := b.cut(b.countingHost(b.largest()))
+		b.hotTenant(b.largest(), 3, 7000)
+		b.run(500)
+		b.urgentOfAll("the counter is cut off", b.largest())
+		b.run(7000)
+		heal()
+		b.run(8000)
+	},
+	// Guards against a counter that comes back from its disk with old accounts.
+	"counter without power": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.after(3_000_000, b.kill(b.countingHost(b.largest()), true))
+		b.run(500)
+		b.urgentOfAll("the counter lost its power")
+		b.run(10_000)
+	},
+	// Guards against a second takeover that lends before the first counter's loans are known.
+	"counter and its successor": func(t *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.hotTenant(b.largest(), 3, 12_000)
+		former := b.countingHost(b.largest())
+		b.after(6_000_000, b.kill(former, false))
+		b.after(3_500_000, b.kill(b.successorOf(t, b.largest(), former), true))
+		b.run(12_000)
+		b.urgentOfAll("after both", b.largest())
+		b.run(6000)
+	},
+	// Guards against shares that die with a shard's owner, or that it and the next owner both use.
+	"owners killed while they hold shares": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 3, 16_000)
+		b.day(8000)
+		b.after(3_500_000, b.kill(b.holder(b.someSlice()), false))
+		b.run(3000)
+		b.after(2_500_000, b.kill(b.holder(b.someSlice()), true))
+		b.run(7000)
+		b.urgentOfAll("after owners were killed", b.largest())
+		b.run(6000)
+	},
+	// Guards against a zone that goes on by shares which the others have lent anew.
+	"zone cut with load on both sides": func(_ *testing.T, b *platformWorld) {
+		b.day(8000)
+		b.hotTenant(b.largest(), 3, 14_000)
+		zone := b.nodes[b.countingHost(b.largest())].Zone
+		heal := b.cutZone(zone)
+		b.run(15_000)
+		heal()
+		b.run(8000)
+		b.urgentOfAll("the zone is back")
+		b.run(5000)
+	},
+	// Guards against starts whose use of a share isn't durable yet when another owner takes over.
+	"disks stalled": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 3, 14_000)
+		b.day(6000)
+		b.diskStall(b.diskOr(b.countingHost(b.largest())), 4000)
+		b.run(1500)
+		b.diskStall(b.some(b.diskHosts), 3000)
+		b.run(9000)
+		b.urgentOfAll("the disks work again", b.largest())
+		b.run(6000)
+	},
+	// Guards against reports and grants that are taken late, twice or out of order.
+	"links lose packets": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 3, 14_000)
+		b.day(6000)
+		b.lossyLinks(b.shuffled(sorted(b.nodes))[:len(b.nodes)/2], 0.08, 8000)
+		b.run(10_000)
+		b.urgentOfAll("the links are sound again", b.largest())
+		b.run(6000)
+	},
+	// Guards against a machine that goes on letting a key in once it was taken away.
+	"key revoked under open traffic": func(_ *testing.T, b *platformWorld) {
+		b.day(5000)
+		for _, tenant := range []string{b.largest(), b.smallest()} {
+			old := b.newestKey(tenant)
+			b.addKey(tenant)
+			b.run(3000)
+			b.revokeKey(tenant)
+			b.each(40, 150, func() { // some callers have not heard of the new key
+				b.onlyTenant = tenant
+				j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
+				b.onlyTenant, j.key = "", old
+				b.submit(j)
+			})
+			b.run(2000)
+			b.after(1_500_000, b.cut(b.some(b.edges())))
+			b.run(5000)
+		}
+		b.urgentOfAll("keys were revoked")
+		b.run(6000)
+	},
+	// Guards against a key that is let in though no tenant was ever given it, and one that is not
+	// known yet where its version is in force.
+	"unknown keys and new ones": func(_ *testing.T, b *platformWorld) {
+		b.day(4000)
+		for i := range 6 {
+			b.addKey(b.tenants[i].name)
+			for _, key := range []string{"", "never-given", b.tenants[i].keys[0]} {
+				b.onlyTenant = b.tenants[i].name
+				j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
+				b.onlyTenant, j.key = "", key
+				b.submit(j)
+			}
+			b.run(700)
+		}
+		b.urgentOfAll("keys are new")
+		b.run(6000)
+	},
+	// Guards against a tenant that takes the others' room, or more than its limit, with ten times its load.
+	"hot tenant": func(_ *testing.T, b *platformWorld) {
+		b.day(5000)
+		b.hotTenant(b.largest(), 10, 8000)
+		b.run(4000)
+		b.urgentOfAll("a tenant is hot", b.largest())
+		b.run(12_000)
+	},
+	// Guards against shares that cancelled jobs go on holding.
+	"many jobs are cancelled": func(_ *testing.T, b *platformWorld) {
+		b.day(5000)
+		b.hotTenant(b.largest(), 6, 6000)
+		for range 3 {
+			b.run(3000)
+			for _, o := range b.open() {
+				if j := b.jobs[o[:16]]; j.tenant == b.largest() && !j.lasting() && b.share(0.8) {
+					b.cancel(j)
+				}
+			}
+		}
+		b.run(5000)
+		b.urgentOfAll("many jobs were cancelled")
+		b.run(6000)
+	},
+	// Guards against starts by a limit that a newer version has lowered.
+	"limits lowered under load": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 3, 18_000)
+		b.day(8000)
+		b.setLimit(b.largest(), 50)
+		b.run(5000)
+		b.setLimit(b.largest(), 10) // far below what runs
+		b.run(3000)
+		b.urgentOfAll("a limit is low", b.largest())
+		b.after(3_500_000, b.kill(b.countingHost(b.largest()), false))
+		b.run(6000)
+		b.restoreLimits()
+		b.run(6000)
+		b.urgentOfAll("limits are as usual", b.largest())
+		b.run(5000)
+	},
+	// Guards against a start of the fleet that lends before all owners have told what runs.
+	"all daemons killed, workers run on": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 3, 18_000)
+		b.day(8000)
+		var undo []func()
+		for _, host := range sorted(b.nodes) {
+			undo = append(undo, b.kill(host, false))
+		}
+		b.run(1400)
+		allOf(undo)()
+		b.run(12_000)
+		b.urgentOfAll("all daemons were killed", b.largest())
+		b.run(6000)
+	},
+	// Guards against gangs that wait for ever beside each other, each with a part of the limit.
+	"gangs of which the limit holds two": func(t *testing.T, b *platformWorld) {
+		b.day(4000)
+		tenant, limit := b.largest(), b.usualLimit(b.largest())
+		var gangs []*platformJob
+		for range 5 {
+			b.onlyTenant = tenant
+			j := b.simple(0, 4, amounts{limit[0] * 11 / 100, limit[1] * 11 / 100}, 2500)
+			b.onlyTenant = ""
+			j.steps[0].gang = true
+			gangs = append(gangs, b.submit(j))
+			b.run(150)
+		}
+		b.run(3000)
+		b.after(3_000_000, b.kill(b.countingHost(tenant), false))
+		b.run(7000)
+		b.urgentOfAll("gangs wait", tenant)
+		must.True(t, b.until(60_000, func() bool {
+			return !slices.ContainsFunc(gangs, func(j *platformJob) bool { return len(j.okTasks) == 0 })
+		}), must.Sprint("a gang never ran"))
+	},
+}
+
+// TestTenantScenarios runs each at one of the shared deployments, by turns; with -seeds and
+// -from at both, and on those seeds.
+func TestTenantScenarios(t *testing.T) {
+	from, count := uint64(31), 1
+	if *seedsFlag > 0 {
+		from, count = *fromFlag, *seedsFlag
+	}
+	for turn, name := range sorted(tenantScenarios) {
+		deployments := sorted(sharedDeployments)
+		if *seedsFlag == 0 {
+			deployments = deployments[turn%2:][:1]
+		}
+		for _, deployment := range deployments {
+			for i := range count {
+				seed := from + uint64(i)
+				t.Run(fmt.Sprintf("%s/%s-%d", name, deployment, seed), func(t *testing.T) {
+					t.Parallel()
+					b := formPlatform(t, seed, deployment)
+					tenantScenarios[name](t, b)
+					b.finish(120_000)
+					b.checkUrgent(t)
+					verdictOfPlatform(t, b)
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/platformtenants_test.go
@@ -0,0 +1,339 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"otterchute/internal/configuration"
+)
+
+// Tenants of the users' shared deployments: who sends jobs, with which key, and how much each
+// may have running.
+
+// platformTenant is a tenant as an operator declares it.
+type platformTenant struct {
+	name   string
+	keys   []string // the callers use the last one
+	weight float64
+	limit  amounts // 0: none
+}
+
+const (
+	sharedTenants = 20
+	// limitTimesMean is a tenant's limit, and its weight, against its usual load.
+	limitTimesMean = 2.6
+	// A tenant's task takes a fifth of its limit at most, and a gang nearly half, so that two fit.
+	tasksPerLimit    = 5
+	gangLimitPercent = 45
+)
+
+// largeShares are the parts of the load that a few large tenants send.
+var largeShares = []float64{0.22, 0.16, 0.12}
+
+// sharedDeployments are the grown ones at a third of their size, with tenants.
+var sharedDeployments = map[string]platformDeployment{
+	"hakata shared": sharedDeployment("hakata grown", "hakata shared"),
+	"ikenna shared": sharedDeployment("ikenna grown", "ikenna shared"),
+}
+
+func sharedDeployment(of, name string) platformDeployment {
+	s := thirdOfGrownDeployments[of]
+	s.name, s.coreSize, s.bounds = name, s.disks, usualPlatformBounds
+	s.bounds.contact, s.bounds.drain, s.bounds.config, s.bounds.cancel = 4000, 2500, 2500, 4000
+	mean := s.meanUse()
+	for i, share := range tenantShareSizes() {
+		t := platformTenant{name: fmt.Sprintf("tenant-%02d", i), weight: limitTimesMean * share * s.perSec}
+		t.keys = []string{"key-0-of-" + t.name}
+		for d := range 2 {
+			t.limit[d] = int64(limitTimesMean * share * mean[d])
+		}
+		s.tenants = append(s.tenants, t)
+	}
+	return s
+}
+
+// tenantShareSizes are the tenants' parts of the load; they sum up to 1.
+func tenantShareSizes() []float64 {
+	shares, left := slices.Clone(largeShares), 1.0
+	for _, share := range largeShares {
+		left -= share
+	}
+	small, sum := make([]float64, sharedTenants-len(largeShares)), 0.0
+	for i := range small {
+		small[i] = 1 + 0.3*float64(i%4)
+		sum += small[i]
+	}
+	for _, share := range small {
+		shares = append(shares, left*share/sum)
+	}
+	return shares
+}
+
+// meanUse is what the usual traffic has running.
+func (s *platformDeployment) meanUse() (use [2]float64) {
+	sum := 0.0
+	for _, k := range s.kinds {
+		sum += k.weight
+	}
+	for _, k := range s.kinds {
+		tasksAtWork := s.perSec * k.weight / sum * k.steps[0] * k.width[0] * k.workMs[0] / 1000
+		use[0] += tasksAtWork * k.cpu[0]
+		use[1] += tasksAtWork * k.mem[0]
+	}
+	return use
+}
+
+func copyTenants(tenants []platformTenant) []platformTenant {
+	out := slices.Clone(tenants)
+	for i := range out {
+		out[i].keys = slices.Clone(out[i].keys)
+	}
+	return out
+}
+
+// tenantDocuments are tenants as the product's configuration declares them.
+func tenantDocuments(tenants []platformTenant) []map[string]any {
+	docs := []map[string]any{}
+	for _, t := range tenants {
+		digests := []string{}
+		for _, key := range t.keys {
+			digest := configuration.DigestOfKey(key)
+			digests = append(digests, hex.EncodeToString(digest[:]))
+		}
+		doc := map[string]any{"name": t.name, "weight": t.weight, "key_digests": digests}
+		if t.limit != (amounts{}) {
+			doc["limit"] = map[string]int64{"cpu": t.limit[0], "memory": t.limit[1], "accelerators": t.limit[2]}
+		}
+		docs = append(docs, doc)
+	}
+	return docs
+}
+
+func (s *platformSetup) tenant(name string) *platformTenant {
+	return tenantNamed(s.tenants, name)
+}
+
+func tenantNamed(tenants []platformTenant, name string) *platformTenant {
+	if i := slices.IndexFunc(tenants, func(t platformTenant) bool { return t.name == name }); i >= 0 {
+		return &tenants[i]
+	}
+	return nil
+}
+
+// holdsKey tells whether a tenant of the setup has a key.
+func (s *platformSetup) holdsKey(key string) bool {
+	return slices.ContainsFunc(s.tenants, func(t platformTenant) bool { return slices.Contains(t.keys, key) })
+}
+
+// admits tells whether calls of a queue with a key are let in.
+func (s *platformSetup) admits(queue, key string) bool {
+	return s.tenants == nil || slices.Contains(s.open, queue) || s.holdsKey(key)
+}
+
+// assignTenant draws whose job it is, by the tenants' weights.
+func (b *platformWorld) assignTenant(j *platformJob) {
+	if b.onlyTenant != "" {
+		b.sendAs(j, b.onlyTenant)
+		return
+	}
+	sum := 0.0
+	for _, t := range b.tenants {
+		sum += t.weight
+	}
+	if sum == 0 {
+		return
+	}
+	at, i := b.rng.Float64()*sum, 0
+	for i < len(b.tenants)-1 && at >= b.tenants[i].weight {
+		at -= b.tenants[i].weight
+		i++
+	}
+	b.sendAs(j, b.tenants[i].name)
+}
+
+// sendAs makes a job one of a tenant, with the key that its callers use now.
+func (b *platformWorld) sendAs(j *platformJob, tenant string) *platformJob {
+	j.tenant, j.key = tenant, b.newestKey(tenant)
+	return j
+}
+
+// newestKey is the key that a tenant's callers use for new jobs.
+func (b *platformWorld) newestKey(tenant string) string {
+	if t := tenantNamed(b.tenants, tenant); t != nil && len(t.keys) > 0 {
+		return t.keys[len(t.keys)-1]
+	}
+	return ""
+}
+
+// usualLimit is the limit that a tenant has by its deployment.
+func (b *platformWorld) usualLimit(tenant string) amounts {
+	if t := tenantNamed(b.deployment.tenants, tenant); t != nil {
+		return t.limit
+	}
+	return amounts{}
+}
+
+// fitTenant keeps a drawn step such that its tenant's limit holds it twice.
+func (b *platformWorld) fitTenant(j *platformJob, s *platformStep) {
+	limit := b.usualLimit(j.tenant)
+	for d, most := range limit {
+		if most > 0 {
+			s.room[d] = min(s.room[d], most/tasksPerLimit)
+		}
+	}
+	if !s.gang {
+		return
+	}
+	for d, most := range limit {
+		if most > 0 && s.room[d] > 0 {
+			s.count = max(2, min(s.count, int(most*gangLimitPercent/100/s.room[d])))
+		}
+	}
+}
+
+// callOfJob sends a call of a job's caller, with its key. A caller whose key is refused goes on
+// with its tenant's newest.
+func (b *platformWorld) callOfJob(to *simNode, op string, j *platformJob, body []byte, cb func(status int, retryMs int64, body []byte)) {
+	sentMs, key := b.nowMs(), j.key
+	call := platformCall{op: op, host: j.queue.host, path: j.queue.prefix + j.id, body: body, credential: key}
+	b.call("caller", to, call, b.deployment.callerMs, func(status int, retryMs int64, answer []byte) {
+		if b.tenants != nil {
+			b.see(platformEvent{kind: bCalled, job: j.id, host: to.Name, queue: j.queue, key: key, n: int64(status), askedMs: sentMs})
+		}
+		if status == 401 {
+			j.key = b.newestKey(j.tenant)
+		}
+		cb(status, retryMs, answer)
+	})
+}
+
+// tenantUse is what each tenant has running.
+func (b *platformWorld) tenantUse() map[string]amounts {
+	use := map[string]amounts{}
+	for _, host := range b.spots {
+		for _, r := range b.byHost[host].runs {
+			use[r.job.tenant] = use[r.job.tenant].plus(r.step.room, 1)
+		}
+	}
+	return use
+}
+
+// tenantsHalfUsed gives the tenants that have half of their limit running or more.
+func (b *platformWorld) tenantsHalfUsed() map[string]bool {
+	half := map[string]bool{}
+	if b.setup == nil || b.tenants == nil {
+		return half
+	}
+	use := b.tenantUse()
+	for _, t := range b.setup.tenants {
+		for d, most := range t.limit {
+			if most > 0 && 2*use[t.name][d] >= most {
+				half[t.name] = true
+			}
+		}
+	}
+	return half
+}
+
+// countingHost is the machine that counts a tenant.
+func (b *platformWorld) countingHost(tenant string) string {
+	return b.holder("slice/" + b.countingShard(tenant))
+}
+
+func (b *platformWorld) countingShard(tenant string) string {
+	return countingShard(tenant, b.someDaemon().core.Shards)
+}
+
+// someDaemon is one that runs.
+func (b *platformWorld) someDaemon() *node {
+	for _, host := range sorted(b.nodes) {
+		if b.nodes[host].up {
+			return b.nodes[host].sh.node
+		}
+	}
+	return nil
+}
+
+// editTenant changes what the operator declares of a tenant, and sends that.
+func (b *platformWorld) editTenant(tenant string, edit func(t *platformTenant)) {
+	if t := tenantNamed(b.tenants, tenant); t != nil {
+		edit(t)
+		b.change(nil)
+	}
+}
+
+// addKey gives a tenant a new key, which its callers use from now on.
+func (b *platformWorld) addKey(tenant string) {
+	b.keysMade++
+	b.editTenant(tenant, func(t *platformTenant) {
+		t.keys = append(t.keys, fmt.Sprintf("key-%d-of-%s", b.keysMade, tenant))
+	})
+}
+
+// revokeKey takes a tenant's oldest key away, unless it is its last.
+func (b *platformWorld) revokeKey(tenant string) {
+	b.editTenant(tenant, func(t *platformTenant) {
+		if len(t.keys) > 1 {
+			t.keys = t.keys[1:]
+		}
+	})
+}
+
+// setLimit declares a part of a tenant's usual limit.
+func (b *platformWorld) setLimit(tenant string, percent int64) {
+	usual := b.usualLimit(tenant)
+	b.editTenant(tenant, func(t *platformTenant) {
+		for d := range t.limit {
+			t.limit[d] = usual[d] * percent / 100
+		}
+	})
+}
+
+// restoreLimits declares all tenants' usual limits.
+func (b *platformWorld) restoreLimits() {
+	for i := range b.tenants {
+		b.tenants[i].limit = b.usualLimit(b.tenants[i].name)
+	}
+	b.change(nil)
+}
+
+// hotTenant lets a tenant send so many times its usual for a while.
+func (b *platformWorld) hotTenant(tenant string, times float64, ms int64) {
+	end := b.nowMs() + ms
+	perSec := (times - 1) * tenantNamed(b.tenants, tenant).weight / limitTimesMean
+	var next, one func()
+	next = func() { b.drawing(one) }
+	one = func() {
+		if b.nowMs() >= end || b.closed {
+			return
+		}
+		kind := &b.deployment.kinds[b.kindByWeight()]
+		b.onlyTenant = tenant
+		j := b.draw(kind)
+		b.onlyTenant = ""
+		b.submit(j)
+		b.after(int64(b.rng.ExpFloat64()*1e6/perSec), next)
+	}
+	next()
+}
+
+// lossyLinks lets a share of all messages of some machines come late, as those do whose packets
+// are sent again, and resets some connections.
+func (b *platformWorld) lossyLinks(hosts []string, share float64, ms int64) {
+	const retransmitUs = 200_000
+	b.detain = func(from, to string, _ any) int64 {
+		if !slices.Contains(hosts, from) && !slices.Contains(hosts, to) {
+			return 0
+		}
+		late := int64(0)
+		for wait := int64(retransmitUs); wait < 2_000_000 && b.share(share); wait *= 2 {
+			late += wait
+		}
+		return late
+	}
+	for _, host := range hosts {
+		b.troubleFor("lossy", host, ms, func() { b.detain = nil })
+	}
+	b.resets(hosts, share, ms)
+}
--- a/internal/daemon/platformworld_callers_test.go
+++ b/internal/daemon/platformworld_callers_test.go
@@ -12,6 +12,7 @@
 	op, host, path, key string
 	expect              int64
 	body                []byte
+	credential          string
 }
 
 func (b *platformWorld) call(from string, to *simNode, c platformCall, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
@@ -72,14 +73,14 @@
 func (b *platformWorld) send(j *platformJob) {
 	j.tries++
 	asked, to := b.nowMs(), b.edge()
-	b.call("caller", to, platformCall{op: "queue.submit", host: j.queue.host, path: j.queue.prefix + j.id, body: j.body()}, b.deployment.callerMs, func(status int, retryMs int64, body []byte) {
+	b.callOfJob(to, "queue.submit", j, j.body(), func(status int, retryMs int64, body []byte) {
 		b.answers[fmt.Sprint("submit ", status)]++
 		b.see(platformEvent{kind: bJobTried, job: j.id, host: to.Name, n: int64(status), askedMs: asked})
 		switch {
 		case status >= 200 && status < 300:
 			j.acked = true
 			b.after(600_000+b.rng.Int64N(600_000), func() { b.poll(j) })
-		case status == 404 || status == 400 || status == 409 || j.tries >= b.deployment.tries:
+		case status == 404 || status == 400 || status == 409 || status == 401 || j.tries >= b.deployment.tries:
 			j.gaveUp = true
 			if status == 400 && len(b.faults) < 5 {
 				b.faults = append(b.faults, string(body))
@@ -101,7 +102,7 @@
 // look asks for a job's state once.
 func (b *platformWorld) look(j *platformJob) {
 	asked, to := b.nowMs(), b.edge()
-	b.call("caller", to, platformCall{op: "queue.state", host: j.queue.host, path: j.queue.prefix + j.id}, b.deployment.callerMs, func(status int, _ int64, body []byte) {
+	b.callOfJob(to, "queue.state", j, nil, func(status int, _ int64, body []byte) {
 		b.answers[fmt.Sprint("state ", status)]++
 		state := ""
 		switch status {
@@ -132,7 +133,7 @@
 		return
 	}
 	b.see(platformEvent{kind: bCancelSent, job: j.id})
-	b.call("caller", b.edge(), platformCall{op: "queue.cancel", host: j.queue.host, path: j.queue.prefix + j.id}, b.deployment.callerMs, func(status int, retryMs int64, _ []byte) {
+	b.callOfJob(b.edge(), "queue.cancel", j, nil, func(status int, retryMs int64, _ []byte) {
 		b.answers[fmt.Sprint("cancel ", status)]++
 		switch status {
 		case 200:
@@ -221,7 +222,7 @@
 
 // usualSetup declares all queues of the site.
 func (b *platformWorld) usualSetup() *platformSetup {
-	s := &platformSetup{note: fmt.Sprint(b.rng.Uint32())}
+	s := &platformSetup{note: fmt.Sprint(b.rng.Uint32()), tenants: copyTenants(b.tenants)}
 	for _, k := range b.deployment.kinds {
 		s.queues = append(s.queues, k.queue)
 	}
--- a/internal/daemon/platformworld_jobs_test.go
+++ b/internal/daemon/platformworld_jobs_test.go
@@ -26,6 +26,7 @@
 	okTasks          map[taskName]int64 // the run that ended well first
 	hurried, stuck   bool
 	idleMs           int64 // since when nothing runs though something could
+	tenant, key      string
 }
 
 type platformStep struct {
@@ -167,6 +168,7 @@
 // draw makes a job of a kind.
 func (b *platformWorld) draw(k *platformKind) *platformJob {
 	j := &platformJob{queue: &k.queue, fates: map[taskName]*platformFate{}}
+	b.assignTenant(j)
 	gang, label := b.share(k.gang), ""
 	if b.share(k.labels) {
 		label = b.some([]string{"a", "b"})
@@ -198,6 +200,7 @@
 		if i > 0 {
 			s.after = []int{i - 1}
 		}
+		b.fitTenant(j, &s)
 		mean := b.drawn(k.workMs, 0.5)
 		s.estimateMs = int64(max(50, mean*(1+k.estOff*(2*b.rng.Float64()-1))))
 		j.steps = append(j.steps, s)
@@ -232,6 +235,7 @@
 	for i := range count {
 		j.fates[taskName{0, 0, i}] = &platformFate{workMs: workMs}
 	}
+	b.assignTenant(j)
 	return j
 }
 
@@ -256,27 +260,32 @@
 
 // traffic sends the site's mix until callers are told to stop.
 func (b *platformWorld) traffic() {
-	sum := 0.0
-	for i := range b.deployment.kinds {
-		sum += b.deployment.kinds[i].weight
-	}
 	var next, one func()
 	next = func() { b.drawing(one) }
 	one = func() {
 		if b.closed {
 			return
 		}
-		at, k := b.rng.Float64()*sum, 0
-		for k < len(b.deployment.kinds)-1 && at >= b.deployment.kinds[k].weight {
-			at -= b.deployment.kinds[k].weight
-			k++
-		}
-		b.sendKind(k)
+		b.sendKind(b.kindByWeight())
 		b.after(int64(b.rng.ExpFloat64()*1e6/(b.deployment.perSec*b.pace)), next)
 	}
 	next()
 }
 
+// kindByWeight draws one of the site's kinds of job.
+func (b *platformWorld) kindByWeight() int {
+	sum := 0.0
+	for i := range b.deployment.kinds {
+		sum += b.deployment.kinds[i].weight
+	}
+	at, k := b.rng.Float64()*sum, 0
+	for k < len(b.deployment.kinds)-1 && at >= b.deployment.kinds[k].weight {
+		at -= b.deployment.kinds[k].weight
+		k++
+	}
+	return k
+}
+
 func (b *platformWorld) sendKind(k int) *platformJob {
 	kind := &b.deployment.kinds[k]
 	j := b.submit(b.draw(kind))
--- a/internal/daemon/platformworld_sites_test.go
+++ b/internal/daemon/platformworld_sites_test.go
@@ -29,6 +29,7 @@
 	stopMs       int64
 	coreSize     int
 	bounds       platformBounds
+	tenants      []platformTenant // none: calls need no key
 }
 
 // platformKind is one kind of job, with the users' own figures: mean and most.
@@ -62,6 +63,8 @@
 	queues  []platformQueue
 	note    string
 	invalid bool
+	tenants []platformTenant // nil: calls need no key
+	open    []string         // queues whose callers need no key all the same
 	// contracts, and by queue what its batches follow, as they are sent.
 	contracts []map[string]any
 	batches   map[string]map[string]any
@@ -78,13 +81,20 @@
 func (s *platformSetup) body() []byte {
 	queues := []map[string]any{}
 	for _, q := range s.queues {
-		queues = append(queues, map[string]any{"name": q.name, "selector": map[string][]string{"service": {q.service}}, "urgency": q.urgency,
-			"default_failures": q.attempts, "addresses": []map[string]string{{"host": q.host, "prefix": q.prefix}}, "latency_ms": q.latencyMs, "stretch": q.stretch})
+		queue := map[string]any{"name": q.name, "selector": map[string][]string{"service": {q.service}}, "urgency": q.urgency,
+			"default_failures": q.attempts, "addresses": []map[string]string{{"host": q.host, "prefix": q.prefix}}, "latency_ms": q.latencyMs, "stretch": q.stretch}
+		if slices.Contains(s.open, q.name) {
+			queue["open"] = true
+		}
+		queues = append(queues, queue)
 	}
 	if s.invalid {
 		queues = append(queues, queues[0]) // a name that stands twice
 	}
 	doc := map[string]any{"queues": queues, "source": map[string]any{"note": s.note}}
+	if s.tenants != nil {
+		doc["tenants"] = tenantDocuments(s.tenants)
+	}
 	if len(s.contracts) > 0 {
 		doc["contracts"] = s.contracts
 		for _, q := range queues {
@@ -157,6 +167,9 @@
 	if s, ok := fiveMemberDeployments[name]; ok {
 		return s
 	}
+	if s, ok := sharedDeployments[name]; ok {
+		return s
+	}
 	s, ok := platformDeployments[name]
 	if !ok {
 		s = thirdOfGrownDeployments[name]
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -59,6 +59,10 @@
 	underWay         int              // changes not yet finally answered
 	troubled         map[string]int   // troubles under way, by machine
 	calmMs           map[string]int64 // when the last one ended, or a new machine started
+	tenants          []platformTenant // as the operator declares them now
+	onlyTenant       string           // whose jobs are drawn, where not by the weights
+	keysMade         int
+	urgentChecks     []urgentCheck
 }
 
 type gangName struct {
@@ -83,7 +87,7 @@
 	dep := historycheck.Deployment{Name: site.name, Daemons: site.edges + site.sides}
 	b := &platformWorld{world: newWorld(seed, dep), deployment: site, byHost: map[string]*platformWorker{}, jobs: map[string]*platformJob{}, gangs: map[gangName]*platformEffort{},
 		texts: map[string]savedPoint{}, waste: map[string]float64{}, answers: map[string]int{}, cutOff: map[string]bool{}, emptied: map[string]bool{}, pace: 1,
-		cutOneWay: map[string]cutWay{}, sentSetups: map[string]*sentSetup{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
+		tenants: copyTenants(site.tenants), cutOneWay: map[string]cutWay{}, sentSetups: map[string]*sentSetup{}, troubled: map[string]int{}, calmMs: map[string]int64{}}
 	b.holdUpMs = wire.UnackedMs
 	b.whenAnswered(b.noteTaken)
 	b.edgeHosts, b.diskHosts = sorted(b.nodes)[:site.edges], sorted(b.nodes)[:site.disks]
@@ -149,9 +153,10 @@
 			running[k.job] = true
 		}
 	}
+	limited := b.tenantsHalfUsed()
 	for _, id := range sorted(b.jobs) {
 		j := b.jobs[id]
-		if !j.acked || j.final() || j.cancelled || running[id] || busy || !b.couldGoOn(j, free) {
+		if !j.acked || j.final() || j.cancelled || running[id] || busy || limited[j.tenant] || !b.couldGoOn(j, free) {
 			j.idleMs = 0
 			continue
 		}
