Tasks that wait for a share leave their shard's requests to others

Each task that lacked a share took one of the 64 requests for places that a shard sends in a tick, though nothing was sent for it, so that jobs behind were never looked at. The share is now looked at before the request is counted.

--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -9,15 +9,11 @@
 
 // requestAllocation requests a guaranteed place for a task; where tasks of its step are alike,
 // for all of them that wait now, and for a gang once nobody of it is placed.
-func (n *node) requestAllocation(sl *shard, js *jobState, i int, pass *schedulePass) {
+func (n *node) requestAllocation(sl *shard, js *jobState, i int) {
 	to, _ := n.leases.Holder(lease.Central)
 	if to == "" || !n.gangMayBegin(js, i) {
 		return
 	}
-	if !n.mayRequest(sl, js, i) {
-		pass.lack(js, i)
-		return
-	}
 	m := n.newAllocationRequest(sl, js, i)
 	m.Tasks = n.requestedTasks(sl, js, i)
 	m.Avoid, m.Doubted = n.avoidedBy(js, m.Tasks)
--- a/internal/daemon/attempt_result.go
+++ b/internal/daemon/attempt_result.go
@@ -149,6 +149,7 @@
 			o.State, o.Cause, o.ChangedIn = taskEnded, "", js.Version
 			js.runtime[k] = taskRuntime{}
 			sl.indexTask(js, k)
+			sl.holdUntilListed(js, k, n.now)
 		}
 	}
 }
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -115,14 +115,21 @@
 		n.placeQueueable(sl, js, i, pass)
 		return
 	}
-	if n.now-rt.allocationMs < allocationRetryMs || sl.allocationRequests >= allocationsPerTick {
+	if n.now-rt.allocationMs < allocationRetryMs {
+		return
+	}
+	if n.gangMayBegin(js, i) && !n.mayRequest(sl, js, i) {
+		pass.lack(js, i)
+		return
+	}
+	if sl.allocationRequests >= allocationsPerTick {
 		return
 	}
 	if rt.allocationMs != 0 { // not the first time
 		sl.starvedMs = n.now
 	}
 	sl.allocationRequests++
-	n.requestAllocation(sl, js, i, pass)
+	n.requestAllocation(sl, js, i)
 }
 
 // placeQueueable places a task at a worker of the local scheduler's choice, if one is fit.
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -30,6 +30,7 @@
 	}
 	reply := &wire.OwnerReply{Worker: m.Worker, Epoch: m.Epoch, Shard: m.Shard, ShardEpoch: sl.epoch, SentMs: m.SentMs}
 	listed := n.decideAttempts(sl, m, reply)
+	sl.releaseListed(m)
 	if m.Partial {
 		if len(reply.Decisions)+len(reply.Specs) > 0 {
 			n.send(from, reply)
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -69,6 +69,9 @@
 	starvedMs    int64 // when a task that is no batch's last found no place
 
 	shares tenantShares
+	// unlisted are runs of gangs that ended by another member's end, by worker: they take
+	// their tenants' shares until their workers have listed the ends.
+	unlisted map[string]map[wire.AttemptKey]unlistedRun
 }
 
 // placedAt names a task of a shard.
@@ -215,6 +218,7 @@
 		placed:      map[string]map[placedAt]resource.Amount{},
 		load:        map[string]resource.Amount{},
 		shares:      newTenantShares(name, epoch, n.core.Shards),
+		unlisted:    map[string]map[wire.AttemptKey]unlistedRun{},
 	}
 	n.counters[name] = quota.NewCounter(name, epoch)
 	n.sendSeals(n.owned[name])
@@ -296,6 +300,7 @@
 		}
 		sl.allocationRequests = 0
 		n.tickBatches(sl)
+		sl.releaseLapsed(n.now)
 		sl.shares.beginClaims()
 		for _, js := range n.jobsByUrgency(sl) {
 			n.advanceJob(sl, js)
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -323,3 +323,63 @@
 		n.advanceJob(sl, js)
 	}
 }
+
+// unlistedMs is how long a run's end may stay unlisted: by then its worker's hold is over.
+const unlistedMs = ownerSpanMs*(100+driftPercent)/100 + lapseMarginMs
+
+// unlistedRun is a run that has ended though its worker hasn't said so yet.
+type unlistedRun struct {
+	tenant  string
+	amount  resource.Amount
+	untilMs int64
+}
+
+// holdUntilListed keeps the share of a task that ended with another member of its gang.
+func (sl *shard) holdUntilListed(js *jobState, i int, nowMs int64) {
+	if sl.shares.of(js.Tenant) == nil {
+		return
+	}
+	t := &js.Tasks[i]
+	if sl.unlisted[t.Worker] == nil {
+		sl.unlisted[t.Worker] = map[wire.AttemptKey]unlistedRun{}
+	}
+	key := wire.AttemptKey{Job: js.ID, Task: js.taskID(i), Attempt: t.Attempt}
+	sl.unlisted[t.Worker][key] = unlistedRun{js.Tenant, t.Resources, nowMs + unlistedMs}
+	sl.shares.use(js.Tenant, t.Resources)
+}
+
+// releaseListed releases the shares of runs that a report tells the end of, or no longer lists.
+func (sl *shard) releaseListed(m *wire.AgentReport) {
+	runs := sl.unlisted[m.Worker]
+	if len(runs) == 0 {
+		return
+	}
+	atWork, ended := map[wire.AttemptKey]bool{}, map[wire.AttemptKey]bool{}
+	for _, h := range m.Attempts {
+		atWork[h.Key], ended[h.Key] = h.State != wire.AttemptEnded, h.State == wire.AttemptEnded
+	}
+	sl.releaseRuns(m.Worker, func(key wire.AttemptKey, _ unlistedRun) bool {
+		return ended[key] || !m.Partial && m.Rebuilt && !atWork[key]
+	})
+}
+
+// releaseLapsed releases the shares of runs whose workers said nothing for longer than they may
+// run without a word.
+func (sl *shard) releaseLapsed(nowMs int64) {
+	for _, worker := range sorted(sl.unlisted) {
+		sl.releaseRuns(worker, func(_ wire.AttemptKey, run unlistedRun) bool { return nowMs > run.untilMs })
+	}
+}
+
+// releaseRuns releases the shares of those unlisted runs at a worker that are over.
+func (sl *shard) releaseRuns(worker string, over func(wire.AttemptKey, unlistedRun) bool) {
+	for key, run := range sl.unlisted[worker] { // sums: the order does not matter
+		if over(key, run) {
+			sl.shares.release(run.tenant, run.amount)
+			delete(sl.unlisted[worker], key)
+		}
+	}
+	if len(sl.unlisted[worker]) == 0 {
+		delete(sl.unlisted, worker)
+	}
+}
