--- a/internal/daemon/platformdays_test.go
+++ b/internal/daemon/platformdays_test.go
@@ -178,6 +178,9 @@
 	b.each(trafficMs/4000, 4000, func() { b.change(nil) })
 	b.day(trafficMs)
 	b.closing = true
+	if b.tenants != nil {
+		b.restoreLimits()
+	}
 	b.until(2*waitTurnMs, func() bool { return !slices.ContainsFunc(b.diskHosts, b.lost) })
 	b.see(platformEvent{kind: bLoss})
 	closings[d.closing](b, d.downMs)
--- /dev/null
+++ b/internal/daemon/platformtenants_campaign_test.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Random days of the shared deployments: troubles of all kinds, and an operator's changes of
+// tenants, keys and limits in series that overlap, on top of the tenants' usual traffic. A day is
+// drawn from its number alone.
+
+// tenantOf draws a tenant, a large one as often as not.
+func tenantOf(r *rand.Rand) int {
+	if r.IntN(2) == 0 {
+		return r.IntN(len(largeShares))
+	}
+	return r.IntN(sharedTenants)
+}
+
+// series does something so often, with a gap between.
+func (b *platformWorld) series(count int, gapMs int64, do func(i int)) {
+	for i := range count {
+		b.after(int64(i)*gapMs*1000, func() {
+			if !b.closing {
+				do(i)
+			}
+		})
+	}
+}
+
+// counterTargets are the machines that a trouble of a tenant's counting strikes.
+var counterTargets = map[string]func(b *platformWorld, tenant string) string{
+	"counter": func(b *platformWorld, tenant string) string { return b.countingHost(tenant) },
+	"owner":   func(b *platformWorld, _ string) string { return b.holder(b.someSlice()) },
+}
+
+var tenantTroubles = []troubleKind{
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, times, ms := tenantOf(r), choose(r, 3.0, 10), between(r, 3000, 9000)
+		return fmt.Sprintf("tenant %d sends %.0f times its usual for %d ms", i, times, ms), func(b *platformWorld) {
+			b.hotTenant(b.tenants[i].name, times, ms)
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, count, gap := tenantOf(r), 1+r.IntN(6), between(r, 100, 1500)
+		return fmt.Sprintf("limit of tenant %d changes %d times each %d ms", i, count, gap), func(b *platformWorld) {
+			percents := []int64{50, 10, 100, 25, 150, 100}
+			b.series(count, gap, func(k int) { b.setLimit(b.tenants[i].name, percents[k]) })
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, count, gap := tenantOf(r), 1+r.IntN(4), between(r, 300, 2500)
+		return fmt.Sprintf("keys of tenant %d turn over %d times each %d ms", i, count, gap), func(b *platformWorld) {
+			b.series(2*count, gap, func(k int) {
+				if k%2 == 0 {
+					b.addKey(b.tenants[i].name)
+				} else {
+					b.revokeKey(b.tenants[i].name)
+				}
+			})
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, count := tenantOf(r), 20+r.IntN(40)
+		return fmt.Sprintf("%d calls by old and unknown keys of tenant %d", count, i), func(b *platformWorld) {
+			b.series(count, 100, func(k int) {
+				keys := []string{"", "never-given", fmt.Sprintf("key-0-of-%s", b.tenants[i].name), b.tenants[i].keys[0]}
+				j := b.smallOf(b.tenants[i].name)
+				j.key = keys[k%len(keys)]
+				b.submit(j)
+			})
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, share := tenantOf(r), choose(r, 0.3, 1)
+		return fmt.Sprintf("%.1f of tenant %d's jobs cancelled", share, i), func(b *platformWorld) {
+			for _, o := range b.open() {
+				if j := b.jobs[o[:16]]; j.tenant == b.tenants[i].name && !j.lasting() && b.share(share) {
+					b.cancel(j)
+				}
+			}
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, target, how, ms := tenantOf(r), choose(r, "counter", "counter", "owner"), choose(r, "killed", "power", "frozen", "cut"), between(r, 1000, 8000)
+		return fmt.Sprintf("%s of tenant %d %s for %d ms", target, i, how, ms), func(b *platformWorld) {
+			pick := func() []string { return []string{counterTargets[target](b, b.tenants[i].name)} }
+			b.whenAllowed(pick, func(hosts []string) { b.strikeHost(hosts[0], how, ms) })
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, gap, ms := tenantOf(r), between(r, 200, 4000), between(r, 2000, 6000)
+		return fmt.Sprintf("counter of tenant %d lost, its successor %d ms later, for %d ms", i, gap, ms), func(b *platformWorld) {
+			pick := func() []string { return []string{b.countingHost(b.tenants[i].name)} }
+			b.whenAllowed(pick, func(hosts []string) {
+				b.strikeHost(hosts[0], "killed", ms)
+				b.after(gap*1000, func() { b.whenAllowed(pick, func(next []string) { b.strikeHost(next[0], "power", ms) }) })
+			})
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		share, loss, ms := choose(r, 0.2, 0.6), choose(r, 0.03, 0.15), between(r, 2000, 8000)
+		return fmt.Sprintf("links of %.1f lose %.2f for %d ms", share, loss, ms), func(b *platformWorld) {
+			b.lossyLinks(b.shareOf(share), loss, ms)
+		}
+	},
+	func(r *rand.Rand) (string, func(b *platformWorld)) {
+		i, width := tenantOf(r), 2+r.IntN(5)
+		return fmt.Sprintf("gangs of %d of tenant %d, of which its limit holds two", width, i), func(b *platformWorld) {
+			limit := b.usualLimit(b.tenants[i].name)
+			for range 4 {
+				b.onlyTenant = b.tenants[i].name
+				percent := int64(gangLimitPercent) / int64(width)
+				j := b.simple(0, width, amounts{max(1, limit[0]*percent/100), max(1, limit[1]*percent/100)}, 1000+3000*b.rng.Float64())
+				b.onlyTenant = ""
+				j.steps[0].gang = true
+				b.submit(j)
+			}
+		}
+	},
+}
+
+// smallOf makes a small urgent job of a tenant.
+func (b *platformWorld) smallOf(tenant string) *platformJob {
+	b.onlyTenant = tenant
+	defer func() { b.onlyTenant = "" }()
+	return b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
+}
+
+// strikeHost lets one machine be away for a while.
+func (b *platformWorld) strikeHost(host, how string, ms int64) {
+	switch how {
+	case "killed", "power":
+		b.powerOf([]string{host}, how == "power", ms)
+	case "frozen":
+		b.freeze(host, ms)
+	case "cut":
+		b.after(ms*1000, b.cut(host))
+	}
+}
+
+// tenantDay draws a day of a shared deployment: half of its troubles are of tenants.
+func tenantDay(number uint64) *badDay {
+	r := rand.New(rand.NewPCG(number, 37))
+	deployments := sorted(sharedDeployments)
+	d := &badDay{number: number, site: deployments[number%uint64(len(deployments))]}
+	others := [][]troubleKind{controlTroubles, lossTroubles, changeTroubles, networkTroubles}
+	for i := range 8 + r.IntN(5) {
+		kinds := tenantTroubles
+		if i%2 == 1 {
+			kinds = choose(r, others...)
+		}
+		kind := choose(r, kinds...)
+		t := dayTrouble{atMs: between(r, 1000, trafficMs-2000)}
+		t.text, t.play = kind(r)
+		d.troubles = append(d.troubles, t)
+	}
+	slices.SortStableFunc(d.troubles, func(a, b dayTrouble) int { return int(a.atMs - b.atMs) })
+	d.closing, d.downMs = choose(r, sorted(closings)...), between(r, 800, 2000)
+	return d
+}
+
+// tenantCampaignSeeds is how many days CI plays.
+const tenantCampaignSeeds = 6
+
+// TestTenantCampaign plays random days of tenants: with -seeds so many, from -from on.
+func TestTenantCampaign(t *testing.T) {
+	from, count := uint64(1), tenantCampaignSeeds
+	if *seedsFlag > 0 {
+		from, count = *fromFlag, *seedsFlag
+	}
+	for i := range count {
+		number := from + uint64(i)
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			t.Parallel()
+			d := tenantDay(number)
+			b := d.play(t)
+			verdictOfPlatform(t, b)
+			if t.Failed() {
+				t.Log(d)
+			}
+		})
+	}
+}
+
+// A number always draws the same day of tenants.
+func TestTenantDayIsDrawnFromItsNumber(t *testing.T) {
+	must.Eq(t, tenantDay(7).String(), tenantDay(7).String())
+	must.NotEq(t, tenantDay(7).String(), tenantDay(9).String())
+}
--- a/internal/daemon/platformtenants_scenario_test.go
+++ b/internal/daemon/platformtenants_scenario_test.go
@@ -20,10 +20,7 @@
 
 // urgentOf sends a small urgent job of a tenant.
 func (b *platformWorld) urgentOf(tenant, why string) {
-	b.onlyTenant = tenant
-	j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
-	b.onlyTenant = ""
-	b.urgentChecks = append(b.urgentChecks, urgentCheck{b.submit(j), why})
+	b.urgentChecks = append(b.urgentChecks, urgentCheck{b.submit(b.smallOf(tenant)), why})
 }
 
 // urgentOfAll sends one of each tenant but some.
@@ -182,9 +179,8 @@
 			b.run(3000)
 			b.revokeKey(tenant)
 			b.each(40, 150, func() { // some callers have not heard of the new key
-				b.onlyTenant = tenant
-				j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
-				b.onlyTenant, j.key = "", old
+				j := b.smallOf(tenant)
+				j.key = old
 				b.submit(j)
 			})
 			b.run(2000)
@@ -201,9 +197,8 @@
 		for i := range 6 {
 			b.addKey(b.tenants[i].name)
 			for _, key := range []string{"", "never-given", b.tenants[i].keys[0]} {
-				b.onlyTenant = b.tenants[i].name
-				j := b.simple(2, 1, amounts{b.deployment.capacity[0] / 64, b.deployment.capacity[1] / 64}, 300)
-				b.onlyTenant, j.key = "", key
+				j := b.smallOf(b.tenants[i].name)
+				j.key = key
 				b.submit(j)
 			}
 			b.run(700)
