--- a/internal/daemon/platformdays_test.go
+++ b/internal/daemon/platformdays_test.go
@@ -178,6 +178,9 @@
 	b.each(trafficMs/4000, 4000, func() { b.change(nil) })
 	b.day(trafficMs)
 	b.closing = true
+	if b.tenants != nil {
+		b.restoreLimits()
+	}
 	b.until(2*waitTurnMs, func() bool { return !slices.ContainsFunc(b.diskHosts, b.lost) })
 	b.see(platformEvent{kind: bLoss})
 	closings[d.closing](b, d.downMs)
@@ -222,7 +225,7 @@
 
 func (b *platformWorld) readJob(j *platformJob, tries int) {
 	asked, to := b.nowMs(), b.edge()
-	b.call("caller", to, platformCall{op: "queue.state", host: j.queue.host, path: j.queue.prefix + j.id}, b.deployment.callerMs, func(status int, _ int64, body []byte) {
+	b.callOfJob(to, "queue.state", j, nil, func(status int, _ int64, body []byte) {
 		switch {
 		case status == 200:
 			b.see(platformEvent{kind: bJobShown, job: j.id, host: to.Name, text: gjson.GetBytes(body, "state").Str, askedMs: asked})
