A version is skipped where the one before it wasn't adopted

Cause: numbers of versions go up in uneven steps, so that each change was taken for one that skipped a version: all limits counted as lowered, owners gave all spare shares up and agents sent all waiting tasks back. The record tells the version before.

--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// Previous is the version that was accepted before this one; 0 for none.
+func (r *Record) Previous() int64 {
+	if len(r.Past) < 2 {
+		return 0
+	}
+	return r.Past[len(r.Past)-2].Version
+}
+
 // Compile compiles the record's document, without the zones emptied beside it.
 func (r *Record) Compile() (*Configuration, []schema.Fault) {
 	doc, ok := Inflate(r.Document)
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -126,7 +126,7 @@
 			limits[name] = quota.Limit(t.Limit)
 		}
 	}
-	for _, tenant := range n.limits.Adopt(n.config.current.Version, limits) {
+	for _, tenant := range n.limits.Adopt(n.config.current.Version, n.config.record.Previous(), limits) {
 		for _, name := range sorted(n.owned) {
 			if b := n.owned[name].shares.of(tenant); b != nil {
 				b.LimitLowered(tenant)
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -15,12 +15,13 @@
 	loweredIn map[string]int64
 }
 
-// Adopt goes by another version of the configuration, and gives the tenants whose limits are
-// lower than they may have been: a version in between that this daemon has not seen may have had
-// a higher one. A version without tenants gives nil, and nothing is counted.
+// Adopt goes by another version of the configuration, which was accepted after the previous one,
+// and gives the tenants whose limits are lower than they may have been: where this daemon has
+// skipped the previous one, that may have had a higher limit. A version without tenants gives
+// nil, and nothing is counted.
 //
-// Example: lowered := limits.Adopt(version, map[string]Limit{"kaje80": {CPU: 64000}})
-func (l *Limits) Adopt(version int64, byTenant map[string]Limit) (lowered []string) {
+// Example: lowered := limits.Adopt(version, previous, map[string]Limit{"kaje80": {CPU: 64000}})
+func (l *Limits) Adopt(version, previous int64, byTenant map[string]Limit) (lowered []string) {
 	next := maps.Clone(byTenant)
 	if next != nil {
 		for tenant, limit := range l.byTenant {
@@ -32,7 +33,7 @@
 	if l.loweredIn == nil {
 		l.loweredIn = map[string]int64{}
 	}
-	skipped := version != l.version+1
+	skipped := previous != l.version
 	for _, tenant := range slices.Sorted(maps.Keys(next)) {
 		if limit := next[tenant]; limit.LowerThan(l.byTenant[tenant]) || skipped && !limit.Unlimited() {
 			l.loweredIn[tenant] = version
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -159,7 +159,7 @@
 
 // adopt has a daemon, and all owners there, go by a version.
 func (m *model) adopt(d *modelDaemon, version int64) {
-	lowered := d.limits.Adopt(version, map[string]Limit{modelTenant: m.versions[version-1]})
+	lowered := d.limits.Adopt(version, version-1, map[string]Limit{modelTenant: m.versions[version-1]})
 	for _, o := range m.allOwners() {
 		if o.daemon == d && len(lowered) > 0 {
 			o.borrower.LimitLowered(modelTenant)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -153,7 +153,7 @@
 	c.OnReport("n2", report("b", 1, 2, 0, claimOf("2", 0, 0, 2, 9)))
 	c.Lend(p)
 	must.Eq(t, cpu(4), c.Lent("t"))
-	limits.Adopt(2, map[string]Limit{"t": {CPU: 10}})
+	limits.Adopt(2, 1, map[string]Limit{"t": {CPU: 10}})
 	c.Lend(p) // shard a has not reported by version 2
 	must.Eq(t, cpu(4), c.Lent("t"))
 	c.OnReport("n1", report("a", 2, 2, 4))
@@ -167,7 +167,7 @@
 	p := Policy{Shards: []string{"a", "b"}, Limits: limits}
 	c.OnReport("n1", report("a", 1, 1, 0))
 	c.OnReport("n2", report("b", 1, 1, 0))
-	limits.Adopt(2, map[string]Limit{"t": {CPU: 10}})
+	limits.Adopt(2, 1, map[string]Limit{"t": {CPU: 10}})
 	c.OnReport("n1", report("a", 2, 2, 0, claimOf("1", 0, 0, 2, 2)))
 	for _, grant := range c.Lend(p) {
 		must.Eq(t, wire.TenantShare{Tenant: "t", Tight: true, GiveBack: true}, grant.Message.Shares[0])
