--- a/internal/daemon/tenant_keys_test.go
+++ b/internal/daemon/tenant_keys_test.go
@@ -34,9 +34,9 @@
 	tenantB = testTenant{"lono466", []string{"key-b"}}
 )
 
-// tenantSetup declares the queues "seats" and "public", of which those named in open need no key.
+// keyedSetup declares the queues "seats" and "public", of which those named in open need no key.
 // No worker serves them, so that jobs stay as they are.
-func tenantSetup(open []string, tenants ...testTenant) []byte {
+func keyedSetup(open []string, tenants ...testTenant) []byte {
 	queues, declared := []map[string]any{}, []map[string]any{}
 	for _, name := range []string{"seats", "public"} {
 		queues = append(queues, map[string]any{
@@ -69,7 +69,7 @@
 func newTenantWorld(t *testing.T, seed uint64) *tenantWorld {
 	w := &tenantWorld{world: served(t, seed), t: t}
 	w.keepLog = true
-	w.declare(tenantSetup(nil, tenantA, tenantB))
+	w.declare(keyedSetup(nil, tenantA, tenantB))
 	w.run(2000)
 	return w
 }
@@ -162,7 +162,7 @@
 // Guards against an operator's own digest of nothing that would admit calls without a key.
 func TestTenantKeysOfNothingAdmitNobody(t *testing.T) {
 	w := newTenantWorld(t, 5310)
-	w.declare(tenantSetup(nil, tenantA, testTenant{"lono466", []string{""}}))
+	w.declare(keyedSetup(nil, tenantA, testTenant{"lono466", []string{""}}))
 	w.run(2000)
 	must.Eq(t, 401, w.submit("d04", "/seats/j", ""))
 	must.Eq(t, 201, w.submit("d04", "/seats/j", "key-a1"))
@@ -174,7 +174,7 @@
 		w := newTenantWorld(t, 5320+seed)
 		for round := range 5 {
 			key := fmt.Sprint("key-new-", round)
-			w.declare(tenantSetup(nil, tenantA, testTenant{"lono466", []string{key}}))
+			w.declare(keyedSetup(nil, tenantA, testTenant{"lono466", []string{key}}))
 			for _, daemon := range sorted(w.nodes) { // all at once, right after the acknowledgement
 				path := fmt.Sprintf("/seats/%s-%d", daemon, round)
 				w.call("caller", w.nodes[daemon], evRequest{Op: "queue.submit", Host: "h", Path: path, Credential: key, Body: tenantJob("x", 1)}, tenantCallMs,
@@ -318,7 +318,7 @@
 			}
 			return 0
 		}
-		w.declare(tenantSetup(nil, tenantA, tenantB, testTenant{"late", []string{"key-late"}}))
+		w.declare(keyedSetup(nil, tenantA, tenantB, testTenant{"late", []string{"key-late"}}))
 		if owner.sh.node.config.current.Version == w.version { // it took the change in itself
 			continue
 		}
@@ -337,7 +337,7 @@
 func TestTenantsWhileRoutesOpenAndClose(t *testing.T) {
 	w := newTenantWorld(t, 5380)
 	open := func(queues ...string) {
-		w.declare(tenantSetup(queues, tenantA, tenantB))
+		w.declare(keyedSetup(queues, tenantA, tenantB))
 		w.run(2500)
 	}
 	open("public")
@@ -373,7 +373,7 @@
 func TestTenantsThatAreRenamedKeepTheirJobs(t *testing.T) {
 	w := newTenantWorld(t, 5390)
 	must.Eq(t, 201, w.submit("d00", "/seats/j", "key-a1"))
-	w.declare(tenantSetup(nil, testTenant{"renamed", tenantA.keys}, tenantB))
+	w.declare(keyedSetup(nil, testTenant{"renamed", tenantA.keys}, tenantB))
 	w.run(2500)
 	must.Eq(t, 200, w.state("d03", "/seats/j", "key-a1"))
 	must.Eq(t, 200, w.submit("d03", "/seats/j", "key-a1"))
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -15,7 +15,7 @@
 // limitsOf gives the limits of one version with a tenant t.
 func limitsOf(version int64, limit Limit) *Limits {
 	l := &Limits{}
-	l.Adopt(version, map[string]Limit{"t": limit})
+	l.Adopt(version, version-1, map[string]Limit{"t": limit})
 	return l
 }
 
@@ -325,18 +325,19 @@
 func TestLimitsAdopt(t *testing.T) {
 	l := &Limits{}
 	must.False(t, l.Any())
-	must.Eq(t, []string{"low"}, l.Adopt(4, map[string]Limit{"low": {CPU: 4}, "none": {}})) // none was seen before
-	must.Eq(t, nil, l.Adopt(5, map[string]Limit{"low": {CPU: 5}, "none": {}}))
-	must.Eq(t, []string{"none"}, l.Adopt(6, map[string]Limit{"low": {CPU: 5, GPU: 0}, "none": {GPU: 1}}))
-	must.Eq(t, []string{"low", "none"}, l.Adopt(8, map[string]Limit{"low": {CPU: 9}})) // 7 may have had higher ones
-	must.Eq(t, Limit{GPU: 1}, l.Of("none"))                                            // goes on within its last limit
+	must.Eq(t, []string{"low"}, l.Adopt(4, 3, map[string]Limit{"low": {CPU: 4}, "none": {}})) // none was seen before
+	must.Eq(t, nil, l.Adopt(5, 4, map[string]Limit{"low": {CPU: 5}, "none": {}}))
+	must.Eq(t, []string{"none"}, l.Adopt(6, 5, map[string]Limit{"low": {CPU: 5, GPU: 0}, "none": {GPU: 1}}))
+	must.Eq(t, []string{"low", "none"}, l.Adopt(8, 7, map[string]Limit{"low": {CPU: 9}})) // 7 may have had higher ones
+	must.Eq(t, Limit{GPU: 1}, l.Of("none"))                                               // goes on within its last limit
 	must.True(t, l.Declared("none"))
 	must.False(t, l.Declared("other"))
 	must.Eq(t, int64(8), l.Version())
 	must.True(t, l.Outdated("low", 7))
 	must.False(t, l.Outdated("low", 8))
 	must.False(t, l.Outdated("other", 0))
-	must.Eq(t, nil, l.Adopt(9, nil)) // nothing is counted any more
+	must.Eq(t, nil, l.Adopt(17, 8, map[string]Limit{"low": {CPU: 9}})) // numbers go up in steps: none is skipped
+	must.Eq(t, nil, l.Adopt(18, 17, nil))                              // nothing is counted any more
 	must.False(t, l.Any())
 	must.False(t, l.Outdated("low", 0))
 }
