What a tenant sends beyond its weight comes after all others' jobs

Cause: tenants were counted for their limits only.

Ruled out: a bucket at the counter of a tenant, since each admission would wait for a message; a lower class, since the class rule must hold for all; a mark in the job's record, since a shard's next owner can do without it.

The change: policy tenant_weight. Each owner has a token bucket by tenant (rate: weight over the number of shards; burst: 5 s, at least 5 jobs). A job beyond it ranks below all others, by urgency among its like: in the owner's turn, at the central scheduler, in the agent's order and in whom it stops, and among claims of its tenant's limit. It doesn't use the room kept for urgent queues, leaves half of the live jobs of a queue and shard to others, and gets 429 with a time to come back (1 to 10 s) while 32 of its tenant wait and room or the tenant's limit is short. Nothing changes without tenants, or for a weight of 0.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -17,6 +17,8 @@
 	bytes int // of their records, with this one
 	base  bool
 	batch bool
+	// excess is beyond its tenant's weight: such jobs leave others a part of the records.
+	excess bool
 }
 
 type rejection struct {
@@ -94,6 +96,9 @@
 		if c.batch { // held jobs leave the others room in the records
 			all, bytes = shardJobsMax*batchRecords/100, shardBytesMax*batchRecords/100
 		}
+		if c.excess {
+			v, all, bytes = max(v*excessRecords/100, 1), all*excessRecords/100, bytes*excessRecords/100
+		}
 		if int64(c.live) >= v || c.all >= all || c.bytes > bytes {
 			return &rejection{
 				status:  429,
--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -34,8 +34,8 @@
 		Body: mustJSON(map[string]any{"id": h.spec.Key.String()})})
 }
 
-// startPending starts what may start now, by the queue's urgency, then firm tasks before
-// queueable ones, then by the age of the job. For firm tasks queueable runs of
+// startPending starts what may start now, by precedence (the queue's urgency, excess jobs last),
+// then firm tasks before queueable ones, then by the age of the job. For firm tasks queueable runs of
 // queues no more urgent are stopped, and they start once those ends are listed; short
 // runs of more urgent queues are left to end. The orders of an agent beside its worker
 // leave in the answer to a heartbeat only.
@@ -130,7 +130,7 @@
 
 // startRoom is the part of a worker's available room that a waiting attempt may take.
 func (n *node) startRoom(ag *agent, h *attempt, q *configuration.Queue, avail resource.Amount) resource.Amount {
-	if h.spec.Class == wire.ClassGuaranteed || n.isUrgent(q) || !ag.colocated {
+	if h.spec.Class == wire.ClassGuaranteed || n.usesKeptRoom(q, h.spec.Excess) || !ag.colocated {
 		return avail
 	}
 	if n.fleetIdle() && n.now-h.queuedMs > backfillMs && n.Policies.On(scheduler.Backfill) {
@@ -160,10 +160,10 @@
 			out = append(out, ag.attempts[key])
 		}
 	}
-	urgency := func(h *attempt) int64 { return n.config.current.Urgency(h.spec.Queue) }
+	precedence := func(h *attempt) int64 { return n.precedence(h.spec.Queue, h.spec.Excess) }
 	slices.SortStableFunc(out, func(a, b *attempt) int {
 		return cmp.Or(
-			cmp.Compare(urgency(b), urgency(a)),
+			cmp.Compare(precedence(b), precedence(a)),
 			cmp.Compare(a.spec.Class, b.spec.Class),
 			cmp.Compare(a.spec.SubmittedMs, b.spec.SubmittedMs),
 		)
@@ -188,7 +188,7 @@
 		if n.mayPreempt(pending, h) {
 			attempts = append(attempts, h)
 			runs = append(runs, scheduler.Run{
-				Resources: h.spec.Resources, Urgency: n.config.current.Urgency(h.spec.Queue), RanMs: n.now - h.startedMs,
+				Resources: h.spec.Resources, Urgency: n.precedence(h.spec.Queue, h.spec.Excess), RanMs: n.now - h.startedMs,
 			})
 		}
 	}
@@ -204,7 +204,7 @@
 	if !guaranteed && n.now-pending.queuedMs <= urgentWaitMs && n.batchSpec(&run.spec) == nil {
 		return false // it may be called back meanwhile
 	}
-	mine, others := n.config.current.Urgency(pending.spec.Queue), n.config.current.Urgency(run.spec.Queue)
+	mine, others := n.precedence(pending.spec.Queue, pending.spec.Excess), n.precedence(run.spec.Queue, run.spec.Excess)
 	return others < mine || guaranteed && others == mine
 }
 
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -86,17 +86,22 @@
 	n.sendAllocation(c, ws, open, workers)
 }
 
-// pendingInOrder gives the requests with open tasks: by the queue's urgency, then the job's age.
+// pendingInOrder gives the requests with open tasks: by the queue's urgency, then the job's age,
+// those of excess jobs last.
 func (n *node) pendingInOrder(c *central) (keys []allocationKey) {
 	for k, ws := range c.pending {
 		if ws.hasOpen() {
 			keys = append(keys, k)
 		}
 	}
-	urgency := func(k allocationKey) int64 { return n.config.current.Urgency(c.pending[k].Queue) }
+	precedence := func(k allocationKey) int64 { return n.precedence(c.pending[k].Queue, c.pending[k].Excess) }
 	slices.SortFunc(keys, func(a, b allocationKey) int {
-		return cmp.Or(cmp.Compare(urgency(b), urgency(a)), cmp.Compare(c.pending[a].SubmittedMs, c.pending[b].SubmittedMs),
-			cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step))
+		return cmp.Or(
+			cmp.Compare(precedence(b), precedence(a)),
+			cmp.Compare(c.pending[a].SubmittedMs, c.pending[b].SubmittedMs),
+			cmp.Compare(a.Job, b.Job),
+			cmp.Compare(a.Step, b.Step),
+		)
 	})
 	return keys
 }
@@ -158,7 +163,8 @@
 ) *scheduler.Assignment {
 	search := &scheduler.Assignment{
 		Group: n.groupOf(ws), Used: map[string]int32{}, Reserved: reserved,
-		Urgent: n.isUrgent(q), Kept: n.central.urgent.Percent(), WaitsForRack: n.waitsForRack(ws, n.rackWaitMs(ws)),
+		Urgent: n.usesKeptRoom(q, ws.Excess), Kept: n.central.urgent.Percent(),
+		WaitsForRack: n.waitsForRack(ws, n.rackWaitMs(ws)),
 	}
 	for _, u := range ws.Used {
 		search.Used[u.Worker] += u.Count
--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -40,6 +40,7 @@
 		Near:        st.Near,
 		PerWorker:   st.PerWorker,
 		EstimateMs:  n.estimateMs(js, t),
+		Excess:      js.excess,
 	}
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -105,8 +105,14 @@
 		bytes: sl.bytes + size,
 		base:  q.Urgency <= n.config.current.Lowest && len(n.config.current.Queues) > 1,
 		batch: q.Batch != nil,
+
+		excess: n.isExcess(sl, a.tenant),
+	}
+	b := admit(c)
+	if b == nil && c.excess {
+		b = n.rejectExcess(sl, a.tenant)
 	}
-	if b := admit(c); b != nil {
+	if b != nil {
 		n.count("jobs_rejected")
 		n.rejectAdmission(f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
@@ -115,12 +121,15 @@
 	if j.DelayMs > 0 {
 		j.DueMs = n.latestFleetTime() + j.DelayMs
 	}
-	js := &jobState{job: *j, runtime: make([]taskRuntime, len(j.Tasks)), bytes: size}
+	js := &jobState{job: *j, runtime: make([]taskRuntime, len(j.Tasks)), bytes: size, excess: c.excess}
 	n.traceAdmitted(sl, js, f.startMs)
 	sl.jobs[j.ID] = js
 	sl.bytes += size
 	sl.liveByQueue[j.Queue]++
 	n.count("jobs_entered")
+	if js.excess {
+		n.count("jobs_excess")
+	}
 	n.markDirty(sl, js)
 	n.whenCommitted(js, waiter{version: 1, request: a, status: 201})
 	for _, other := range f.requests[1:] { // the same job again, or its state, or its end
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -102,5 +102,6 @@
 		PerWorker:   js.Steps[t.Step].PerWorker,
 		Tenant:      js.Tenant,
 		TenantLimit: resource.Amount(js.runtime[i].limit),
+		Excess:      js.excess,
 	}
 }
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -305,7 +305,7 @@
 		}
 		healthy := !w.suspect && !n.ranks.ejected(name) || n.fleetIdle()
 		if name != t.Worker && healthy && n.allowed(w, q, t.Needs, t.Resources) &&
-			t.Resources.Fits(n.roomFor(sl, q, name, w)) {
+			t.Resources.Fits(n.roomFor(sl, q, js.excess, name, w)) {
 			return true
 		}
 	}
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -68,7 +68,8 @@
 	batchLoads   map[queueOnWorker]resource.Amount
 	starvedMs    int64 // when a task that is no batch's last found no place
 
-	shares tenantShares
+	shares   tenantShares
+	jobRates scheduler.JobRates // of tenants
 }
 
 // placedAt names a task of a shard.
@@ -123,6 +124,7 @@
 	ended     []endedAttempt
 	failedAt  map[string]int64 // worker -> when a task of this job last failed there
 	lacks     bool             // some task waits only for a share of its tenant's limit
+	excess    bool             // its tenant had sent more than its weight
 	// The version and value of the record that was last sent to the core: what the next
 	// patch builds on; version 0 for none under this epoch.
 	sentVersion int64
@@ -312,19 +314,20 @@
 	}
 }
 
-// jobsByUrgency gives a shard's live jobs, those of urgent queues first, then the oldest.
+// jobsByUrgency gives a shard's live jobs, those of urgent queues first, then the oldest, and
+// excess jobs last.
 func (n *node) jobsByUrgency(sl *shard) []*jobState {
 	type turn struct {
-		urgency int64
-		js      *jobState
+		precedence int64
+		js         *jobState
 	}
 	list := make([]turn, 0, len(sl.jobs))
 	for _, js := range sl.jobs {
-		list = append(list, turn{n.config.current.Urgency(js.Queue), js})
+		list = append(list, turn{n.precedence(js.Queue, js.excess), js})
 	}
 	slices.SortFunc(list, func(a, b turn) int {
 		return cmp.Or(
-			cmp.Compare(b.urgency, a.urgency),
+			cmp.Compare(b.precedence, a.precedence),
 			cmp.Compare(a.js.SubmitMs, b.js.SubmitMs),
 			cmp.Compare(a.js.ID, b.js.ID),
 		)
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -213,7 +213,7 @@
 	for _, at := range sorted(pass.lacks) {
 		lack := pass.lacks[at]
 		b.Claim(js.Tenant, shareKey(js, lack.task), wire.ShareClaim{
-			Job: js.ID, Urgency: n.config.current.Urgency(js.Queue), SubmittedMs: js.SubmitMs,
+			Job: js.ID, Urgency: n.precedence(js.Queue, js.excess), SubmittedMs: js.SubmitMs,
 			Unit: js.unitOf(lack.task), Task: js.Tasks[lack.task].Resources, Count: lack.count,
 		}, n.now)
 	}
@@ -320,7 +320,7 @@
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
 		return cmp.Or(
-			cmp.Compare(n.config.current.Urgency(b.Queue), n.config.current.Urgency(a.Queue)),
+			cmp.Compare(n.precedence(b.Queue, b.excess), n.precedence(a.Queue, a.excess)),
 			cmp.Compare(a.SubmitMs, b.SubmitMs),
 			cmp.Compare(a.ID, b.ID),
 		)
--- /dev/null
+++ b/internal/daemon/tenant_weight_test.go
@@ -0,0 +1,306 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"testing"
+
+	"otterchute/internal/configuration"
+	"otterchute/internal/historycheck"
+	"otterchute/internal/resource"
+	"otterchute/internal/scheduler"
+	"otterchute/internal/wire"
+
+	"github.com/shoenig/test/must"
+)
+
+// weightedSetup is a configuration of two queues and tenants of which each has its name as key.
+func weightedSetup(weights map[string]float64) []byte {
+	tenants := []map[string]any{}
+	for _, name := range sorted(weights) {
+		tenants = append(tenants, map[string]any{
+			"name": name, "weight": weights[name], "key_digests": []string{fmt.Sprintf("%x", sha256.Sum256([]byte(name)))},
+		})
+	}
+	queue := func(name string, urgency int) map[string]any {
+		return map[string]any{"name": name, "urgency": urgency, "addresses": []map[string]any{{"host": "h", "prefix": "/" + name + "/"}}}
+	}
+	return mustJSON(map[string]any{"queues": []any{queue("fast", 100), queue("slow", 10)}, "tenants": tenants})
+}
+
+// tenantJob is a job that a tenant has sent to a queue.
+type tenantJob struct {
+	id            string
+	tenant        string
+	sentMs, endMs int64
+	status        int
+	retryMs       int64
+}
+
+// tenantLoad sends jobs of tenants to a queue, each of one task that takes a whole worker for a
+// second.
+type tenantLoad struct {
+	*world
+	sent []*tenantJob
+}
+
+func (l *tenantLoad) send(queue, tenant string) {
+	j := &tenantJob{id: fmt.Sprintf("%s-%04d", tenant, len(l.sent)), tenant: tenant, sentMs: l.nowMs()}
+	l.sent = append(l.sent, j)
+	body := fmt.Appendf(nil, `{"queue":%q,"steps":[{"name":"s","tasks":[{"name":"t","room":%d,"limit_ms":60000,"payload":{"ms":1000}}]}]}`, queue, l.dep.Cores)
+	l.call("caller", l.anyNode(len(l.sent)), evRequest{
+		Op: "queue.submit", Host: "h", Path: "/" + queue + "/" + j.id, Base: -1, Body: body, Credential: tenant,
+	}, 3000, func(status int, retryMs int64, _ []byte) { j.status, j.retryMs = status, retryMs })
+}
+
+// sendEvenly sends so many jobs a second for a time.
+func (l *tenantLoad) sendEvenly(queue, tenant string, perSecond, forMs int64) {
+	for atMs := int64(0); atMs < forMs; atMs += 1000 / perSecond {
+		l.after(atMs*1000, func() { l.send(queue, tenant) })
+	}
+}
+
+// settleAll notes when each job's task ended.
+func (l *tenantLoad) settleAll() {
+	byID := map[string]*tenantJob{}
+	for _, j := range l.sent {
+		byID[j.id] = j
+	}
+	for _, e := range l.history {
+		if j := byID[e.Job]; j != nil && e.Kind == historycheck.End && e.Text == "ok" {
+			j.endMs = e.AtMs
+		}
+	}
+}
+
+// tookMs gives how long the accepted jobs of a tenant took, in order.
+func (l *tenantLoad) tookMs(tenant string) (took []int64) {
+	for _, j := range l.sent {
+		if j.tenant == tenant && j.endMs != 0 {
+			took = append(took, j.endMs-j.sentMs)
+		}
+	}
+	slices.Sort(took)
+	return took
+}
+
+// newTenantLoad gives a cluster in whose configuration tenants have weights.
+func newTenantLoad(t *testing.T, seed uint64, weights map[string]float64) *tenantLoad {
+	t.Helper()
+	w := served(t, seed)
+	must.Eq(t, 200, w.settle(w.nodes["d00"], evRequest{Op: "setup.put", Key: "1", Base: 0, Body: weightedSetup(weights)}, 4000).status)
+	w.run(4000)
+	return &tenantLoad{world: w}
+}
+
+// hotSpell has one tenant send five times what the fleet can run, and two others little.
+func (l *tenantLoad) hotSpell() {
+	l.sendEvenly("fast", "hot", 5*int64(l.dep.Workers), 10_000)
+	l.sendEvenly("slow", "calm", 2, 10_000)
+	l.sendEvenly("fast", "small", 1, 10_000)
+	l.run(10_000)
+	l.until(200_000, func() bool {
+		l.settleAll()
+		return !slices.ContainsFunc(l.sent, func(j *tenantJob) bool { return j.status == 201 && j.endMs == 0 })
+	})
+}
+
+// spellWeights let the fleet run all of what the tenants may send, with room to spare.
+var spellWeights = map[string]float64{"hot": 3, "calm": 3, "small": 2}
+
+// What a hot tenant sends beyond its weight waits behind all that others send, also in less urgent
+// queues; it is refused with a time to come back where too much of it waits, and whatever was
+// accepted ends.
+func TestHotTenantWaitsBehindOthers(t *testing.T) {
+	const mostMs = 10_000
+	for seed := range uint64(4) {
+		l := newTenantLoad(t, 7100+seed, spellWeights)
+		l.hotSpell()
+		refused := 0
+		for _, j := range l.sent {
+			if j.status == 429 && j.tenant == "hot" {
+				must.Between(t, excessRetryLeastMs, j.retryMs, excessRetryMostMs)
+				must.Zero(t, j.endMs)
+				refused++
+				continue
+			}
+			must.Eq(t, 201, j.status, must.Sprint(j.id))
+			must.Positive(t, j.endMs, must.Sprint(j.id, " never ran"))
+		}
+		must.Positive(t, refused)
+		must.Eq(t, int64(refused), l.total("jobs_rejected_excess"))
+		must.Positive(t, l.total("jobs_excess"))
+		for _, tenant := range []string{"calm", "small"} {
+			took := l.tookMs(tenant)
+			must.Less(t, mostMs, took[len(took)-1], must.Sprint(tenant, took))
+		}
+	}
+}
+
+// The test above tells the policy from its absence: without it others wait for the hot tenant.
+func TestOthersWaitWithoutTenantWeight(t *testing.T) {
+	l := newTenantLoad(t, 7100, spellWeights)
+	off, err := scheduler.ParseSet(string(scheduler.TenantWeight))
+	must.NoError(t, err)
+	for _, n := range l.nodesInOrder() {
+		n.sh.node.Policies = off
+	}
+	l.hotSpell()
+	for _, tenant := range []string{"calm", "small"} {
+		took := l.tookMs(tenant)
+		must.Greater(t, 30_000, took[len(took)-1], must.Sprint(tenant, took))
+	}
+}
+
+// A tenant without a weight has no excess, and neither has one of a fleet that isn't full.
+func TestNoExcess(t *testing.T) {
+	l := newTenantLoad(t, 7200, map[string]float64{"free": 0, "steady": 6})
+	l.sendEvenly("fast", "free", 20, 3000)
+	l.sendEvenly("fast", "steady", 5, 3000)
+	l.run(6000)
+	must.Zero(t, l.total("jobs_excess"))
+	for _, j := range l.sent {
+		must.Eq(t, 201, j.status, must.Sprint(j.id))
+	}
+}
+
+// While there is room the excess of a tenant is let in and runs like all else.
+func TestExcessRunsWhereThereIsRoom(t *testing.T) {
+	l := newTenantLoad(t, 7300, map[string]float64{"hot": 0.5})
+	l.sendEvenly("slow", "hot", 5, 8000)
+	l.run(15_000)
+	l.settleAll()
+	must.Positive(t, l.total("jobs_excess"))
+	for _, j := range l.sent {
+		must.Eq(t, 201, j.status, must.Sprint(j.id))
+		must.Positive(t, j.endMs)
+	}
+}
+
+// Requests of excess jobs come after all others at the central scheduler, by urgency and age
+// among themselves.
+func TestExcessComesLastAtCentralScheduler(t *testing.T) {
+	n := rackNode(t, 1)
+	add := func(job, queue string, submittedMs int64, excess bool) {
+		ws := wantOf(job, queue, 1, 1000, 1000)
+		ws.SubmittedMs, ws.Excess = submittedMs, excess
+		n.central.add(n.now, ws)
+	}
+	add("excess-high", "high", 1, true)
+	add("excess-low", "low", 1, true)
+	add("low", "low", 3, false)
+	add("high", "high", 3, false)
+	add("low-old", "low", 2, false)
+	add("excess-high-old", "high", 0, true)
+	order := []string{}
+	for _, key := range n.pendingInOrder(n.central) {
+		order = append(order, key.Job)
+	}
+	must.Eq(t, []string{"high", "low-old", "low", "excess-high-old", "excess-high", "excess-low"}, order)
+}
+
+// At an agent the tasks of excess jobs wait behind all others, may stop only runs of other excess
+// jobs of less urgent queues, and are stopped first; firm ones keep their rule within that.
+func TestExcessAtAgent(t *testing.T) {
+	n := twoUrgencies(t)
+	task := func(queue string, class wire.TaskClass, excess bool) *attempt {
+		h := attemptOf(queue, 100, wire.AttemptQueued)
+		h.spec.Class, h.spec.Excess = class, excess
+		return h
+	}
+	firm, queueable := wire.ClassGuaranteed, wire.ClassQueueable
+	for name, c := range map[string]struct {
+		pending, run *attempt
+		may          bool
+	}{
+		"urgent over excess of its queue":    {task("fast", queueable, false), task("fast", queueable, true), true},
+		"less urgent over an urgent excess":  {task("slow", queueable, false), task("fast", queueable, true), true},
+		"urgent excess over less urgent":     {task("fast", queueable, true), task("slow", queueable, false), false},
+		"firm excess over its queue":         {task("fast", firm, true), task("fast", queueable, false), false},
+		"firm excess over excess":            {task("fast", firm, true), task("fast", queueable, true), true},
+		"firm over excess":                   {task("slow", firm, false), task("fast", queueable, true), true},
+		"urgent excess over slow excess":     {task("fast", queueable, true), task("slow", queueable, true), true},
+		"queueable excess over its equal":    {task("fast", queueable, true), task("fast", queueable, true), false},
+		"no excess: urgent over less urgent": {task("fast", queueable, false), task("slow", queueable, false), true},
+		"no excess: less urgent over urgent": {task("slow", firm, false), task("fast", queueable, false), false},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, c.may, n.mayPreempt(c.pending, c.run)) })
+	}
+	ag := &agent{worker: "w", attempts: map[wire.AttemptKey]*attempt{
+		{Job: "a"}: task("fast", firm, true), {Job: "b"}: task("slow", queueable, false), {Job: "c"}: task("fast", queueable, false),
+	}}
+	var order []string
+	for _, h := range ag.waiting(n) {
+		order = append(order, fmt.Sprint(h.spec.Queue, " ", h.spec.Excess))
+	}
+	must.Eq(t, []string{"fast false", "slow false", "fast true"}, order)
+}
+
+// Excess of the most urgent queue doesn't take the room kept for it, and doesn't add to what is kept.
+func TestExcessLeavesUrgentRoom(t *testing.T) {
+	n := twoUrgencies(t)
+	sl := &shard{name: "east", load: map[string]resource.Amount{"w": {CPU: 700}}}
+	w := &workerView{capacity: resource.Amount{CPU: 1000, Memory: 100}, urgent: resource.Amount{CPU: 100}}
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, n.roomFor(sl, n.config.current.Queues["fast"], true, "w", w))
+	running := attemptOf("fast", 500, wire.AttemptRunning)
+	running.spec.Excess = true
+	ag := &agent{attempts: map[wire.AttemptKey]*attempt{{Job: "a"}: running, {Job: "b"}: attemptOf("fast", 50, wire.AttemptRunning)}}
+	must.Eq(t, resource.Amount{CPU: 50}, ag.urgentHeld(n, wire.AttemptRunning))
+}
+
+// An excess job is refused by what waits, only while there is no room, and takes at most a part of
+// a queue's records.
+func TestExcessAdmission(t *testing.T) {
+	n := twoUrgencies(t)
+	set, faults := configuration.Compile(1, weightedSetup(map[string]float64{"hot": 4}))
+	must.SliceEmpty(t, faults)
+	n.config.current, n.core.Shards = set, []string{"east", "west"}
+	n.leases.Clock().Observe("d", wallStart, n.now, n.now)
+	sl := &shard{name: "east", jobs: map[string]*jobState{}}
+	fill := func(tenant string, count int, excess bool) {
+		for i := range count {
+			id := fmt.Sprint(tenant, i)
+			sl.jobs[id] = &jobState{excess: excess, job: job{ID: id, Queue: "fast", Tenant: tenant}}
+		}
+	}
+	fill("hot", excessWaitingMax-1, true)
+	fill("other", excessWaitingMax, true)
+	sl.starvedMs = n.now
+	must.Nil(t, n.rejectExcess(sl, "hot"))
+	fill("hot", excessWaitingMax, true)
+	must.Eq(t, &rejection{status: 429, retryMs: excessRetryMostMs, faults: n.rejectExcess(sl, "hot").faults}, n.rejectExcess(sl, "hot"))
+	sl.starvedMs = 0
+	must.Nil(t, n.rejectExcess(sl, "hot"))
+	sl.jobs["hot0"].lacks = true // its tenant is at its limit
+	must.Eq(t, 429, n.rejectExcess(sl, "hot").status)
+
+	j, faults := parseJob("j", "", []byte(`{"queue":"fast","steps":[{"name":"s","tasks":[{"name":"t","room":1}]}]}`))
+	must.SliceEmpty(t, faults)
+	q := set.Queues["fast"]
+	must.Nil(t, admit(&admission{job: j, queue: q, excess: true, all: shardJobsMax*excessRecords/100 - 1}))
+	must.Eq(t, 429, admit(&admission{job: j, queue: q, excess: true, all: shardJobsMax * excessRecords / 100}).status)
+	must.Nil(t, admit(&admission{job: j, queue: q, all: shardJobsMax * excessRecords / 100}))
+}
+
+// The policy can be switched off for a trial: then nothing is beyond a weight.
+func TestTenantWeightOff(t *testing.T) {
+	n := twoUrgencies(t)
+	set, faults := configuration.Compile(1, weightedSetup(map[string]float64{"hot": 0.1}))
+	must.SliceEmpty(t, faults)
+	n.config.current, n.core.Shards = set, []string{"east"}
+	sl := &shard{}
+	excess := func() (count int) {
+		for range 50 {
+			if n.isExcess(sl, "hot") {
+				count++
+			}
+		}
+		return count
+	}
+	must.Positive(t, excess())
+	var err error
+	n.Policies, err = scheduler.ParseSet(string(scheduler.TenantWeight))
+	must.NoError(t, err)
+	must.Zero(t, excess())
+}
--- a/internal/daemon/urgent_room.go
+++ b/internal/daemon/urgent_room.go
@@ -29,9 +29,9 @@
 
 // roomFor is the room of a worker that a queueable task of a queue may take, as far as a
 // shard's owner knows.
-func (n *node) roomFor(sl *shard, q *configuration.Queue, name string, w *workerView) resource.Amount {
+func (n *node) roomFor(sl *shard, q *configuration.Queue, excess bool, name string, w *workerView) resource.Amount {
 	free := n.freeAt(sl, name, w)
-	if n.isUrgent(q) {
+	if n.usesKeptRoom(q, excess) {
 		return free
 	}
 	return free.Minus(n.keptRoom(w.capacity, w.urgent))
@@ -42,7 +42,7 @@
 func (ag *agent) urgentHeld(n *node, states ...wire.AttemptState) (held resource.Amount) {
 	for _, h := range ag.attempts { // a sum: the order does not matter
 		q := n.config.current.Queues[h.spec.Queue]
-		if q == nil || !n.isUrgent(q) {
+		if q == nil || !n.usesKeptRoom(q, h.spec.Excess) {
 			continue
 		}
 		for _, state := range states {
--- a/internal/daemon/urgent_room_test.go
+++ b/internal/daemon/urgent_room_test.go
@@ -67,8 +67,8 @@
 	n := twoUrgencies(t)
 	sl := &shard{name: "east", load: map[string]resource.Amount{"w": {CPU: 700}}}
 	w := &workerView{capacity: resource.Amount{CPU: 1000, Memory: 100}, urgent: resource.Amount{CPU: 100}}
-	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, n.roomFor(sl, n.config.current.Queues["slow"], "w", w))
-	must.Eq(t, resource.Amount{CPU: 300, Memory: 100}, n.roomFor(sl, n.config.current.Queues["fast"], "w", w))
+	must.Eq(t, resource.Amount{CPU: 150, Memory: 100}, n.roomFor(sl, n.config.current.Queues["slow"], false, "w", w))
+	must.Eq(t, resource.Amount{CPU: 300, Memory: 100}, n.roomFor(sl, n.config.current.Queues["fast"], false, "w", w))
 }
 
 // A task of a step that spreads over workers is called back too, to a worker that holds
--- a/internal/daemon/worker_choice.go
+++ b/internal/daemon/worker_choice.go
@@ -117,7 +117,7 @@
 	if on(scheduler.ShunQuiet) && w.colocated && isQuiet(n.now-w.heardMs, w.silentMs) {
 		shun |= scheduler.ShunSilent
 	}
-	if c.pinned && !c.resources.Fits(n.roomFor(c.shard, c.queue, name, w)) {
+	if c.pinned && !c.resources.Fits(n.roomFor(c.shard, c.queue, c.job.excess, name, w)) {
 		shun |= scheduler.ShunKept
 		if !c.resources.Fits(n.freeAt(c.shard, name, w).Plus(n.batchLoad(c.shard, "", name))) {
 			shun |= scheduler.ShunFull
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -52,6 +52,8 @@
 	RankedChoice Policy = "ranked_choice"
 	// DelayTarget sheds unstarted tasks above the coordinator's target.
 	DelayTarget Policy = "delay_target"
+	// TenantWeight puts what a tenant sends beyond its weight behind all that others send.
+	TenantWeight Policy = "tenant_weight"
 )
 
 // The design names these as its ordinary path, or a rule needs them: they stay on.
@@ -67,6 +69,7 @@
 var optional = []Policy{
 	UrgentRoom, RetryAtOnce, NearData, RackWait, AvoidLast, EjectUnhealthy, ShunQuiet, LearnedEstimates, Recall, Promotion,
 	Reservation, Backfill, StrongRoles, GatherWrites, ForwardRetry, RankedChoice, DelayTarget,
+	TenantWeight,
 }
 
 // ErrPolicy tells that a policy isn't known, or can't be switched off.
--- /dev/null
+++ b/internal/scheduler/tenantweight_test.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// arrivals counts the excess of jobs that come evenly.
+func arrivals(r *JobRates, tenant string, weight, perSecond float64, fromMs, forMs int64) (excess int) {
+	for sent := 0; ; sent++ {
+		atMs := fromMs + int64(float64(sent)*1000/perSecond)
+		if atMs >= fromMs+forMs {
+			return excess
+		}
+		if r.IsExcess(tenant, weight, atMs) {
+			excess++
+		}
+	}
+}
+
+func TestExcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		weight, perSecond float64
+		excess            int // in a minute
+	}{
+		"no weight":            {0, 1000, 0},
+		"below its weight":     {6, 4, 0},
+		"at its weight":        {6, 6, 0},
+		"seven times":          {6, 42, 2520 - 360 - 30 + 1},
+		"small, short cluster": {0.1, 0.15, 0}, // 9 jobs: a burst of 5, and 6 more in the minute
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.InDelta(t, float64(c.excess), float64(arrivals(&JobRates{}, "a", c.weight, c.perSecond, 1000, 60_000)), 2)
+		})
+	}
+}
+
+// A cluster of jobs is no excess after a rest, but for what is beyond the burst.
+func TestExcessAfterRest(t *testing.T) {
+	var r JobRates
+	atOnce := func(nowMs int64) (excess int) {
+		for range 40 {
+			if r.IsExcess("a", 6, nowMs) {
+				excess++
+			}
+		}
+		return excess
+	}
+	must.Eq(t, 10, atOnce(1000))
+	must.Eq(t, 40, atOnce(1000))
+	must.Eq(t, 34, atOnce(2000))
+	must.Eq(t, 10, atOnce(60_000))
+	must.Eq(t, 40, atOnce(59_000)) // a clock that steps back gives nothing
+}
+
+// A tenant's excess is nobody else's, and a hot spell is over when the rate falls.
+func TestExcessOfOneTenant(t *testing.T) {
+	var r JobRates
+	must.Positive(t, arrivals(&r, "hot", 6, 42, 0, 5000))
+	must.Zero(t, arrivals(&r, "other", 6, 6, 0, 5000))
+	must.Zero(t, arrivals(&r, "hot", 6, 5, 6000, 20_000))
+}
+
+func TestPrecedence(t *testing.T) {
+	for name, c := range map[string]struct {
+		urgency, otherUrgency int64
+		excess, otherExcess   bool
+		first                 bool
+	}{
+		"more urgent":                  {1000, 0, false, false, true},
+		"excess of the most urgent":    {1000, 0, true, false, false},
+		"before excess of more urgent": {0, 1000, false, true, true},
+		"no queue before excess":       {-1, 1000, false, true, true},
+		"more urgent excess":           {10, 5, true, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.first, Precedence(c.urgency, c.excess) > Precedence(c.otherUrgency, c.otherExcess))
+		})
+	}
+}
