--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -86,24 +86,30 @@
 	n.sendAllocation(c, ws, open, workers)
 }
 
-// pendingInOrder gives the requests with open tasks: by the queue's urgency, then the job's age,
-// those of excess jobs last.
-func (n *node) pendingInOrder(c *central) (keys []allocationKey) {
+// pendingInOrder gives the requests with open tasks: by the queue's urgency, those of excess jobs
+// last, and among equals by what their tenants have already and by the job's age.
+func (n *node) pendingInOrder(c *central) []allocationKey {
+	var keys []allocationKey
 	for k, ws := range c.pending {
 		if ws.hasOpen() {
 			keys = append(keys, k)
 		}
 	}
-	precedence := func(k allocationKey) int64 { return n.precedence(c.pending[k].Queue, c.pending[k].Excess) }
-	slices.SortFunc(keys, func(a, b allocationKey) int {
-		return cmp.Or(
-			cmp.Compare(precedence(b), precedence(a)),
-			cmp.Compare(c.pending[a].SubmittedMs, c.pending[b].SubmittedMs),
-			cmp.Compare(a.Job, b.Job),
-			cmp.Compare(a.Step, b.Step),
-		)
-	})
-	return keys
+	requests := make([]scheduler.FairRequest, len(keys))
+	for i, k := range keys {
+		ws := c.pending[k]
+		requests[i] = scheduler.FairRequest{
+			Precedence: n.precedence(ws.Queue, ws.Excess), SubmittedMs: ws.SubmittedMs, Job: k.Job, Step: k.Step,
+		}
+	}
+	if n.countsTenants() && n.Policies.On(scheduler.TenantWeight) {
+		n.addTenantShares(c, keys, requests)
+	}
+	ordered := make([]allocationKey, len(keys))
+	for i, at := range scheduler.FairOrder(requests) {
+		ordered[i] = keys[at]
+	}
+	return ordered
 }
 
 // candidateWorkers gives the workers that may get work now, with the room they have.
--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -42,6 +42,9 @@
 		EstimateMs:  n.estimateMs(js, t),
 		Excess:      js.excess,
 	}
+	if n.countsTenants() {
+		m.Tenant, m.TenantUsed = js.Tenant, sl.tenantUsed[js.Tenant]
+	}
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
 		for _, w := range sorted(used) {
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -68,8 +68,9 @@
 	batchLoads   map[queueOnWorker]resource.Amount
 	starvedMs    int64 // when a task that is no batch's last found no place
 
-	shares   tenantShares
-	jobRates scheduler.JobRates // of tenants
+	shares     tenantShares
+	tenantUsed map[string]resource.Amount // of tasks that are placed
+	jobRates   scheduler.JobRates         // of tenants
 }
 
 // placedAt names a task of a shard.
@@ -86,6 +87,7 @@
 	sl.loadChanges++
 	if room, was := sl.placed[t.Worker][at]; was {
 		sl.shares.release(js.Tenant, room)
+		sl.addTenantUsed(js.Tenant, resource.Amount{}.Minus(room))
 		delete(sl.placed[t.Worker], at)
 		sl.load[t.Worker] = sl.load[t.Worker].Minus(room)
 	}
@@ -95,6 +97,7 @@
 		}
 		sl.placed[t.Worker][at] = t.Resources
 		sl.shares.use(js.Tenant, t.Resources)
+		sl.addTenantUsed(js.Tenant, t.Resources)
 		sl.load[t.Worker] = sl.load[t.Worker].Plus(t.Resources)
 	}
 	if len(sl.placed[t.Worker]) == 0 {
@@ -103,6 +106,19 @@
 	}
 }
 
+// addTenantUsed counts what a tenant's placed tasks take; it forgets a tenant that has none.
+func (sl *shard) addTenantUsed(tenant string, amount resource.Amount) {
+	used := sl.tenantUsed[tenant].Plus(amount)
+	switch {
+	case used == resource.Amount{}:
+		delete(sl.tenantUsed, tenant)
+	case sl.tenantUsed == nil:
+		sl.tenantUsed = map[string]resource.Amount{tenant: used}
+	default:
+		sl.tenantUsed[tenant] = used
+	}
+}
+
 // placedOn gives the tasks placed at a worker, in order.
 func (sl *shard) placedOn(worker string) []placedAt {
 	out := make([]placedAt, 0, len(sl.placed[worker]))
--- a/internal/daemon/tenant_weight.go
+++ b/internal/daemon/tenant_weight.go
@@ -2,6 +2,7 @@
 
 import (
 	"otterchute/internal/configuration"
+	"otterchute/internal/resource"
 	"otterchute/internal/scheduler"
 	"otterchute/internal/schema"
 )
@@ -63,3 +64,52 @@
 		faults:  []schema.Fault{{Path: "queue", Reason: "has no room for more than the tenant's weight"}},
 	}
 }
+
+// addTenantShares tells of requests what their tenants have of all room, and what the requests add.
+func (n *node) addTenantShares(c *central, keys []allocationKey, requests []scheduler.FairRequest) {
+	var all resource.Amount
+	for _, w := range c.workers { // a sum: the order does not matter
+		all = all.Plus(w.Capacity)
+	}
+	used := c.usedByTenants(len(n.core.Shards))
+	for i, k := range keys {
+		ws, weight := c.pending[k], float64(0)
+		if t := n.config.current.Tenants[ws.Tenant]; t != nil {
+			weight = t.Weight
+		}
+		adds := resource.Amount{}
+		for range ws.open() {
+			adds = adds.Plus(ws.Resources)
+		}
+		requests[i].Tenant = ws.Tenant
+		requests[i].Share = scheduler.WeightedShare(used[ws.Tenant], all, weight)
+		requests[i].Adds = scheduler.WeightedShare(adds, all, weight)
+	}
+}
+
+// usedByTenants gives what tenants with requests have in all shards: the newest that their owners
+// told, and for shards that requested nothing the mean of the others, since jobs are spread evenly.
+func (c *central) usedByTenants(shards int) map[string]resource.Amount {
+	newest := map[string]map[string]*pendingAllocation{} // by tenant and shard
+	for _, ws := range c.pending {
+		byShard := newest[ws.Tenant]
+		if byShard == nil {
+			byShard = map[string]*pendingAllocation{}
+			newest[ws.Tenant] = byShard
+		}
+		if last := byShard[ws.Shard]; last == nil || ws.lastMs > last.lastMs ||
+			ws.lastMs == last.lastMs && ws.Job > last.Job {
+			byShard[ws.Shard] = ws
+		}
+	}
+	used := map[string]resource.Amount{}
+	for tenant, byShard := range newest {
+		var sum resource.Amount
+		for _, ws := range byShard { // a sum: the order does not matter
+			sum = sum.Plus(ws.TenantUsed)
+		}
+		known, all := int64(len(byShard)), int64(max(shards, len(byShard)))
+		used[tenant] = resource.Amount{CPU: sum.CPU * all / known, Memory: sum.Memory * all / known, GPU: sum.GPU * all / known}
+	}
+	return used
+}
--- a/internal/daemon/tenant_weight_test.go
+++ b/internal/daemon/tenant_weight_test.go
@@ -200,6 +200,55 @@
 	must.Eq(t, []string{"high", "low-old", "low", "excess-high-old", "excess-high", "excess-low"}, order)
 }
 
+// Among requests of equal urgency the tenant that has the least by its weight goes first at the
+// central scheduler, whatever shard it told from; without tenants the older one.
+func TestWeightedFairnessAtCentralScheduler(t *testing.T) {
+	n := rackNode(t, 1)
+	n.core.Shards = []string{"east", "west"}
+	add := func(job, shard, tenant string, submittedMs, usedCPU int64) {
+		ws := wantOf(job, "mid", 2, 1000, 1000)
+		ws.SubmittedMs, ws.Shard, ws.Tenant, ws.TenantUsed = submittedMs, shard, tenant, resource.Amount{CPU: usedCPU}
+		n.central.add(n.now, ws)
+	}
+	add("large-1", "east", "large", 1, 4000) // 8000 of 24000, by 4: it has 1/12
+	add("large-2", "east", "large", 2, 4000)
+	add("small-1", "east", "small", 3, 1000) // 3000 of 24000, by 1: it has 1/8
+	add("small-2", "west", "small", 4, 2000)
+	add("calm", "west", "calm", 5, 0)
+	order := func() (jobs []string) {
+		for _, key := range n.pendingInOrder(n.central) {
+			jobs = append(jobs, key.Job)
+		}
+		return jobs
+	}
+	byAge := []string{"large-1", "large-2", "small-1", "small-2", "calm"}
+	must.Eq(t, byAge, order())
+	n.config.current.Tenants = map[string]*configuration.Tenant{
+		"large": {Name: "large", Weight: 4}, "small": {Name: "small", Weight: 1}, "calm": {Name: "calm", Weight: 1},
+	}
+	must.Eq(t, []string{"calm", "large-1", "large-2", "small-1", "small-2"}, order())
+	n.Policies, _ = scheduler.ParseSet(string(scheduler.TenantWeight))
+	must.Eq(t, byAge, order())
+}
+
+// What a tenant's placed tasks take in a shard is told with its requests.
+func TestTenantUsedOfShard(t *testing.T) {
+	sl := &shard{placed: map[string]map[placedAt]resource.Amount{}, load: map[string]resource.Amount{}}
+	js := &jobState{job: job{ID: "j", Tenant: "a", Steps: []jobStep{{Size: 2}}, Tasks: []task{
+		{State: taskPlaced, Worker: "w", Resources: resource.Amount{CPU: 3}},
+		{State: taskPlaced, Worker: "w", Resources: resource.Amount{CPU: 4}, InStep: 1},
+	}}}
+	sl.indexTask(js, 0)
+	sl.indexTask(js, 1)
+	must.Eq(t, map[string]resource.Amount{"a": {CPU: 7}}, sl.tenantUsed)
+	js.Tasks[0].State = taskEnded
+	sl.indexTask(js, 0)
+	must.Eq(t, map[string]resource.Amount{"a": {CPU: 4}}, sl.tenantUsed)
+	js.Tasks[1].State = taskEnded
+	sl.indexTask(js, 1)
+	must.MapEmpty(t, sl.tenantUsed)
+}
+
 // At an agent the tasks of excess jobs wait behind all others, may stop only runs of other excess
 // jobs of less urgent queues, and are stopped first; firm ones keep their rule within that.
 func TestExcessAtAgent(t *testing.T) {
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -196,6 +196,8 @@
 	Used        []WorkerUse // where others of the step are
 	EstimateMs  int64       // how long a run is expected to take
 	Excess      bool        // its tenant sends more than its weight: it goes after all others
+	Tenant      string
+	TenantUsed  resource.Amount // what the tenant's tasks take in this shard, queued ones too
 }
 
 // RequestedTask is one task of an AllocationRequest.
