Operators see tenants: otterchute tenants, doctor, explain, metrics

Cause: a count that stopped, or a tenant that stood at its limit, showed in no call: "Nobody saw any of this until morning". explain said "waiting for room" of a task that waited for its tenant's limit.

Ruled out: one counter's word for all (tenants are counted at several owners, and excess jobs are known at the owners of their shards), and labels for every tenant, since there may be 10,000.

The change: `otterchute tenants` and GET /v1/tenants put together what each shard's owner tells: limit, lent, used, waiting, jobs, excess, refused, shares by shard, whether the counter is complete. Without one shard's word there is no sum but its refusal. doctor has "tenant not counted" (a shard that has not reported for 5 s) and "tenant at its limit" (units that wait for 3 s). explain names limit and use. Metrics by tenant for the 32 of the highest weight, the rest summed. Keys and digests are shown nowhere.

--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -186,6 +186,7 @@
 			"undo": func(ctx context.Context, c *client, w []string) subcommands.ExitStatus {
 				return emptyZone(ctx, c, w, false)
 			}}),
+		tenantsCommand(get),
 		doctorCommand(),
 		importCommand(),
 	}
--- a/internal/daemon/doctor.go
+++ b/internal/daemon/doctor.go
@@ -160,6 +160,35 @@
 		}
 		return nil
 	}},
+	{
+		"tenant not counted",
+		"see whether the named slices are owned and their owners reach this one; until they report, tenants counted here " +
+			"get nothing beyond what is lent already",
+		func(s gjson.Result) (out []string) {
+			s.Get("counters").ForEach(func(slice, v gjson.Result) bool {
+				if silent := v.Get("silent"); len(silent.Array()) > 0 {
+					out = append(out, fmt.Sprintf("no report of %s to the counter of slice %s", silent.Raw, slice.Str))
+				}
+				return true
+			})
+			return out
+		},
+	},
+	{
+		"tenant at its limit",
+		"nothing, if the limit is meant so; else raise it by the next version of the setup: " +
+			"`otterchute tenants` shows limits and use",
+		func(s gjson.Result) (out []string) {
+			s.Get("counters").ForEach(func(_, v gjson.Result) bool {
+				v.Get("waiting").ForEach(func(tenant, units gjson.Result) bool {
+					out = append(out, fmt.Sprintf("%d tasks or gangs of %s wait for its limit", units.Int(), tenant.Str))
+					return true
+				})
+				return true
+			})
+			return out
+		},
+	},
 	{"duties without holder", "wait some seconds; if it stays, see the core", func(s gjson.Result) []string {
 		if d := s.Get("without_holder").Array(); len(d) > 0 {
 			return []string{s.Get("without_holder").Raw}
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -12,6 +12,7 @@
 
 	"otterchute/internal/configuration"
 	"otterchute/internal/jobtrace"
+	"otterchute/internal/resource"
 	"otterchute/internal/schema"
 	"otterchute/internal/wire"
 	"otterchute/platform"
@@ -63,6 +64,7 @@
 		r.Handle(m.method, m.path, func(c *gin.Context) { d.serve(c, m.op, c.Param(m.param)) })
 	}
 	r.POST("/v1/workers/:id/lost", d.serveWorkerLost)
+	r.GET("/v1/tenants", d.serveTenants)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(d)
 	r.GET("/metrics", gin.WrapH(promhttp.HandlerFor(reg, promhttp.HandlerOpts{})))
@@ -220,6 +222,7 @@
 	got := make(chan struct{})
 	counts, gauges, meter := map[string]int64{}, map[string]float64{}, map[meterKey]float64{}
 	var stages map[jobtrace.Key]jobtrace.Histogram
+	var tenants map[string]tenantGauges
 	d.loop.post(func(s *executor) {
 		for k, v := range s.node.counts {
 			counts[k] = v
@@ -228,7 +231,7 @@
 		for k, v := range s.node.batchMeter {
 			meter[k] = v
 		}
-		stages = s.node.stages.Snapshot()
+		stages, tenants = s.node.stages.Snapshot(), s.node.tenantMetrics()
 		close(got)
 	})
 	select {
@@ -253,6 +256,7 @@
 		ch <- prometheus.MustNewConstMetric(batches, prometheus.CounterValue, v, k.Contract, priceText(k.Price))
 	}
 	collectStages(ch, stages)
+	collectTenants(ch, tenants)
 }
 
 // collectStages gives the histograms of where the time of jobs went.
@@ -265,6 +269,27 @@
 	}
 }
 
+// collectTenants gives what is lent, used and claimed of the limits of tenants counted here.
+func collectTenants(ch chan<- prometheus.Metric, tenants map[string]tenantGauges) {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("otterchute_"+name, help, append([]string{"tenant"}, labels...), nil)
+	}
+	lent := desc("tenant_lent", "What shards may use of a tenant's limit.", "dimension")
+	used := desc("tenant_used", "What runs or may run of a tenant.", "dimension")
+	claims := desc("tenant_claims", "Units of a tenant that wait for its limit.")
+	for tenant, m := range tenants { // the registry sorts them
+		for _, g := range []struct {
+			desc   *prometheus.Desc
+			amount resource.Amount
+		}{{lent, m.lent}, {used, m.used}} {
+			for name, v := range map[string]int64{"cpu": g.amount.CPU, "memory": g.amount.Memory, "accelerators": g.amount.GPU} {
+				ch <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, float64(v), tenant, name)
+			}
+		}
+		ch <- prometheus.MustNewConstMetric(claims, prometheus.GaugeValue, float64(m.claims), tenant)
+	}
+}
+
 func (n *node) gauges(out map[string]float64) {
 	n.batchGauges(out)
 	out["roles_held"] = float64(len(n.leases.Roles()))
--- a/internal/daemon/job_explain.go
+++ b/internal/daemon/job_explain.go
@@ -37,6 +37,9 @@
 	if why := n.explainHeld(js, t); why != "" {
 		return why
 	}
+	if why := n.explainShare(js, i); why != "" {
+		return why
+	}
 	return "waiting for room"
 }
 
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -112,6 +112,7 @@
 	if b == nil && c.excess {
 		b = n.rejectExcess(sl, a.tenant)
 	}
+	sl.countAdmission(a.tenant, b == nil && c.excess, b != nil && b.status == 429)
 	if b != nil {
 		n.count("jobs_rejected")
 		n.rejectAdmission(f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -174,6 +174,8 @@
 
 	owned    map[string]*shard
 	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
+	// When a counter here last heard from each shard's owner.
+	shareReports map[string]map[string]int64
 	// Limits of tenants that a version has dropped: jobs they handed in before go on within them.
 	formerLimits map[string]quota.Limit
 	agents       map[string]*agent
@@ -196,19 +198,20 @@
 
 func newNode(p nodeConfig, st *statestore.Store) *node {
 	n := &node{
-		nodeConfig:  p,
-		store:       st,
-		granter:     lease.NewGranter(),
-		counts:      map[string]int64{},
-		changes:     map[uint64]*registerChange{},
-		proposer:    register.Proposer{Name: p.Name, Instance: p.Instance, Timing: changeTiming},
-		forwarded:   map[uint64]*forwardedRequest{},
-		quorumReads: map[uint64]*quorumRead{},
-		owned:       map[string]*shard{},
-		counters:    map[string]*quota.Counter{},
-		agents:      map[string]*agent{},
-		workers:     map[string]*workerView{},
-		config:      newConfigState(),
+		nodeConfig:   p,
+		store:        st,
+		granter:      lease.NewGranter(),
+		counts:       map[string]int64{},
+		changes:      map[uint64]*registerChange{},
+		proposer:     register.Proposer{Name: p.Name, Instance: p.Instance, Timing: changeTiming},
+		forwarded:    map[uint64]*forwardedRequest{},
+		quorumReads:  map[uint64]*quorumRead{},
+		owned:        map[string]*shard{},
+		counters:     map[string]*quota.Counter{},
+		shareReports: map[string]map[string]int64{},
+		agents:       map[string]*agent{},
+		workers:      map[string]*workerView{},
+		config:       newConfigState(),
 	}
 	n.peers = cluster.New(host{n}, p.Name, p.Seeds)
 	n.leases = lease.NewManager(host{n}, n.peers)
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -71,6 +71,7 @@
 		"worker.beat":   (*node).handleHeartbeat,
 		"worker.gone":   (*node).handleWorkerGone,
 		"worker.lost":   (*node).routeWorkerLost,
+		"tenants":       (*node).routeTenants,
 		"queue.submit":  (*node).resolveAddress,
 		"queue.state":   (*node).resolveAddress,
 		"queue.cancel":  (*node).resolveAddress,
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -71,6 +71,7 @@
 	shares     tenantShares
 	tenantUsed map[string]resource.Amount // of tasks that are placed
 	jobRates   scheduler.JobRates         // of tenants
+	admissions map[string]admissionCounts // of tenants
 }
 
 // placedAt names a task of a shard.
@@ -206,6 +207,7 @@
 		"job.cancel":  (*node).handleCancel,
 		"job.state":   (*node).handleState,
 		"worker.lost": (*node).handleWorkerLost,
+		"tenants":     (*node).handleTenants,
 	}
 }
 
@@ -235,6 +237,7 @@
 		shares:      newTenantShares(name, epoch, n.core.Shards),
 	}
 	n.counters[name] = quota.NewCounter(name, epoch)
+	delete(n.shareReports, name)
 	n.sendSeals(n.owned[name])
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -124,6 +124,7 @@
 			"unmatched_queues": n.unmatchedQueues(),
 			"without_holder":   n.leasesWithoutHolder(),
 			"unsound_workers":  unsound,
+			"counters":         n.counterHealth(),
 			"empty_sites":      sorted(n.config.current.EmptyZones),
 			"slices":           n.ownedShards(),
 			"workers":          len(n.workers),
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -291,6 +291,7 @@
 
 func (n *node) onShareReport(from string, m *wire.ShareReport) {
 	if c := n.counters[m.Counter]; c != nil && c.OnReport(from, m) {
+		n.noteShareReport(m.Counter, m.Shard)
 		n.lendShares(m.Counter)
 	}
 }
--- /dev/null
+++ b/internal/daemon/tenant_status.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"maps"
+	"slices"
+
+	"otterchute/internal/resource"
+)
+
+// What operators see of tenants: each shard's owner tells of the tenants that it counts, and of
+// what its shard holds of any tenant. Keys and their digests are told nowhere.
+
+const (
+	reportSilentMs   = 5000 // without a report for this long an owner counts as silent; it sends one a second
+	shareStuckMs     = 3000 // a unit that has waited for a share for this long is worth a look
+	tenantsListedMax = 1000 // tenants that a shard's owner lists, of each kind
+	tenantLabelsMax  = 32   // tenants that have metrics of their own, the others are summed
+	otherTenants     = "other"
+)
+
+// countedTenant is what the owner of a tenant's counting shard knows of it.
+type countedTenant struct {
+	Name     string          `json:"name"`
+	Weight   float64         `json:"weight"`
+	Limit    resource.Amount `json:"limit"`
+	Lent     resource.Amount `json:"lent"`
+	Used     resource.Amount `json:"used"`
+	Waiting  int             `json:"waiting"` // units that wait for a share
+	WaitedMs int64           `json:"waited_ms"`
+}
+
+// heldTenant is what the owner of a shard has of a tenant there.
+type heldTenant struct {
+	Name    string          `json:"name"`
+	Held    resource.Amount `json:"held"`
+	Used    resource.Amount `json:"used"`
+	Jobs    int             `json:"jobs"`
+	Excess  int64           `json:"excess"`  // jobs beyond its weight, since the owner took the shard
+	Refused int64           `json:"refused"` // jobs refused with a time to come back, likewise
+}
+
+// shardTenants is what one shard's owner tells of tenants.
+type shardTenants struct {
+	Shard    string          `json:"slice"`
+	Owner    string          `json:"owner"`
+	Complete bool            `json:"complete"` // each shard has reported: only then anything is lent
+	Silent   []string        `json:"silent"`   // shards that haven't reported for reportSilentMs
+	Counted  []countedTenant `json:"counted"`
+	Held     []heldTenant    `json:"held"`
+	Omitted  int             `json:"omitted"` // tenants beyond tenantsListedMax
+}
+
+// admissionCounts are a tenant's at a shard, since its owner took it.
+type admissionCounts struct{ excess, refused int64 }
+
+// countAdmission notes how a new job of a tenant fared.
+func (sl *shard) countAdmission(tenant string, excess, refused bool) {
+	if tenant == "" || !excess && !refused {
+		return
+	}
+	if sl.admissions == nil {
+		sl.admissions = map[string]admissionCounts{}
+	}
+	counts := sl.admissions[tenant]
+	if excess {
+		counts.excess++
+	}
+	if refused {
+		counts.refused++
+	}
+	sl.admissions[tenant] = counts
+}
+
+// routeTenants hands a question about tenants to the owner of the shard that is its key.
+func (n *node) routeTenants(a *request) {
+	if !slices.Contains(n.core.Shards, a.key) {
+		n.respond(a, 404, 0, mustJSON(map[string]any{"error": "no such slice"}))
+		return
+	}
+	n.routeToShard(a, a.key)
+}
+
+func (n *node) handleTenants(sl *shard, a *request) {
+	n.respond(a, 200, 0, mustJSON(n.tenantsOf(sl)))
+}
+
+func (n *node) tenantsOf(sl *shard) shardTenants {
+	out := shardTenants{
+		Shard: sl.name, Owner: n.Name, Silent: n.silentShards(sl), Counted: n.countedTenants(sl), Held: n.heldTenants(sl),
+	}
+	if c := n.counters[sl.name]; c != nil {
+		out.Complete = c.Complete(n.core.Shards)
+	}
+	if over := len(out.Counted) - tenantsListedMax; over > 0 {
+		out.Counted, out.Omitted = out.Counted[:tenantsListedMax], out.Omitted+over
+	}
+	if over := len(out.Held) - tenantsListedMax; over > 0 {
+		out.Held, out.Omitted = out.Held[:tenantsListedMax], out.Omitted+over
+	}
+	return out
+}
+
+// countedTenants gives the declared tenants that a shard's owner counts, and those that are
+// declared no more and still have something; in the order of their names.
+func (n *node) countedTenants(sl *shard) []countedTenant {
+	byName := map[string]countedTenant{}
+	for name, t := range n.config.current.Tenants {
+		if countingShard(name, n.core.Shards) == sl.name {
+			byName[name] = countedTenant{Name: name, Weight: t.Weight, Limit: t.Limit}
+		}
+	}
+	if c := n.counters[sl.name]; c != nil {
+		for _, usage := range c.Usages() {
+			t := byName[usage.Tenant]
+			t.Name, t.Limit = usage.Tenant, resource.Amount(n.limitOf(usage.Tenant))
+			t.Lent, t.Used, t.Waiting, t.WaitedMs = usage.Lent, usage.Used, usage.Claimed, usage.WaitedMs
+			byName[usage.Tenant] = t
+		}
+	}
+	tenants := make([]countedTenant, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		tenants = append(tenants, byName[name])
+	}
+	return tenants
+}
+
+// heldTenants gives the tenants that have something at a shard, in the order of their names.
+func (n *node) heldTenants(sl *shard) []heldTenant {
+	byName := map[string]*heldTenant{}
+	of := func(name string) *heldTenant {
+		if byName[name] == nil {
+			byName[name] = &heldTenant{Name: name}
+			if b := sl.shares.of(name); b != nil {
+				byName[name].Held, byName[name].Used = b.Held(name)
+			}
+		}
+		return byName[name]
+	}
+	for _, js := range sl.jobs {
+		if js.Tenant != "" {
+			of(js.Tenant).Jobs++
+		}
+	}
+	for name, counts := range sl.admissions {
+		t := of(name)
+		t.Excess, t.Refused = counts.excess, counts.refused
+	}
+	tenants := make([]heldTenant, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		tenants = append(tenants, *byName[name])
+	}
+	return tenants
+}
+
+// noteShareReport notes that a shard's owner has reported to a counter here.
+func (n *node) noteShareReport(counter, shard string) {
+	if n.shareReports[counter] == nil {
+		n.shareReports[counter] = map[string]int64{}
+	}
+	n.shareReports[counter][shard] = n.now
+}
+
+// silentShards gives the shards that have not reported for a while to the counter of a shard.
+func (n *node) silentShards(sl *shard) []string {
+	silent := []string{}
+	if !n.countsTenants() {
+		return silent
+	}
+	for _, shard := range n.core.Shards {
+		if n.now-max(n.shareReports[sl.name][shard], sl.startMs) > reportSilentMs {
+			silent = append(silent, shard)
+		}
+	}
+	return silent
+}
+
+// counterHealth tells doctor of the shards owned here which others don't report to their counter,
+// and which tenants have stood at their limit for a while with tasks waiting.
+func (n *node) counterHealth() map[string]any {
+	health := map[string]any{}
+	for _, name := range sorted(n.owned) {
+		sl, waiting := n.owned[name], map[string]int{}
+		if c := n.counters[name]; c != nil {
+			for _, usage := range c.Usages() {
+				if usage.WaitedMs > shareStuckMs && len(waiting) < tenantLabelsMax {
+					waiting[usage.Tenant] = usage.Claimed
+				}
+			}
+		}
+		if silent := n.silentShards(sl); len(silent)+len(waiting) > 0 {
+			health[name] = map[string]any{"silent": silent, "waiting": waiting}
+		}
+	}
+	return health
+}
+
+// tenantGauges are the metrics of one tenant, or of all that have none of their own.
+type tenantGauges struct {
+	lent, used resource.Amount
+	claims     int
+}
+
+// tenantMetrics gives the metrics of the tenants counted here: of the first tenantLabelsMax by
+// weight and name one by one, of the others together.
+func (n *node) tenantMetrics() map[string]tenantGauges {
+	labels, metrics := n.tenantLabels(), map[string]tenantGauges{}
+	for _, name := range sorted(n.counters) {
+		for _, usage := range n.counters[name].Usages() {
+			label := otherTenants
+			if labels[usage.Tenant] {
+				label = usage.Tenant
+			}
+			m := metrics[label]
+			m.lent, m.used, m.claims = m.lent.Plus(usage.Lent), m.used.Plus(usage.Used), m.claims+usage.Claimed
+			metrics[label] = m
+		}
+	}
+	return metrics
+}
+
+// tenantLabels gives the tenants that have metrics of their own, the same at all daemons.
+func (n *node) tenantLabels() map[string]bool {
+	tenants := n.config.current.Tenants
+	names := sorted(tenants)
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case tenants[a].Weight > tenants[b].Weight:
+			return -1
+		case tenants[a].Weight < tenants[b].Weight:
+			return 1
+		}
+		return 0
+	})
+	labels := map[string]bool{}
+	for _, name := range names[:min(len(names), tenantLabelsMax)] {
+		labels[name] = name != otherTenants
+	}
+	return labels
+}
+
+// explainShare says that a task waits for its tenant's limit; "" where it doesn't.
+func (n *node) explainShare(js *jobState, i int) string {
+	sl := n.owned[n.shardOf(js.ID)]
+	if sl == nil || !js.lacks || n.hasReservedShare(sl, js, i, js.unitOf(i)) {
+		return ""
+	}
+	limit := resource.Amount(n.limitOf(js.Tenant))
+	held, used := sl.shares.of(js.Tenant).Held(js.Tenant)
+	why := "waiting for the limit of tenant " + js.Tenant + ", " + amountText(limit) + ": here it uses " +
+		amountText(used) + " of " + amountText(held) + " that this slice may use"
+	counter := n.counters[countingShard(js.Tenant, n.core.Shards)]
+	if counter == nil {
+		return why
+	}
+	for _, usage := range counter.Usages() {
+		if usage.Tenant == js.Tenant {
+			why += "; over all slices it uses " + amountText(usage.Used) + " of " + amountText(usage.Lent)
+		}
+	}
+	return why
+}
+
+// amountText is an amount as operators write it.
+func amountText(amount resource.Amount) string { return string(mustJSON(amount)) }
--- a/internal/daemon/tenant_weight.go
+++ b/internal/daemon/tenant_weight.go
@@ -109,7 +109,8 @@
 			sum = sum.Plus(ws.TenantUsed)
 		}
 		known, all := int64(len(byShard)), int64(max(shards, len(byShard)))
-		used[tenant] = resource.Amount{CPU: sum.CPU * all / known, Memory: sum.Memory * all / known, GPU: sum.GPU * all / known}
+		inAll := func(v int64) int64 { return v * all / known }
+		used[tenant] = resource.Amount{CPU: inAll(sum.CPU), Memory: inAll(sum.Memory), GPU: inAll(sum.GPU)}
 	}
 	return used
 }
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -241,6 +241,8 @@
 	Lent    resource.Amount
 	Used    resource.Amount
 	Claimed int // units that wait for a share
+	// WaitedMs is how long the oldest of them has waited, as its shard's owner last told.
+	WaitedMs int64
 }
 
 // Usages tells what is lent, used and claimed, by tenant.
@@ -255,6 +257,9 @@
 			u.Used = u.Used.Plus(account.used)
 			for _, w := range account.claims {
 				u.Claimed += int(w.Count)
+				if w.Count > 0 {
+					u.WaitedMs = max(u.WaitedMs, w.WaitedMs)
+				}
 			}
 		}
 		usages = append(usages, u)
