--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -72,6 +72,10 @@
 	// unlisted are runs of gangs that ended by another member's end, by worker: they take
 	// their tenants' shares until their workers have listed the ends.
 	unlisted map[string]map[wire.AttemptKey]unlistedRun
+
+	tenantUsed map[string]resource.Amount // of tasks that are placed
+	jobRates   scheduler.JobRates         // of tenants
+	admissions map[string]admissionCounts // of tenants
 }
 
 // placedAt names a task of a shard.
@@ -88,6 +92,7 @@
 	sl.loadChanges++
 	if room, was := sl.placed[t.Worker][at]; was {
 		sl.shares.release(js.Tenant, room)
+		sl.addTenantUsed(js.Tenant, resource.Amount{}.Minus(room))
 		delete(sl.placed[t.Worker], at)
 		sl.load[t.Worker] = sl.load[t.Worker].Minus(room)
 	}
@@ -97,6 +102,7 @@
 		}
 		sl.placed[t.Worker][at] = t.Resources
 		sl.shares.use(js.Tenant, t.Resources)
+		sl.addTenantUsed(js.Tenant, t.Resources)
 		sl.load[t.Worker] = sl.load[t.Worker].Plus(t.Resources)
 	}
 	if len(sl.placed[t.Worker]) == 0 {
@@ -105,6 +111,19 @@
 	}
 }
 
+// addTenantUsed counts what a tenant's placed tasks take; it forgets a tenant that has none.
+func (sl *shard) addTenantUsed(tenant string, amount resource.Amount) {
+	used := sl.tenantUsed[tenant].Plus(amount)
+	switch {
+	case used == resource.Amount{}:
+		delete(sl.tenantUsed, tenant)
+	case sl.tenantUsed == nil:
+		sl.tenantUsed = map[string]resource.Amount{tenant: used}
+	default:
+		sl.tenantUsed[tenant] = used
+	}
+}
+
 // placedOn gives the tasks placed at a worker, in order.
 func (sl *shard) placedOn(worker string) []placedAt {
 	out := make([]placedAt, 0, len(sl.placed[worker]))
@@ -127,6 +146,7 @@
 	failedAt  map[string]int64 // worker -> when a task of this job last failed there
 	enteredMs int64            // when it came to this owner
 	lacks     bool             // some task waits only for a share of its tenant's limit
+	excess    bool             // its tenant had sent more than its weight
 	// The version and value of the record that was last sent to the core: what the next
 	// patch builds on; version 0 for none under this epoch.
 	sentVersion int64
@@ -192,6 +212,7 @@
 		"job.cancel":  (*node).handleCancel,
 		"job.state":   (*node).handleState,
 		"worker.lost": (*node).handleWorkerLost,
+		"tenants":     (*node).handleTenants,
 	}
 }
 
@@ -222,6 +243,7 @@
 		unlisted:    map[string]map[wire.AttemptKey]unlistedRun{},
 	}
 	n.counters[name] = quota.NewCounter(name, epoch)
+	delete(n.shareReports, name)
 	n.sendSeals(n.owned[name])
 }
 
@@ -318,19 +340,20 @@
 	}
 }
 
-// jobsByUrgency gives a shard's live jobs, those of urgent queues first, then the oldest.
+// jobsByUrgency gives a shard's live jobs, those of urgent queues first, then the oldest, and
+// excess jobs last.
 func (n *node) jobsByUrgency(sl *shard) []*jobState {
 	type turn struct {
-		urgency int64
-		js      *jobState
+		precedence int64
+		js         *jobState
 	}
 	list := make([]turn, 0, len(sl.jobs))
 	for _, js := range sl.jobs {
-		list = append(list, turn{n.config.current.Urgency(js.Queue), js})
+		list = append(list, turn{n.precedence(js.Queue, js.excess), js})
 	}
 	slices.SortFunc(list, func(a, b turn) int {
 		return cmp.Or(
-			cmp.Compare(b.urgency, a.urgency),
+			cmp.Compare(b.precedence, a.precedence),
 			cmp.Compare(a.js.SubmitMs, b.js.SubmitMs),
 			cmp.Compare(a.js.ID, b.js.ID),
 		)
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -264,6 +264,8 @@
 	Lent    resource.Amount
 	Used    resource.Amount
 	Claimed int // units that wait for a share
+	// WaitedMs is how long the oldest of them has waited, as its shard's owner last told.
+	WaitedMs int64
 }
 
 // Usages tells what is lent, used and claimed, by tenant.
@@ -278,6 +280,9 @@
 			u.Used = u.Used.Plus(account.used)
 			for _, claim := range account.claims {
 				u.Claimed += int(claim.Count)
+				if claim.Count > 0 {
+					u.WaitedMs = max(u.WaitedMs, claim.WaitedMs)
+				}
 			}
 		}
 		usages = append(usages, u)
