--- a/internal/daemon/tenant_rename_test.go
+++ b/internal/daemon/tenant_rename_test.go
@@ -16,7 +16,7 @@
 		name, answers := tenantA.name, map[string]int{}
 		for round := range 4 {
 			name = fmt.Sprint("renamed-", round)
-			w.declare(tenantSetup(nil, testTenant{name, tenantA.keys}, tenantB))
+			w.declare(keyedSetup(nil, testTenant{name, tenantA.keys}, tenantB))
 			for range 60 {
 				for i, daemon := range sorted(w.nodes) {
 					op := []string{"queue.state", "queue.submit"}[i%2]
--- a/internal/daemon/tenant_status_test.go
+++ b/internal/daemon/tenant_status_test.go
@@ -209,10 +209,14 @@
 	}
 	digest := strings.Repeat("ab", 32)
 	tenants := func(list string) string { return `{"queues":[],"tenants":[` + list + `]}` }
-	must.Eq(t, exitOK, check(tenants(`{"name":"a","weight":2,"limit":{"cpu":5},"key_digests":["`+digest+`"]},{"name":"b"}`)))
+	for _, list := range []string{`{"name":"a","weight":2,"limit":{"cpu":5},"key_digests":["` + digest + `"]},{"name":"b"}`, `{"name":"a","limit":{}}`, ``} {
+		must.Eq(t, exitOK, check(tenants(list)), must.Sprint(list))
+	}
 	for name, doc := range map[string]string{
 		"one key twice":     tenants(`{"name":"a","key_digests":["` + digest + `"]},{"name":"b","key_digests":["` + digest + `"]}`),
 		"no digest":         tenants(`{"name":"a","key_digests":["secret"]}`),
+		"no hex digits":     tenants(`{"name":"a","key_digests":["` + strings.Repeat("x", len(digest)) + `"]}`),
+		"no list":           `{"queues":[],"tenants":null}`,
 		"a name twice":      tenants(`{"name":"a"},{"name":"a"}`),
 		"a negative weight": tenants(`{"name":"a","weight":-1}`),
 		"a negative limit":  tenants(`{"name":"a","limit":{"cpu":-1}}`),
