--- a/guards.sh
+++ b/guards.sh
@@ -105,6 +105,7 @@
 the tenant travels with a forwarded call|internal/daemon/request.go|tenant:         m.Tenant,|tenant:         "",
 the tenant stays in the record|internal/daemon/job_encode.go|if c.Tenant == "" {|if true {
 an owner knows the tenant first|internal/daemon/job_request.go|c.Queues[j.Queue] == nil \|\| a.tenant != "" && c.Tenants[a.tenant] == nil {|c.Queues[j.Queue] == nil {
+the key reaches the node|internal/daemon/http_server.go|Credential: c.Credential,|Credential: "",
 tenants' jobs of one ID are judged apart|internal/daemon/job_request.go|case a.tenant == f.job.Tenant:|case true:
 G
 }
--- a/internal/daemon/tenant_keys_test.go
+++ b/internal/daemon/tenant_keys_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"encoding/hex"
 	"fmt"
 	"slices"
@@ -12,7 +13,9 @@
 	"otterchute/internal/statestore"
 	"otterchute/internal/storage"
 	"otterchute/internal/wire"
+	"otterchute/platform"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 	"github.com/tidwall/gjson"
 )
@@ -135,6 +138,7 @@
 func TestTenantKeysUnknownAreRefused(t *testing.T) {
 	w := newTenantWorld(t, 5300)
 	must.Eq(t, 201, w.submit("d00", "/seats/held", "key-a1"))
+	refused := int64(0)
 	for i, daemon := range sorted(w.nodes) {
 		for k, key := range []string{"", "nobody", "key-a1 ", " key-a1", "KEY-A1", "key-a1,key-a2", digestText("key-a1"), tenantA.name, strings.Repeat("k", 15_000)} {
 			path := fmt.Sprintf("/seats/%d-%d", i, k)
@@ -142,6 +146,7 @@
 				{"queue.submit", path}, {"queue.submit", "/seats/held"}, {"queue.state", "/seats/held"}, {"queue.state", "/seats/nobody"},
 				{"queue.state", "/seats/"}, {"queue.cancel", "/seats/held"},
 			} {
+				refused++
 				got := w.at(daemon, call.op, call.path, key, tenantJob("x", 1))
 				must.Eq(t, answered{401, `{"error":"no tenant has this key"}`}, got, must.Sprintf("%s %s with %.20q at %s", call.op, call.path, key, daemon))
 			}
@@ -151,6 +156,7 @@
 		must.Eq(t, 200, w.state(daemon, "/seats/held", "key-a2"))
 	}
 	must.Eq(t, 1, w.total("jobs_entered"))
+	must.Eq(t, refused, w.total("calls_unauthenticated"))
 	must.Eq(t, `{"state":"pending"}`, stateOnly(w.at("d01", "queue.state", "/seats/held", "key-a1", nil)))
 }
 
@@ -168,6 +174,26 @@
 	must.Eq(t, 201, w.submit("d04", "/seats/j", "key-a1"))
 }
 
+// Guards against keys that are lost between the front and the node.
+func TestTenantKeysReachTheNode(t *testing.T) {
+	c, faults := configuration.Compile(1, tenantSetup(nil, tenantA))
+	must.SliceEmpty(t, faults)
+	l := newControlLoop(newSteadyClock())
+	n := newNode(nodeConfig{Name: "d1", Addr: "127.0.0.1:7000", Zone: "east"}, nil)
+	n.config.current, n.config.confirmedMs, n.config.confirmedBy = c, 1<<40, 1<<60
+	l.executor = &executor{node: n, ports: &processPorts{loop: l, log: logr.Discard(), waiting: map[uint64]chan effReply{}, exit: func() {}}}
+	go l.run()
+	d := &httpServer{loop: l}
+	for key, status := range map[string]int{"": 401, "nobody": 401, "key-a1": 503} { // nobody owns a shard yet
+		for _, op := range []string{"queue.submit", "queue.state", "queue.cancel"} {
+			call := platform.Call{Op: op, Host: "h", Path: "/seats/j", Credential: key, Body: tenantJob("x", 1)}
+			must.Eq(t, status, d.servePlatform(context.Background(), call).Status, must.Sprint(op, key))
+		}
+	}
+	close(l.quit)
+	<-l.ended
+}
+
 // Guards against a 401 by a configuration older than the one that has just brought the key.
 func TestTenantKeysAreRefusedByNoOldConfiguration(t *testing.T) {
 	for seed := range uint64(4) {
