--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -86,7 +86,8 @@
 // come, and the steps before it have ended in the committed record.
 func (n *node) mayStart(js *jobState, i int, pass *schedulePass) bool {
 	t := &js.Tasks[i]
-	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs || !n.configFresh() {
+	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs || !n.configFresh() ||
+		!n.knowsLimit(js) {
 		return false
 	}
 	if due := js.dueOf(t.Round); due != 0 && pass.wall < due+dueMarginMs {
@@ -115,14 +116,21 @@
 		n.placeQueueable(sl, js, i, pass)
 		return
 	}
-	if n.now-rt.allocationMs < allocationRetryMs || sl.allocationRequests >= allocationsPerTick {
+	if n.now-rt.allocationMs < allocationRetryMs {
+		return
+	}
+	if n.gangMayBegin(js, i) && !n.mayRequest(sl, js, i) {
+		pass.lack(js, i)
+		return
+	}
+	if sl.allocationRequests >= allocationsPerTick {
 		return
 	}
 	if rt.allocationMs != 0 { // not the first time
 		sl.starvedMs = n.now
 	}
 	sl.allocationRequests++
-	n.requestAllocation(sl, js, i, pass)
+	n.requestAllocation(sl, js, i)
 }
 
 // placeQueueable places a task at a worker of the local scheduler's choice, if one is fit.
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -30,6 +30,7 @@
 	}
 	reply := &wire.OwnerReply{Worker: m.Worker, Epoch: m.Epoch, Shard: m.Shard, ShardEpoch: sl.epoch, SentMs: m.SentMs}
 	listed := n.decideAttempts(sl, m, reply)
+	sl.releaseListed(m)
 	if m.Partial {
 		if len(reply.Decisions)+len(reply.Specs) > 0 {
 			n.send(from, reply)
@@ -305,7 +306,7 @@
 		}
 		healthy := !w.suspect && !n.ranks.ejected(name) || n.fleetIdle()
 		if name != t.Worker && healthy && n.allowed(w, q, t.Needs, t.Resources) &&
-			t.Resources.Fits(n.roomFor(sl, q, name, w)) {
+			t.Resources.Fits(n.roomFor(sl, q, js.excess, name, w)) {
 			return true
 		}
 	}
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 
-	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/quota"
 	"otterchute/internal/rendezvous"
@@ -17,10 +16,15 @@
 type tenantShares struct {
 	shards    []string
 	borrowers map[string]*quota.Borrower // by counting shard
+	byTenant  map[string]*quota.Borrower // of those, the one whose counter counts a tenant
+	loggedMs  int64                      // when delays were last logged
 }
 
+// shareLogMs is how long a task waits for a share before that is logged, and how often it is.
+const shareLogMs = 2000
+
 func newTenantShares(shard string, epoch uint64, shards []string) tenantShares {
-	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}}
+	s := tenantShares{shards: shards, borrowers: map[string]*quota.Borrower{}, byTenant: map[string]*quota.Borrower{}}
 	for _, counter := range shards {
 		s.borrowers[counter] = quota.NewBorrower(shard, epoch, counter)
 	}
@@ -37,7 +41,12 @@
 	if tenant == "" || len(s.shards) == 0 {
 		return nil
 	}
-	return s.borrowers[countingShard(tenant, s.shards)]
+	b := s.byTenant[tenant]
+	if b == nil {
+		b = s.borrowers[countingShard(tenant, s.shards)]
+		s.byTenant[tenant] = b
+	}
+	return b
 }
 
 func (s *tenantShares) use(tenant string, amount resource.Amount) {
@@ -107,38 +116,17 @@
 	return sum
 }
 
-// limitOf is what a tenant may have running over all workers.
-func (n *node) limitOf(tenant string) quota.Limit {
-	if t := n.config.current.Tenants[tenant]; t != nil {
-		return quota.Limit(t.Limit)
-	}
-	return n.formerLimits[tenant]
-}
-
-// limitsChanged follows a configuration that has replaced another: what was lent by a higher
-// limit is given up, but for what runs.
-func (n *node) limitsChanged(former *configuration.Configuration) {
-	before := n.formerLimits
-	n.formerLimits = map[string]quota.Limit{}
-	limitBefore := func(tenant string) quota.Limit {
-		if t := former.Tenants[tenant]; t != nil {
-			return quota.Limit(t.Limit)
-		}
-		return before[tenant]
-	}
-	if n.config.current.Authenticates() {
-		for _, tenants := range [][]string{sorted(former.Tenants), sorted(before)} {
-			for _, name := range tenants {
-				if n.config.current.Tenants[name] == nil {
-					n.formerLimits[name] = limitBefore(name)
-				}
-			}
+// adoptLimits follows the configuration: where a tenant's limit may be lower now, what was lent
+// by the higher one is given up, but for what runs.
+func (n *node) adoptLimits() {
+	var limits map[string]quota.Limit
+	if c := n.config.current; c.Authenticates() {
+		limits = make(map[string]quota.Limit, len(c.Tenants))
+		for name, t := range c.Tenants {
+			limits[name] = quota.Limit(t.Limit)
 		}
 	}
-	for _, tenant := range sorted(n.config.current.Tenants) {
-		if !n.limitOf(tenant).LowerThan(limitBefore(tenant)) {
-			continue
-		}
+	for _, tenant := range n.limits.Adopt(n.config.current.Version, n.config.record.Previous(), limits) {
 		for _, name := range sorted(n.owned) {
 			if b := n.owned[name].shares.of(tenant); b != nil {
 				b.LimitLowered(tenant)
@@ -147,21 +135,23 @@
 	}
 }
 
-// countsTenants tells whether there is any limit to count.
-func (n *node) countsTenants() bool {
-	return len(n.config.current.Tenants) > 0 || len(n.formerLimits) > 0
+// knowsLimit tells whether a job's tenant is counted by its limit here. A tenant that this daemon
+// doesn't know yet was declared by a version that is on its way; one that it doesn't know by a
+// configuration that was confirmed since the job came here is declared no more.
+func (n *node) knowsLimit(js *jobState) bool {
+	return js.Tenant == "" || n.limits.Declared(js.Tenant) || n.config.confirmedMs > js.enteredMs
 }
 
 // hasShare tells whether a task, or more, may be placed beside all that is placed and arranged.
 func (n *node) hasShare(sl *shard, js *jobState, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
-	return b == nil || b.Fits(js.Tenant, amount, n.limitOf(js.Tenant), n.now)
+	return b == nil || b.Fits(js.Tenant, amount, n.limits.Of(js.Tenant), n.now)
 }
 
 // hasReservedShare tells the same for tasks that a share may be reserved for.
 func (n *node) hasReservedShare(sl *shard, js *jobState, i int, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
-	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, n.limitOf(js.Tenant), n.now)
+	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, js.Tasks[i].Resources, n.limits.Of(js.Tenant), n.now)
 }
 
 // mayRequest tells whether guaranteed places may be requested for a task, beside those that its
@@ -174,12 +164,6 @@
 	return n.hasReservedShare(sl, js, i, amount)
 }
 
-// takesPlaces tells whether a gang that was granted places has the share for all its members.
-func (n *node) takesPlaces(sl *shard, js *jobState, id int64) bool {
-	i, _, known := js.position(id)
-	return !known || !js.Steps[js.Tasks[i].Step].Gang || n.hasReservedShare(sl, js, i, js.unitOf(i))
-}
-
 // shareLack counts the units of a step that wait only for a share.
 type shareLack struct {
 	task  int // one of the tasks
@@ -209,7 +193,7 @@
 	for _, at := range sorted(pass.lacks) {
 		lack := pass.lacks[at]
 		b.Claim(js.Tenant, shareKey(js, lack.task), wire.ShareClaim{
-			Job: js.ID, Urgency: n.config.current.Urgency(js.Queue), SubmittedMs: js.SubmitMs,
+			Job: js.ID, Urgency: n.precedence(js.Queue, js.excess), SubmittedMs: js.SubmitMs,
 			Unit: js.unitOf(lack.task), Task: js.Tasks[lack.task].Resources, Count: lack.count,
 		}, n.now)
 	}
@@ -217,7 +201,7 @@
 
 // flushShares sends the reports that are due to those who count.
 func (n *node) flushShares() {
-	if !n.countsTenants() {
+	if !n.limits.Any() {
 		return
 	}
 	for _, name := range sorted(n.owned) {
@@ -238,9 +222,25 @@
 	}
 }
 
+// logShareDelays tells operators now and then which tenants wait for a share, and where.
+func (n *node) logShareDelays(sl *shard) {
+	if n.now < sl.shares.loggedMs+shareLogMs {
+		return
+	}
+	sl.shares.loggedMs = n.now
+	for _, counter := range sl.shares.shards {
+		for _, d := range sl.shares.borrowers[counter].Delays(n.now, shareLogMs) {
+			n.log("share_delayed", "slice", sl.name, "tenant", d.Tenant, "waited_ms", d.WaitedMs, "job", d.Job,
+				"unit", d.Unit, "held", d.Held, "used", d.Used, "reserved", d.Reserved, "claims", d.Claims,
+				"limit", resource.Amount(n.limits.Of(d.Tenant)), "counter", counter, "at", d.Counter,
+				"unanswered_ms", d.UnansweredMs)
+		}
+	}
+}
+
 // tickCounters finds who counts, and lends what has become free.
 func (n *node) tickCounters() {
-	if !n.countsTenants() {
+	if !n.limits.Any() {
 		return
 	}
 	for _, name := range sorted(n.owned) {
@@ -259,8 +259,7 @@
 	if c == nil || !n.leases.Holds(lease.ShardRole(counter)) || !n.configFresh() {
 		return
 	}
-	policy := quota.Policy{Version: n.config.current.Version, Shards: n.core.Shards, LimitOf: n.limitOf}
-	for _, grant := range c.Lend(policy) {
+	for _, grant := range c.Lend(quota.Policy{Shards: n.core.Shards, Limits: &n.limits}) {
 		if grant.To == n.Name {
 			n.onShareGrant(n.Name, grant.Message)
 		} else {
@@ -271,6 +270,7 @@
 
 func (n *node) onShareReport(from string, m *wire.ShareReport) {
 	if c := n.counters[m.Counter]; c != nil && c.OnReport(from, m) {
+		n.noteShareReport(m.Counter, m.Shard)
 		n.lendShares(m.Counter)
 	}
 }
@@ -285,7 +285,7 @@
 	if b == nil {
 		return
 	}
-	grown := b.OnGrant(m, n.config.current.Version)
+	grown := b.OnGrant(m, n.now, n.config.current.Version)
 	if len(grown) == 0 {
 		return
 	}
@@ -300,7 +300,7 @@
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
 		return cmp.Or(
-			cmp.Compare(n.config.current.Urgency(b.Queue), n.config.current.Urgency(a.Queue)),
+			cmp.Compare(n.precedence(b.Queue, b.excess), n.precedence(a.Queue, a.excess)),
 			cmp.Compare(a.SubmitMs, b.SubmitMs),
 			cmp.Compare(a.ID, b.ID),
 		)
@@ -309,3 +309,63 @@
 		n.advanceJob(sl, js)
 	}
 }
+
+// unlistedMs is how long a run's end may stay unlisted: by then its worker's hold is over.
+const unlistedMs = ownerSpanMs*(100+driftPercent)/100 + lapseMarginMs
+
+// unlistedRun is a run that has ended though its worker hasn't said so yet.
+type unlistedRun struct {
+	tenant  string
+	amount  resource.Amount
+	untilMs int64
+}
+
+// holdUntilListed keeps the share of a task that ended with another member of its gang.
+func (sl *shard) holdUntilListed(js *jobState, i int, nowMs int64) {
+	if sl.shares.of(js.Tenant) == nil {
+		return
+	}
+	t := &js.Tasks[i]
+	if sl.unlisted[t.Worker] == nil {
+		sl.unlisted[t.Worker] = map[wire.AttemptKey]unlistedRun{}
+	}
+	key := wire.AttemptKey{Job: js.ID, Task: js.taskID(i), Attempt: t.Attempt}
+	sl.unlisted[t.Worker][key] = unlistedRun{js.Tenant, t.Resources, nowMs + unlistedMs}
+	sl.shares.use(js.Tenant, t.Resources)
+}
+
+// releaseListed releases the shares of runs that a report tells the end of, or no longer lists.
+func (sl *shard) releaseListed(m *wire.AgentReport) {
+	runs := sl.unlisted[m.Worker]
+	if len(runs) == 0 {
+		return
+	}
+	atWork, ended := map[wire.AttemptKey]bool{}, map[wire.AttemptKey]bool{}
+	for _, h := range m.Attempts {
+		atWork[h.Key], ended[h.Key] = h.State != wire.AttemptEnded, h.State == wire.AttemptEnded
+	}
+	sl.releaseRuns(m.Worker, func(key wire.AttemptKey, _ unlistedRun) bool {
+		return ended[key] || !m.Partial && m.Rebuilt && !atWork[key]
+	})
+}
+
+// releaseLapsed releases the shares of runs whose workers said nothing for longer than they may
+// run without a word.
+func (sl *shard) releaseLapsed(nowMs int64) {
+	for _, worker := range sorted(sl.unlisted) {
+		sl.releaseRuns(worker, func(_ wire.AttemptKey, run unlistedRun) bool { return nowMs > run.untilMs })
+	}
+}
+
+// releaseRuns releases the shares of those unlisted runs at a worker that are over.
+func (sl *shard) releaseRuns(worker string, over func(wire.AttemptKey, unlistedRun) bool) {
+	for key, run := range sl.unlisted[worker] { // sums: the order does not matter
+		if over(key, run) {
+			sl.shares.release(run.tenant, run.amount)
+			delete(sl.unlisted[worker], key)
+		}
+	}
+	if len(sl.unlisted[worker]) == 0 {
+		delete(sl.unlisted, worker)
+	}
+}
