--- a/internal/daemon/tenant_keys_test.go
+++ b/internal/daemon/tenant_keys_test.go
@@ -176,7 +176,7 @@
 
 // Guards against keys that are lost between the front and the node.
 func TestTenantKeysReachTheNode(t *testing.T) {
-	c, faults := configuration.Compile(1, tenantSetup(nil, tenantA))
+	c, faults := configuration.Compile(1, keyedSetup(nil, tenantA))
 	must.SliceEmpty(t, faults)
 	l := newControlLoop(newSteadyClock())
 	n := newNode(nodeConfig{Name: "d1", Addr: "127.0.0.1:7000", Zone: "east"}, nil)
@@ -421,7 +421,7 @@
 	must.Eq(t, 401, w.submit("d03", "/seats/k", "key-nobody"))
 	w.run(2000)
 	shown := strings.Join(w.logs, "\n")
-	for _, e := range []evRequest{{Op: "job.get", Key: "j"}, {Op: "job.explain", Key: "j"}, {Op: "setup.get"}, {Op: "soundness"}, {Op: "members"}, {Op: "workers"}} {
+	for _, e := range []evRequest{{Op: "job.get", Key: "j"}, {Op: "job.explain", Key: "j"}, {Op: "setup.get"}, {Op: "soundness"}, {Op: "members"}, {Op: "workers"}, {Op: "tenants"}} {
 		e.Base = -1
 		shown += w.settle(w.nodes["d03"], e, tenantCallMs).body
 	}
