--- a/internal/daemon/tenantshares_test.go
+++ b/internal/daemon/tenantshares_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 
 	"otterchute/internal/configuration"
@@ -91,3 +92,131 @@
 	held, _ := sl.shares.of("full").Held("full")
 	must.Eq(t, resource.Amount{}, held, must.Sprint("no counter has told that what ends may be replaced"))
 }
+
+// withLimit has a daemon go by another version, in which tenant "full" has a limit.
+func (n *node) withLimit(t *testing.T, version, limit int64) {
+	t.Helper()
+	current, faults := configuration.Compile(version, fmt.Appendf(nil,
+		`{"queues":[{"name":"q"}],"tenants":[{"name":"full","limit":{"cpu":%d}},{"name":"free"}]}`, limit))
+	must.SliceEmpty(t, faults)
+	n.config.current, n.config.confirmedMs = current, n.now
+	n.adoptLimits()
+}
+
+// An agent sends a task back unstarted that was placed before its tenant's limit was lowered, also
+// where it has been raised since, and starts all others.
+func TestAgentSendsBackTasksOfAHigherLimit(t *testing.T) {
+	n, _ := shareOwner(t)
+	n.withLimit(t, 2, 40)
+	n.withLimit(t, 3, 20)
+	n.withLimit(t, 4, 40)
+	ag := &agent{
+		worker: "w", colocated: true, rebuilt: true, tokenMs: n.now, heardMs: n.now, lastOK: n.now,
+		capacity: resource.Amount{CPU: 100}, free: resource.Amount{CPU: 100}, attempts: map[wire.AttemptKey]*attempt{},
+		tombstones: map[wire.AttemptKey]int64{}, owners: map[string]uint64{}, ownerMs: map[string]int64{},
+		ends: map[int64]wire.AttemptKey{},
+	}
+	n.agents["w"] = ag
+	queued := func(id, tenant string, version int64) *attempt {
+		h := &attempt{spec: wire.TaskSpec{
+			Key: wire.AttemptKey{Job: id, Attempt: 1}, Shard: "s", Queue: "q", Class: wire.ClassGuaranteed,
+			Resources: resource.Amount{CPU: 1}, Tenant: tenant, LimitVersion: version,
+		}, confirmedMs: n.now, queuedMs: n.now}
+		ag.attempts[h.spec.Key] = h
+		return h
+	}
+	before, since := queued("a", "full", 2), queued("b", "full", 3)
+	former, unlimited, nobody := queued("c", "full", 0), queued("d", "free", 0), queued("e", "", 0)
+	avail := ag.free
+	for _, h := range []*attempt{before, since, former, unlimited, nobody} {
+		must.True(t, n.startOrSkip(ag, h, &avail))
+	}
+	must.Eq(t, wire.ResultShed, before.result)
+	must.Eq(t, wire.AttemptOrdered, since.state)
+	must.Eq(t, wire.ResultShed, former.result) // a former owner's: nobody knows by which limit
+	must.Eq(t, wire.AttemptOrdered, unlimited.state)
+	must.Eq(t, wire.AttemptOrdered, nobody.state)
+}
+
+// Placements carry the version by whose limit they were placed.
+func TestPlacementsTellTheirLimit(t *testing.T) {
+	n, sl := shareOwner(t)
+	n.withLimit(t, 2, 40)
+	n.workers["w"] = &workerView{agent: "d1", epoch: 1}
+	js := jobOfTenant(t, sl, "a", "full", `{"name":"s","count":2,"room":1}`, 2)
+	n.placeTask(sl, js, 0, "w", wire.ClassQueueable)
+	n.withLimit(t, 3, 20)
+	n.placeTask(sl, js, 1, "w", wire.ClassQueueable)
+	must.Eq(t, int64(2), n.specOf(sl, js, 0).LimitVersion)
+	must.Eq(t, int64(3), n.specOf(sl, js, 1).LimitVersion)
+	must.Eq(t, "full", n.specOf(sl, js, 0).Tenant)
+	_, used := sl.shares.of("full").Held("full")
+	must.Eq(t, resource.Amount{CPU: 2}, used)
+}
+
+// A lowered limit has the owners give up what they don't use, and a skipped version as well.
+func TestLoweredLimitIsGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		version int64
+		limit   int64
+		held    int64
+	}{
+		{"raised", 2, 20, 4},
+		{"the same", 2, 4, 4},
+		{"lowered", 2, 3, 1},
+		{"raised over a version that was not seen", 3, 20, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			n, sl := shareOwner(t)
+			b := sl.shares.of("full")
+			b.CounterIs("d0", 1)
+			b.Use("full", resource.Amount{CPU: 1})
+			_, report := b.Report(n.now, 1)
+			b.OnGrant(&wire.ShareGrant{
+				Counter: "s", CounterEpoch: 1, Shard: "s", ShardEpoch: 1, Seq: report.Seq, ConfigVersion: 1,
+				Shares: []wire.TenantShare{{Tenant: "full", Amount: resource.Amount{CPU: 4}}},
+			}, n.now, 1)
+			n.withLimit(t, tt.version, tt.limit)
+			held, _ := b.Held("full")
+			must.Eq(t, resource.Amount{CPU: tt.held}, held)
+		})
+	}
+}
+
+// Tasks of a tenant that no version here has declared wait until the configuration was confirmed
+// after their job came: the version that declares it may be on its way.
+func TestTasksOfAnUnknownTenantWait(t *testing.T) {
+	n, sl := shareOwner(t)
+	js := jobOfTenant(t, sl, "a", "new", `{"name":"s","count":1,"room":1}`, 1)
+	js.enteredMs = n.now
+	must.False(t, n.knowsLimit(js))
+	n.now++
+	n.config.confirmedMs = n.now
+	must.True(t, n.knowsLimit(js)) // it is declared no more
+	js.enteredMs = n.now
+	must.False(t, n.knowsLimit(js))
+	js.Tenant = "full"
+	must.True(t, n.knowsLimit(js))
+	js.Tenant = ""
+	must.True(t, n.knowsLimit(js))
+}
+
+// Without tenants nobody reports or counts.
+func TestNoSharesWithoutTenants(t *testing.T) {
+	n, sl := shareOwner(t)
+	current, faults := configuration.Compile(2, []byte(`{"queues":[{"name":"q"}]}`))
+	must.SliceEmpty(t, faults)
+	n.config.current = current
+	n.adoptLimits()
+	sl.serving, n.out = true, nil
+	n.tickCounters()
+	n.flushShares()
+	must.SliceEmpty(t, n.out)
+	must.SliceEmpty(t, n.counters["s"].Usages())
+	n.withLimit(t, 3, 4)
+	n.tickCounters()
+	sl.shares.of("full").Use("full", resource.Amount{CPU: 1})
+	n.flushShares()
+	must.Len(t, 1, n.counters["s"].Usages())
+}
