--- a/internal/daemon/tenantshares_test.go
+++ b/internal/daemon/tenantshares_test.go
@@ -105,7 +105,7 @@
 
 // An agent sends a task back unstarted that was placed before its tenant's limit was lowered, also
 // where it has been raised since, and starts all others.
-func TestAgentSendsBackTasksOfAHigherLimit(t *testing.T) {
+func TestTenantTasksOfAHigherLimitGoBack(t *testing.T) {
 	n, _ := shareOwner(t)
 	n.withLimit(t, 2, 40)
 	n.withLimit(t, 3, 20)
@@ -139,7 +139,7 @@
 }
 
 // Placements carry the version by whose limit they were placed.
-func TestPlacementsTellTheirLimit(t *testing.T) {
+func TestTenantLimitOfPlacements(t *testing.T) {
 	n, sl := shareOwner(t)
 	n.withLimit(t, 2, 40)
 	n.workers["w"] = &workerView{agent: "d1", epoch: 1}
@@ -155,7 +155,7 @@
 }
 
 // A lowered limit has the owners give up what they don't use, and a skipped version as well.
-func TestLoweredLimitIsGivenUp(t *testing.T) {
+func TestTenantLimitLowered(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
 		version int64
@@ -190,16 +190,21 @@
 	n, sl := shareOwner(t)
 	js := jobOfTenant(t, sl, "a", "new", `{"name":"s","count":1,"room":1}`, 1)
 	js.enteredMs = n.now
-	must.False(t, n.knowsLimit(js))
+	mayStart := func() bool {
+		pass := n.newSchedulePass(js)
+		pass.wall = 1
+		return n.mayStart(js, 0, pass)
+	}
+	must.False(t, mayStart())
 	n.now++
 	n.config.confirmedMs = n.now
-	must.True(t, n.knowsLimit(js)) // it is declared no more
+	must.True(t, mayStart()) // it is declared no more
 	js.enteredMs = n.now
-	must.False(t, n.knowsLimit(js))
+	must.False(t, mayStart())
 	js.Tenant = "full"
-	must.True(t, n.knowsLimit(js))
+	must.True(t, mayStart())
 	js.Tenant = ""
-	must.True(t, n.knowsLimit(js))
+	must.True(t, mayStart())
 }
 
 // Without tenants nobody reports or counts.
