--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -36,6 +36,10 @@
 		Near:        st.Near,
 		PerWorker:   st.PerWorker,
 		EstimateMs:  n.estimateMs(js, t),
+		Excess:      js.excess,
+	}
+	if n.limits.Any() {
+		m.Tenant, m.TenantUsed = js.Tenant, sl.tenantUsed[js.Tenant]
 	}
 	if st.PerWorker > 0 {
 		used := js.usedBy(i)
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -172,15 +172,17 @@
 	coreReads   retryBudget // for reading states from the core
 	forwardSeq  uint64
 
-	owned     map[string]*shard
-	counters  map[string]*quota.Counter // of tenants, by the shard whose owner counts them
-	limits    quota.Limits
-	agents    map[string]*agent
-	central   *central
-	ranks     rankState
-	workers   map[string]*workerView
-	estimates scheduler.Estimates
-	learnedAt int64
+	owned    map[string]*shard
+	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
+	// When a counter here last heard from each shard's owner.
+	shareReports map[string]map[string]int64
+	limits       quota.Limits
+	agents       map[string]*agent
+	central      *central
+	ranks        rankState
+	workers      map[string]*workerView
+	estimates    scheduler.Estimates
+	learnedAt    int64
 	// What owners told of each shard's queues, and when this daemon tells next.
 	queueCounts   map[string]*queueCounts
 	queueCountsAt int64
@@ -195,19 +197,20 @@
 
 func newNode(p nodeConfig, st *statestore.Store) *node {
 	n := &node{
-		nodeConfig:  p,
-		store:       st,
-		granter:     lease.NewGranter(),
-		counts:      map[string]int64{},
-		changes:     map[uint64]*registerChange{},
-		proposer:    register.Proposer{Name: p.Name, Instance: p.Instance, Timing: changeTiming},
-		forwarded:   map[uint64]*forwardedRequest{},
-		quorumReads: map[uint64]*quorumRead{},
-		owned:       map[string]*shard{},
-		counters:    map[string]*quota.Counter{},
-		agents:      map[string]*agent{},
-		workers:     map[string]*workerView{},
-		config:      newConfigState(),
+		nodeConfig:   p,
+		store:        st,
+		granter:      lease.NewGranter(),
+		counts:       map[string]int64{},
+		changes:      map[uint64]*registerChange{},
+		proposer:     register.Proposer{Name: p.Name, Instance: p.Instance, Timing: changeTiming},
+		forwarded:    map[uint64]*forwardedRequest{},
+		quorumReads:  map[uint64]*quorumRead{},
+		owned:        map[string]*shard{},
+		counters:     map[string]*quota.Counter{},
+		shareReports: map[string]map[string]int64{},
+		agents:       map[string]*agent{},
+		workers:      map[string]*workerView{},
+		config:       newConfigState(),
 	}
 	n.peers = cluster.New(host{n}, p.Name, p.Seeds)
 	n.leases = lease.NewManager(host{n}, n.peers)
