Reservations whose starts don't come yield to other tasks of the tenant

Ruled out: late answers of the counter (under 0.2 s). Change: a reservation without starts yields for 1 s after 2 s, where the tenant is near its limit.

--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -104,7 +104,7 @@
 		}
 		requested = append(requested, wire.RequestedTask{Task: js.taskID(k), Attempt: next})
 	}
-	sl.shares.reserve(js, i, reserved, n.now+reservedMs)
+	sl.shares.reserve(js, i, reserved, n.now, n.now+reservedMs)
 	return requested
 }
 
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -116,7 +116,7 @@
 		n.placeQueueable(sl, js, i, pass)
 		return
 	}
-	if n.now-rt.allocationMs < allocationRetryMs {
+	if n.now-rt.allocationMs < allocationRetryMs || sl.shares.yields(js, i, n.now) {
 		return
 	}
 	if n.gangMayBegin(js, i) && !n.mayRequest(sl, js, i) {
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -78,12 +78,18 @@
 	return js.ID + "/" + js.stepName(i)
 }
 
-func (s *tenantShares) reserve(js *jobState, i int, amount resource.Amount, untilMs int64) {
+func (s *tenantShares) reserve(js *jobState, i int, amount resource.Amount, nowMs, untilMs int64) {
 	if b := s.of(js.Tenant); b != nil {
-		b.Reserve(js.Tenant, shareKey(js, i), amount, untilMs)
+		b.Reserve(js.Tenant, shareKey(js, i), amount, nowMs, untilMs)
 	}
 }
 
+// yields tells whether a task's step is to leave what was reserved for it to other tasks.
+func (s *tenantShares) yields(js *jobState, i int, nowMs int64) bool {
+	b := s.of(js.Tenant)
+	return b != nil && b.Yields(js.Tenant, shareKey(js, i), nowMs)
+}
+
 func (s *tenantShares) unreserve(js *jobState, i int, amount resource.Amount) {
 	if b := s.of(js.Tenant); b != nil {
 		b.Unreserve(js.Tenant, shareKey(js, i), amount)
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -15,6 +15,8 @@
 	reportIdleMs    = 1000 // and one without
 	rateWindowMs    = 2000 // what was started and used in this time tells what to hold
 	aheadShare      = 4    // a quarter of what was started
+	reservedMostMs  = 2000 // a reservation without starts yields to other tasks after this
+	yieldMs         = 1000 // for this long
 	claimsMax       = 16   // of one tenant in a report, the most urgent ones
 )
 
@@ -55,7 +57,9 @@
 
 type reservation struct {
 	amount  resource.Amount
+	sinceMs int64
 	untilMs int64
+	yielded bool // until untilMs others go first
 }
 
 // claim is a wire.ShareClaim and since when it stands.
@@ -145,8 +149,31 @@
 }
 
 // Reserve keeps a part of what is held for starts that were arranged, until a time.
-func (b *Borrower) Reserve(tenant, key string, amount resource.Amount, untilMs int64) {
-	b.account(tenant).reserved[key] = reservation{amount, untilMs}
+func (b *Borrower) Reserve(tenant, key string, amount resource.Amount, nowMs, untilMs int64) {
+	a := b.account(tenant)
+	sinceMs := nowMs
+	if r, ok := a.reserved[key]; ok && r.untilMs > nowMs {
+		sinceMs = r.sinceMs
+	}
+	a.reserved[key] = reservation{amount: amount, sinceMs: sinceMs, untilMs: untilMs}
+}
+
+// Yields tells whether a reservation under a key is to wait: it was kept for long, its starts didn't
+// come, and other tasks of the tenant lack what it keeps. It is over then.
+func (b *Borrower) Yields(tenant, key string, nowMs int64) bool {
+	a := b.accounts[tenant]
+	if a == nil {
+		return false
+	}
+	r, ok := a.reserved[key]
+	if !ok || r.untilMs <= nowMs {
+		return false
+	}
+	if !r.yielded && a.tight && nowMs-r.sinceMs >= reservedMostMs {
+		r = reservation{untilMs: nowMs + yieldMs, yielded: true}
+		a.reserved[key], b.due = r, true
+	}
+	return r.yielded
 }
 
 // Reserved is what is kept so under a key.
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -327,7 +327,7 @@
 			Job: u.key(), SubmittedMs: u.sinceMs, Unit: u.amount(), Task: u.task, Count: 1,
 		}, m.nowMs)
 	case u.firm && o.borrower.Reserved(modelTenant, u.key(), m.nowMs) == resource.Amount{}:
-		o.borrower.Reserve(modelTenant, u.key(), u.amount(), m.nowMs+1500)
+		o.borrower.Reserve(modelTenant, u.key(), u.amount(), m.nowMs, m.nowMs+1500)
 	default:
 		m.place(o, u)
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -213,7 +213,7 @@
 			if tt.used > 0 {
 				b.Use("t", cpu(tt.used))
 			}
-			b.Reserve("t", "job/0.0", cpu(tt.reserved), 500)
+			b.Reserve("t", "job/0.0", cpu(tt.reserved), 0, 500)
 			must.Eq(t, tt.fits, b.Fits("t", cpu(tt.amount), limit, tt.atMs))
 			must.Eq(t, tt.fitsReserved, b.FitsReserved("t", "job/0.0", cpu(tt.amount), cpu(tt.task), limit, tt.atMs))
 			must.True(t, b.Fits("t", cpu(100), Limit{}, tt.atMs))
@@ -223,7 +223,7 @@
 
 func TestReserve(t *testing.T) {
 	b := holding(8)
-	b.Reserve("t", "x", cpu(6), 500)
+	b.Reserve("t", "x", cpu(6), 0, 500)
 	b.Unreserve("t", "x", cpu(2))
 	must.Eq(t, cpu(4), b.Reserved("t", "x", 0))
 	must.Eq(t, cpu(0), b.Reserved("t", "x", 500))
@@ -234,6 +234,27 @@
 	must.True(t, b.Fits("t", cpu(8), Limit{CPU: 10}, 0))
 }
 
+// A reservation whose starts don't come yields for a while where other tasks lack what it keeps.
+func TestReservationYields(t *testing.T) {
+	b := holding(8)
+	renew := func(nowMs int64) { b.Reserve("t", "x", cpu(6), nowMs, nowMs+500) }
+	for now := int64(0); now <= 2*reservedMostMs; now += 400 {
+		renew(now)
+		must.False(t, b.Yields("t", "x", now)) // nobody lacks it
+	}
+	must.False(t, b.Yields("t", "y", 0))
+	must.False(t, b.Yields("u", "x", 0))
+	b.account("t").tight = true
+	must.True(t, b.Yields("t", "x", 2*reservedMostMs))
+	must.Eq(t, cpu(0), b.Reserved("t", "x", 2*reservedMostMs))
+	must.True(t, b.Fits("t", cpu(8), Limit{CPU: 10}, 2*reservedMostMs))
+	must.True(t, b.Yields("t", "x", 2*reservedMostMs+yieldMs-1))
+	must.False(t, b.Yields("t", "x", 2*reservedMostMs+yieldMs))
+	renew(2*reservedMostMs + yieldMs)
+	must.False(t, b.Yields("t", "x", 2*reservedMostMs+yieldMs))
+	must.Eq(t, cpu(6), b.Reserved("t", "x", 2*reservedMostMs+yieldMs))
+}
+
 // When reports are due, and what they keep: what was used lately and a part of what was started,
 // but only what is used where the tenant is near its limit.
 func TestReport(t *testing.T) {
