--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -19,6 +19,15 @@
 // So no two counters lend the same share, whatever is lost, late or sent twice, and whoever still
 // believes to count.
 //
+// Limits change while all this goes on. Who goes by a version that lowers a limit, or may have
+// skipped one that had a higher limit, gives up what it holds beyond use, and takes no grant that
+// was on its way. A counter lends to no report by a later version than its own, and once a limit
+// was lowered not before each shard has reported by that version.
+//
+// What ends makes room for another start only once the counter has told an owner that the sum is
+// within the limit: it may be above it after a limit was lowered, or after a takeover, where ends
+// that the former owner had not written down yet still count.
+//
 // Everything is a function of its arguments: there is no clock, network or disk here.
 package quota
 
