--- a/internal/daemon/tenantshares_test.go
+++ b/internal/daemon/tenantshares_test.go
@@ -22,6 +22,7 @@
 		"tenants":[{"name":"full","limit":{"cpu":4}},{"name":"free"}]}`))
 	must.SliceEmpty(t, faults)
 	n.config.current, n.config.confirmedMs = current, n.now
+	n.config.record.Past = []configuration.VersionInfo{{Version: 1}}
 	n.adoptLimits()
 	n.core.Shards = []string{"s"}
 	for _, role := range []string{lease.ShardRole("s"), lease.Central} {
@@ -100,6 +101,10 @@
 		`{"queues":[{"name":"q"}],"tenants":[{"name":"full","limit":{"cpu":%d}},{"name":"free"}]}`, limit))
 	must.SliceEmpty(t, faults)
 	n.config.current, n.config.confirmedMs = current, n.now
+	past := &n.config.record.Past
+	for v := (*past)[len(*past)-1].Version + 1; v <= version; v++ {
+		*past = append(*past, configuration.VersionInfo{Version: v})
+	}
 	n.adoptLimits()
 }
 
