--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -322,11 +322,12 @@
 func (m *model) advance(o *modelOwner, u *modelUnit) {
 	limit := o.daemon.limits.Of(modelTenant)
 	switch {
+	case o.borrower.Yields(modelTenant, u.key(), m.nowMs):
 	case !o.borrower.FitsReserved(modelTenant, u.key(), u.amount(), u.task, limit, m.nowMs):
 		o.borrower.Claim(modelTenant, u.key(), wire.ShareClaim{
 			Job: u.key(), SubmittedMs: u.sinceMs, Unit: u.amount(), Task: u.task, Count: 1,
 		}, m.nowMs)
-	case u.firm && o.borrower.Reserved(modelTenant, u.key(), m.nowMs) == resource.Amount{}:
+	case u.firm && (m.rng.IntN(3) == 0 || o.borrower.Reserved(modelTenant, u.key(), m.nowMs) == resource.Amount{}):
 		o.borrower.Reserve(modelTenant, u.key(), u.amount(), m.nowMs, m.nowMs+1500)
 	default:
 		m.place(o, u)
