--- a/internal/daemon/platformtenants_scenario_test.go
+++ b/internal/daemon/platformtenants_scenario_test.go
@@ -79,20 +79,22 @@
 	},
 	// Guards against a limit that stands still, or is lent twice, when its counter dies.
 	"counter killed": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 4, 20_000)
 		b.day(8000)
 		b.after(3_500_000, b.kill(b.countingHost(b.largest()), false))
 		b.run(500)
-		b.urgentOfAll("the counter was killed")
+		b.urgentOfAll("the counter was killed", b.largest())
 		b.run(8000)
-		b.urgentOfAll("another one counts")
+		b.urgentOfAll("another one counts", b.largest())
 		b.run(5000)
 	},
 	// Guards against a counter that wakes up and lends by what it knew before.
 	"counter frozen": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 4, 20_000)
 		b.day(8000)
 		b.freeze(b.countingHost(b.largest()), 5000)
 		b.run(500)
-		b.urgentOfAll("the counter is frozen")
+		b.urgentOfAll("the counter is frozen", b.largest())
 		b.run(9000)
 		b.freeze(b.countingHost(b.largest()), 1500)
 		b.run(9000)
@@ -110,10 +112,11 @@
 	},
 	// Guards against a counter that comes back from its disk with old accounts.
 	"counter without power": func(_ *testing.T, b *platformWorld) {
+		b.hotTenant(b.largest(), 4, 16_000)
 		b.day(8000)
 		b.after(3_000_000, b.kill(b.countingHost(b.largest()), true))
 		b.run(500)
-		b.urgentOfAll("the counter lost its power")
+		b.urgentOfAll("the counter lost its power", b.largest())
 		b.run(10_000)
 	},
 	// Guards against a second takeover that lends before the first counter's loans are known.
@@ -246,6 +249,24 @@
 		b.urgentOfAll("limits are as usual", b.largest())
 		b.run(5000)
 	},
+	// Guards against tasks that wait at full workers and start there by the limit that they were placed by.
+	"limit lowered while tasks wait at workers": func(_ *testing.T, b *platformWorld) {
+		tenant, room := b.largest(), amounts{b.deployment.capacity[0] / 5, b.deployment.capacity[1] / 5}
+		b.setLimit(tenant, 1000)
+		b.run(3000)
+		b.onlyTenant = tenant
+		for range 10 * len(b.spots) { // twice as many as there is room for
+			j := b.simple(2, 1, room, 6000)
+			j.steps[0].estimateMs = 1500
+			b.submit(j)
+		}
+		b.onlyTenant = ""
+		b.run(1200)
+		b.setLimit(tenant, 5)
+		b.run(12_000)
+		b.restoreLimits()
+		b.run(6000)
+	},
 	// Guards against a start of the fleet that lends before all owners have told what runs.
 	"all daemons killed, workers run on": func(_ *testing.T, b *platformWorld) {
 		b.hotTenant(b.largest(), 3, 18_000)
