Weighted max-min fairness is a policy of its own

Owners tell with a request what the tenant's tasks take in their shard (wire.AllocationRequest.TenantUsed); shards that requested nothing count as the mean of the others.

Ruled out: a sum kept by the central scheduler, which isn't told of queueable tasks; a static order by share, which gives one tenant all room of a pass. Agents and owners' turns keep the age within a precedence: what one shard knows doesn't tell a share, and agents know even less.

The change here: it can be switched off by itself (weighted_fairness), so that the two can be compared.

--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -102,7 +102,7 @@
 			Precedence: n.precedence(ws.Queue, ws.Excess), SubmittedMs: ws.SubmittedMs, Job: k.Job, Step: k.Step,
 		}
 	}
-	if n.countsTenants() && n.Policies.On(scheduler.TenantWeight) {
+	if n.countsTenants() && n.Policies.On(scheduler.WeightedFairness) {
 		n.addTenantShares(c, keys, requests)
 	}
 	ordered := make([]allocationKey, len(keys))
--- a/internal/daemon/tenant_weight_test.go
+++ b/internal/daemon/tenant_weight_test.go
@@ -227,7 +227,7 @@
 		"large": {Name: "large", Weight: 4}, "small": {Name: "small", Weight: 1}, "calm": {Name: "calm", Weight: 1},
 	}
 	must.Eq(t, []string{"calm", "large-1", "large-2", "small-1", "small-2"}, order())
-	n.Policies, _ = scheduler.ParseSet(string(scheduler.TenantWeight))
+	n.Policies, _ = scheduler.ParseSet(string(scheduler.WeightedFairness))
 	must.Eq(t, byAge, order())
 }
 
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -54,6 +54,8 @@
 	DelayTarget Policy = "delay_target"
 	// TenantWeight puts what a tenant sends beyond its weight behind all that others send.
 	TenantWeight Policy = "tenant_weight"
+	// WeightedFairness gives guaranteed places first to the tenant that has the least by its weight.
+	WeightedFairness Policy = "weighted_fairness"
 )
 
 // The design names these as its ordinary path, or a rule needs them: they stay on.
@@ -69,7 +71,7 @@
 var optional = []Policy{
 	UrgentRoom, RetryAtOnce, NearData, RackWait, AvoidLast, EjectUnhealthy, ShunQuiet, LearnedEstimates, Recall, Promotion,
 	Reservation, Backfill, StrongRoles, GatherWrites, ForwardRetry, RankedChoice, DelayTarget,
-	TenantWeight,
+	TenantWeight, WeightedFairness,
 }
 
 // ErrPolicy tells that a policy isn't known, or can't be switched off.
