--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -176,8 +176,7 @@
 	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
 	// When a counter here last heard from each shard's owner.
 	shareReports map[string]map[string]int64
-	// Limits of tenants that a version has dropped: jobs they handed in before go on within them.
-	formerLimits map[string]quota.Limit
+	limits       quota.Limits
 	agents       map[string]*agent
 	central      *central
 	ranks        rankState
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -68,7 +68,11 @@
 	batchLoads   map[queueOnWorker]resource.Amount
 	starvedMs    int64 // when a task that is no batch's last found no place
 
-	shares     tenantShares
+	shares tenantShares
+	// unlisted are runs of gangs that ended by another member's end, by worker: they take
+	// their tenants' shares until their workers have listed the ends.
+	unlisted map[string]map[wire.AttemptKey]unlistedRun
+
 	tenantUsed map[string]resource.Amount // of tasks that are placed
 	jobRates   scheduler.JobRates         // of tenants
 	admissions map[string]admissionCounts // of tenants
@@ -140,6 +144,7 @@
 	trace     *jobtrace.Job // nil where nobody follows its way, as in some tests
 	ended     []endedAttempt
 	failedAt  map[string]int64 // worker -> when a task of this job last failed there
+	enteredMs int64            // when it came to this owner
 	lacks     bool             // some task waits only for a share of its tenant's limit
 	excess    bool             // its tenant had sent more than its weight
 	// The version and value of the record that was last sent to the core: what the next
@@ -159,9 +164,9 @@
 	saved         string
 	abort         bool  // of a gang that is begun anew
 	runMs         int64 // since when it is told to run
-	// limit is its tenant's by which it was placed; none for one that a former owner placed,
-	// so that an agent sends it back unstarted where there is a limit now.
-	limit quota.Limit
+	// limitVersion is the configuration by whose limits it was placed; none for one that a former
+	// owner placed, so that an agent sends it back unstarted where its tenant has a limit now.
+	limitVersion int64
 }
 
 type waiter struct {
@@ -235,6 +240,7 @@
 		placed:      map[string]map[placedAt]resource.Amount{},
 		load:        map[string]resource.Amount{},
 		shares:      newTenantShares(name, epoch, n.core.Shards),
+		unlisted:    map[string]map[wire.AttemptKey]unlistedRun{},
 	}
 	n.counters[name] = quota.NewCounter(name, epoch)
 	delete(n.shareReports, name)
@@ -317,6 +323,7 @@
 		}
 		sl.allocationRequests = 0
 		n.tickBatches(sl)
+		sl.releaseLapsed(n.now)
 		sl.shares.beginClaims()
 		for _, js := range n.jobsByUrgency(sl) {
 			n.advanceJob(sl, js)
--- a/internal/daemon/tenant_status.go
+++ b/internal/daemon/tenant_status.go
@@ -112,7 +112,7 @@
 	if c := n.counters[sl.name]; c != nil {
 		for _, usage := range c.Usages() {
 			t := byName[usage.Tenant]
-			t.Name, t.Limit = usage.Tenant, resource.Amount(n.limitOf(usage.Tenant))
+			t.Name, t.Limit = usage.Tenant, resource.Amount(n.limits.Of(usage.Tenant))
 			t.Lent, t.Used, t.Waiting, t.WaitedMs = usage.Lent, usage.Used, usage.Claimed, usage.WaitedMs
 			byName[usage.Tenant] = t
 		}
@@ -163,7 +163,7 @@
 // silentShards gives the shards that have not reported for a while to the counter of a shard.
 func (n *node) silentShards(sl *shard) []string {
 	silent := []string{}
-	if !n.countsTenants() {
+	if !n.limits.Any() {
 		return silent
 	}
 	for _, shard := range n.core.Shards {
@@ -244,7 +244,7 @@
 	if sl == nil || !js.lacks || n.hasReservedShare(sl, js, i, js.unitOf(i)) {
 		return ""
 	}
-	limit := resource.Amount(n.limitOf(js.Tenant))
+	limit := resource.Amount(n.limits.Of(js.Tenant))
 	held, used := sl.shares.of(js.Tenant).Held(js.Tenant)
 	why := "waiting for the limit of tenant " + js.Tenant + ", " + amountText(limit) + ": here it uses " +
 		amountText(used) + " of " + amountText(held) + " that this slice may use"
--- a/internal/daemon/tenant_weight_test.go
+++ b/internal/daemon/tenant_weight_test.go
@@ -29,8 +29,8 @@
 	return mustJSON(map[string]any{"queues": []any{queue("fast", 100), queue("slow", 10)}, "tenants": tenants})
 }
 
-// tenantJob is a job that a tenant has sent to a queue.
-type tenantJob struct {
+// weightedJob is a job that a tenant has sent to a queue.
+type weightedJob struct {
 	id            string
 	tenant        string
 	sentMs, endMs int64
@@ -42,11 +42,11 @@
 // second.
 type tenantLoad struct {
 	*world
-	sent []*tenantJob
+	sent []*weightedJob
 }
 
 func (l *tenantLoad) send(queue, tenant string) {
-	j := &tenantJob{id: fmt.Sprintf("%s-%04d", tenant, len(l.sent)), tenant: tenant, sentMs: l.nowMs()}
+	j := &weightedJob{id: fmt.Sprintf("%s-%04d", tenant, len(l.sent)), tenant: tenant, sentMs: l.nowMs()}
 	l.sent = append(l.sent, j)
 	body := fmt.Appendf(nil, `{"queue":%q,"steps":[{"name":"s","tasks":[{"name":"t","room":%d,"limit_ms":60000,"payload":{"ms":1000}}]}]}`, queue, l.dep.Cores)
 	l.call("caller", l.anyNode(len(l.sent)), evRequest{
@@ -63,7 +63,7 @@
 
 // settleAll notes when each job's task ended.
 func (l *tenantLoad) settleAll() {
-	byID := map[string]*tenantJob{}
+	byID := map[string]*weightedJob{}
 	for _, j := range l.sent {
 		byID[j.id] = j
 	}
@@ -102,7 +102,7 @@
 	l.run(10_000)
 	l.until(200_000, func() bool {
 		l.settleAll()
-		return !slices.ContainsFunc(l.sent, func(j *tenantJob) bool { return j.status == 201 && j.endMs == 0 })
+		return !slices.ContainsFunc(l.sent, func(j *weightedJob) bool { return j.status == 201 && j.endMs == 0 })
 	})
 }
 
