--- a/internal/daemon/tenant_weight_test.go
+++ b/internal/daemon/tenant_weight_test.go
@@ -226,6 +226,7 @@
 	n.config.current.Tenants = map[string]*configuration.Tenant{
 		"large": {Name: "large", Weight: 4}, "small": {Name: "small", Weight: 1}, "calm": {Name: "calm", Weight: 1},
 	}
+	n.adoptLimits()
 	must.Eq(t, []string{"calm", "large-1", "large-2", "small-1", "small-2"}, order())
 	n.Policies, _ = scheduler.ParseSet(string(scheduler.WeightedFairness))
 	must.Eq(t, byAge, order())
