--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -86,8 +86,10 @@
 // come, and the steps before it have ended in the committed record.
 func (n *node) mayStart(js *jobState, i int, pass *schedulePass) bool {
 	t := &js.Tasks[i]
-	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs || !n.configFresh() ||
-		!n.knowsLimit(js) {
+	if js.State != jobRunning || pass.wall == 0 || pass.queue == nil || n.now < js.runtime[i].retryMs {
+		return false
+	}
+	if !n.configFresh() || !n.knowsLimit(js) {
 		return false
 	}
 	if due := js.dueOf(t.Round); due != 0 && pass.wall < due+dueMarginMs {
--- a/internal/daemon/tenant_rename_test.go
+++ b/internal/daemon/tenant_rename_test.go
@@ -13,9 +13,9 @@
 	for seed := range uint64(3) {
 		w := newTenantWorld(t, 5600+seed)
 		paths := w.submitSome("key-a1")
-		name, answers := tenantA.name, map[string]int{}
+		answers := map[string]int{}
 		for round := range 4 {
-			name = fmt.Sprint("renamed-", round)
+			name := fmt.Sprint("renamed-", round)
 			w.declare(keyedSetup(nil, testTenant{name, tenantA.keys}, tenantB))
 			for range 60 {
 				for i, daemon := range sorted(w.nodes) {
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -157,7 +157,8 @@
 // hasReservedShare tells the same for tasks that a share may be reserved for.
 func (n *node) hasReservedShare(sl *shard, js *jobState, i int, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
-	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, js.Tasks[i].Resources, n.limits.Of(js.Tenant), n.now)
+	limit, task := n.limits.Of(js.Tenant), js.Tasks[i].Resources
+	return b == nil || b.FitsReserved(js.Tenant, shareKey(js, i), amount, task, limit, n.now)
 }
 
 // mayRequest tells whether guaranteed places may be requested for a task, beside those that its
