--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -396,3 +396,69 @@
 	}
 	must.True(t, granted)
 }
+
+// Grants that are not taken: more is held only by the answer to the newest report.
+func TestGrantsThatAreLeft(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		before func(*Borrower)
+		change func(*wire.ShareGrant)
+		taken  bool
+	}{
+		{"the answer", func(*Borrower) {}, func(*wire.ShareGrant) {}, true},
+		{"by a later version", func(*Borrower) {}, func(m *wire.ShareGrant) { m.ConfigVersion = 3 }, true},
+		{"by an earlier version", func(*Borrower) {}, func(m *wire.ShareGrant) { m.ConfigVersion = 1 }, false},
+		{"of another counter", func(*Borrower) {}, func(m *wire.ShareGrant) { m.CounterEpoch = 1 }, false},
+		{"for a former owner", func(*Borrower) {}, func(m *wire.ShareGrant) { m.ShardEpoch = 1 }, false},
+		{"for an earlier report", func(*Borrower) {}, func(m *wire.ShareGrant) { m.Seq-- }, false},
+		{"before the limit was lowered", func(b *Borrower) { b.LimitLowered("t") }, func(*wire.ShareGrant) {}, false},
+		{"of the counter before", func(b *Borrower) { b.CounterIs("n2", 3) }, func(*wire.ShareGrant) {}, false},
+		{"though an earlier counter was told of", func(b *Borrower) { b.CounterIs("n2", 1) }, func(*wire.ShareGrant) {}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewBorrower("b", 2, "a")
+			b.CounterIs("n1", 2)
+			b.Report(100, 2)
+			_, m := b.Report(100+reportIdleMs, 2)
+			grant := &wire.ShareGrant{
+				Counter: "a", CounterEpoch: 2, Shard: "b", ShardEpoch: 2, Seq: m.Seq, ConfigVersion: 2,
+				Shares: []wire.TenantShare{{Tenant: "t", Amount: cpu(4)}},
+			}
+			tt.before(b)
+			tt.change(grant)
+			must.Eq(t, tt.taken, len(b.OnGrant(grant, 200+reportIdleMs, 2)) == 1)
+			must.Eq(t, tt.taken, b.Fits("t", cpu(4), Limit{CPU: 10}, 0))
+		})
+	}
+}
+
+// A counter takes reports to it alone, and none that a later one has overtaken.
+func TestReportsThatAreLeft(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*wire.ShareReport)
+		taken  bool
+	}{
+		{"the next one", func(m *wire.ShareReport) { m.Seq = 6 }, true},
+		{"twice", func(*wire.ShareReport) {}, false},
+		{"overtaken", func(m *wire.ShareReport) { m.Seq = 4 }, false},
+		{"of the next owner", func(m *wire.ShareReport) { m.ShardEpoch, m.Seq = 3, 1 }, true},
+		{"of a former owner", func(m *wire.ShareReport) { m.ShardEpoch, m.Seq = 1, 9 }, false},
+		{"to another counter", func(m *wire.ShareReport) { m.CounterEpoch, m.Seq = 2, 6 }, false},
+		{"to the counter of others", func(m *wire.ShareReport) { m.Counter, m.Seq = "b", 6 }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewCounter("a", 1)
+			next := func(keep int64) *wire.ShareReport {
+				m := report("b", 5, 1, keep)
+				m.ShardEpoch = 2
+				return m
+			}
+			must.True(t, c.OnReport("n1", next(4)))
+			m := next(1)
+			tt.change(m)
+			must.Eq(t, tt.taken, c.OnReport("n2", m))
+			must.Eq(t, tt.taken, c.Lent("t") == cpu(1))
+		})
+	}
+}
