--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -601,6 +601,9 @@
 	case j.Queue == a.queue && !n.configConfirmedSince(a):
 		a.maybeApplied = true // it may be the very job that is handed in again
 		n.awaitConfirmation(a, "the setup is not confirmed here")
+	case j.Queue == a.queue && a.tenant != "" && n.config.current.Tenants[a.tenant] == nil:
+		a.maybeApplied = true // who found the tenant goes by a version before a renaming
+		n.reject(a, "the tenant is not in the newest setup")
 	case a.op == "job.put":
 		n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 	default:
--- a/internal/daemon/tenant_rename_test.go
+++ b/internal/daemon/tenant_rename_test.go
@@ -35,3 +35,20 @@
 		t.Log(answers)
 	}
 }
+
+// A daemon that goes by the version before a renaming hands on the former name. The job of that very
+// key isn't told as another's then.
+func TestJobHandedInAgainByAFormerName(t *testing.T) {
+	for _, op := range []string{"job.put", "job.state", "job.cancel"} {
+		n, sl := shareOwner(t)
+		n.config.confirmedBy = 1
+		js := jobOfTenant(t, sl, "a", "full", `{"name":"s","count":1,"room":1}`, 1)
+		call := &request{id: 7, op: op, key: "a", queue: "q", byAddress: true, tenant: "former"}
+		must.True(t, n.hides(call, &js.job))
+		for _, e := range n.out {
+			if reply, ok := e.(effReply); ok {
+				must.SliceNotContains(t, []int{404, 409, 410}, reply.Status, must.Sprint(op, " ", string(reply.Body)))
+			}
+		}
+	}
+}
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -199,6 +199,9 @@
 	}
 	for _, at := range sorted(pass.lacks) {
 		lack := pass.lacks[at]
+		if !n.limits.Of(js.Tenant).EverAdmits(js.unitOf(lack.task), js.Tasks[lack.task].Resources) {
+			continue // it waits for a higher limit, and leaves the few claims to others
+		}
 		b.Claim(js.Tenant, shareKey(js, lack.task), wire.ShareClaim{
 			Job: js.ID, Urgency: n.precedence(js.Queue, js.excess), SubmittedMs: js.SubmitMs,
 			Unit: js.unitOf(lack.task), Task: js.Tasks[lack.task].Resources, Count: lack.count,
--- a/internal/daemon/tenantshares_test.go
+++ b/internal/daemon/tenantshares_test.go
@@ -230,3 +230,30 @@
 	n.flushShares()
 	must.Len(t, 1, n.counters["s"].Usages())
 }
+
+// Gangs that the whole limit is too low for don't keep the tenant's other tasks from claiming.
+func TestGangsBeyondTheLimitLeaveClaimsToOthers(t *testing.T) {
+	n, sl := shareOwner(t)
+	sl.shares.of("full").CounterIs("d1", 1)
+	jobs := []*jobState{}
+	for i := range 20 { // the limit is 4
+		jobs = append(jobs, jobOfTenant(t, sl, fmt.Sprintf("a%02d", i), "full", `{"name":"s","count":6,"room":1,"gang":true,"estimate_ms":9000}`, 6))
+	}
+	behind := jobOfTenant(t, sl, "b", "full", `{"name":"s","count":1,"room":1,"estimate_ms":9000}`, 1)
+	sl.shares.beginClaims()
+	for _, js := range append(jobs, behind) {
+		pass := n.newSchedulePass(js)
+		for i := range js.Tasks {
+			n.scheduleTask(sl, js, i, pass)
+		}
+		n.claimShares(sl, js, pass)
+	}
+	sl.shares.endClaims()
+	_, m := sl.shares.of("full").Report(n.now, 1)
+	must.NotNil(t, m)
+	claimed := map[string]bool{}
+	for _, c := range m.Accounts[0].Claims {
+		claimed[c.Job] = true
+	}
+	must.True(t, claimed["b"], must.Sprintf("of its tenant only %v claim", sorted(claimed)))
+}
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -186,13 +186,15 @@
 			claim.Count--
 			c.shards[claim.shard].changed = true
 		}
-		if claim.Count == 0 || !limit.admitsUnit(resource.Amount{}, claim.Unit, claim.Task) {
+		if claim.Count == 0 || !limit.EverAdmits(claim.Unit, claim.Task) {
 			continue // what the whole limit is too low for waits for a higher one
 		}
-		short = true
-		if heldBack = limit.holdsBack(sum, claim.WaitedMs); heldBack {
+		byTurns := limit.share(holdBackPercent).Admits(sum)
+		if heldBack = (!short || !byTurns) && limit.holdsBack(sum, claim.WaitedMs); heldBack {
+			short = true
 			break
 		}
+		short = true
 	}
 	if !short {
 		sum = c.lendAhead(tenant, limits, sum)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -52,6 +52,11 @@
 	return l.Admits(others.Plus(unit)) || others == resource.Amount{} && l.Admits(unit.Minus(task))
 }
 
+// EverAdmits tells whether a unit may start once nothing else of its tenant is held.
+func (l Limit) EverAdmits(unit, task resource.Amount) bool {
+	return l.admitsUnit(resource.Amount{}, unit, task)
+}
+
 // LowerThan tells whether the limit is lower than another in some dimension.
 func (l Limit) LowerThan(other Limit) bool {
 	lower := func(a, b int64) bool { return a != 0 && (b == 0 || a < b) }
