A job handed in again at a renamed queue, or by a renamed tenant, is the same job

Cause: since tenants see their own jobs, a job of another queue or tenant counted as another job, also where that queue or tenant is no longer declared.

The same ID at another declared queue stays 409.

--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -575,8 +575,8 @@
 	switch {
 	case a.queue == "":
 		return true
-	case j.Queue != a.queue:
-		return false
+	case j.Queue != a.queue && (a.op != "job.put" || n.config.current.Queues[j.Queue] != nil):
+		return false // one that is handed in again stays known after its queue was renamed
 	case j.Tenant == "" || j.Tenant == a.tenant:
 		return true
 	case a.tenant == "" && a.op != "job.cancel":
@@ -598,12 +598,13 @@
 	switch {
 	case n.sees(a, j):
 		return false
-	case j.Queue == a.queue && !n.configConfirmedSince(a):
+	case (j.Queue == a.queue || a.op == "job.put") && !n.configConfirmedSince(a):
 		a.maybeApplied = true // it may be the very job that is handed in again
 		n.awaitConfirmation(a, "the setup is not confirmed here")
-	case j.Queue == a.queue && a.tenant != "" && n.config.current.Tenants[a.tenant] == nil:
-		a.maybeApplied = true // who found the tenant goes by a version before a renaming
-		n.reject(a, "the tenant is not in the newest setup")
+	case a.tenant != "" && n.config.current.Tenants[a.tenant] == nil,
+		a.op == "job.put" && n.config.current.Queues[a.queue] == nil:
+		a.maybeApplied = true // who found them goes by a version before a renaming
+		n.reject(a, "the queue or the tenant is not in the newest setup")
 	case a.op == "job.put":
 		n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 	default:
--- a/internal/daemon/tenant_rename_test.go
+++ b/internal/daemon/tenant_rename_test.go
@@ -52,3 +52,27 @@
 		}
 	}
 }
+
+// A job that is handed in again at its address is the same job after its queue was renamed, as it
+// was before there were tenants; it is no other job's id.
+func TestJobHandedInAgainAtARenamedQueue(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobOf, callOf string
+		confirmed     uint64
+	}{
+		"by its new name":                  {"former", "q", 1},
+		"by its former name":               {"q", "former", 1},
+		"while the owner isn't up to date": {"q", "next", 0},
+	} {
+		n, sl := shareOwner(t)
+		n.config.confirmedBy = c.confirmed
+		js := jobOfTenant(t, sl, "a", "", `{"name":"s","count":1,"room":1}`, 1)
+		js.Queue = c.jobOf
+		n.hides(&request{id: 7, op: "job.put", key: "a", queue: c.callOf, byAddress: true}, &js.job)
+		for _, e := range n.out {
+			if reply, ok := e.(effReply); ok {
+				must.NotEq(t, 409, reply.Status, must.Sprint(name, " ", string(reply.Body)))
+			}
+		}
+	}
+}
