--- a/internal/daemon/tenant_rename_test.go
+++ b/internal/daemon/tenant_rename_test.go
@@ -35,3 +35,44 @@
 		t.Log(answers)
 	}
 }
+
+// A daemon that goes by the version before a renaming hands on the former name. The job of that very
+// key isn't told as another's then.
+func TestJobHandedInAgainByAFormerName(t *testing.T) {
+	for _, op := range []string{"job.put", "job.state", "job.cancel"} {
+		n, sl := shareOwner(t)
+		n.config.confirmedBy = 1
+		js := jobOfTenant(t, sl, "a", "full", `{"name":"s","count":1,"room":1}`, 1)
+		call := &request{id: 7, op: op, key: "a", queue: "q", byAddress: true, tenant: "former"}
+		must.True(t, n.hides(call, &js.job))
+		for _, e := range n.out {
+			if reply, ok := e.(effReply); ok {
+				must.SliceNotContains(t, []int{404, 409, 410}, reply.Status, must.Sprint(op, " ", string(reply.Body)))
+			}
+		}
+	}
+}
+
+// A job that is handed in again at its address is the same job after its queue was renamed, as it
+// was before there were tenants; it is no other job's id.
+func TestJobHandedInAgainAtARenamedQueue(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobOf, callOf string
+		confirmed     uint64
+	}{
+		"by its new name":                  {"former", "q", 1},
+		"by its former name":               {"q", "former", 1},
+		"while the owner isn't up to date": {"q", "next", 0},
+	} {
+		n, sl := shareOwner(t)
+		n.config.confirmedBy = c.confirmed
+		js := jobOfTenant(t, sl, "a", "", `{"name":"s","count":1,"room":1}`, 1)
+		js.Queue = c.jobOf
+		n.hides(&request{id: 7, op: "job.put", key: "a", queue: c.callOf, byAddress: true}, &js.job)
+		for _, e := range n.out {
+			if reply, ok := e.(effReply); ok {
+				must.NotEq(t, 409, reply.Status, must.Sprint(name, " ", string(reply.Body)))
+			}
+		}
+	}
+}
