--- a/internal/daemon/platformtenants_campaign_test.go
+++ b/internal/daemon/platformtenants_campaign_test.go
@@ -166,7 +166,7 @@
 }
 
 // tenantCampaignSeeds is how many days CI plays.
-const tenantCampaignSeeds = 3
+const tenantCampaignSeeds = 6
 
 // TestTenantCampaign plays random days of tenants: with -seeds so many, from -from on.
 func TestTenantCampaign(t *testing.T) {
