Wire form 10: tenants in calls and tasks, and two messages for shares of limits

Cause: no message between daemons knows a tenant. A call that is forwarded carries the tenant's name, never the key; a task carries its tenant and the limit that it was placed under; ShareReport and ShareGrant are for the count of a tenant's limit. Nothing uses them yet. Daemons of forms 9 and 10 don't hear each other: no rolling upgrade across it.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -64,6 +64,8 @@
 	30: reflect.TypeFor[Digest](),
 	31: reflect.TypeFor[DigestReply](),
 	32: reflect.TypeFor[QueueCounts](),
+	33: reflect.TypeFor[ShareReport](),
+	34: reflect.TypeFor[ShareGrant](),
 }
 
 var messageKinds = func() map[reflect.Type]uint8 {
@@ -96,7 +98,7 @@
 const (
 	// FormVersion rises with each change of how frames or messages are encoded.
 	// Daemons of two forms don't hear each other.
-	FormVersion = 9
+	FormVersion = 10
 	// magic tells frames of this form from all others: "otw" and the form. Up to
 	// the third form a frame began with eight bytes "otterchu" and a version.
 	magic int32 = 0x6f747700 | FormVersion
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -24,6 +24,7 @@
 	Queue  string // the queue whose address the caller used; "" when it used none
 	Expect int64  // the version that a configuration builds on
 	Digest []byte // of an operator's order, where it isn't that of the body
+	Tenant string // whose key the caller showed; "" for a call that needs none
 }
 
 // ForwardReply is the answer to a Forward: an HTTP status and body.
@@ -64,6 +65,11 @@
 	Saves       bool
 	// PerWorker bounds the tasks of its step and round on one worker; 0 for none.
 	PerWorker int32
+	// Tenant is whose task it is, and TenantLimit the limit by which it was placed: where a
+	// newer configuration has a lower one, an unstarted task goes back to its owner.
+	Tenant      string
+	TenantLimit resource.Amount
+	Excess      bool // its tenant sends more than its weight: it goes after all others
 }
 
 // Placement sends a task to its worker's agent.
@@ -189,6 +195,7 @@
 	PerWorker   int32
 	Used        []WorkerUse // where others of the step are
 	EstimateMs  int64       // how long a run is expected to take
+	Excess      bool        // its tenant sends more than its weight: it goes after all others
 }
 
 // RequestedTask is one task of an AllocationRequest.
