Keys admit calls: 401 for a key that no tenant has; tenants see their own jobs

Cause: no code knew a key. The adapter dropped the header, the product's configuration had no tenants.

The change: `tenants` in the configuration, with digests of keys; a queue may be open; the daemon that a call comes to finds the tenant by a configuration that was confirmed freshly and hands on its name; 401 only by one confirmed after the call came, as 404. A job keeps its tenant in its record (records without one keep their bytes, old ones read as before); another tenant's job is an unknown one. An owner that is behind the configuration takes no job of a tenant it doesn't know.

--- a/guards.sh
+++ b/guards.sh
@@ -96,6 +96,16 @@
 batches make room at once|internal/daemon/agent_dispatch.go|n.now-pending.queuedMs <= urgentWaitMs && n.batchSpec(&run.spec) == nil|n.now-pending.queuedMs <= urgentWaitMs
 batches are never firm|internal/daemon/agent_sync.go|h.spec.Class != wire.ClassQueueable \|\|\n\t\tn.batchSpec(&h.spec) != nil {\n\t\treturn|h.spec.Class != wire.ClassQueueable {\n\t\treturn
 batches leave urgent work its room|internal/daemon/batch.go|if waiting, _ := ag.withoutBatches(n); waiting > 0 {|if false {
+unknown keys are refused|internal/daemon/request.go|return "", c.Queues[queue].Open|return "", true
+a call without a key is nobody's|internal/daemon/request.go|if credential != "" {|if true {
+no key is refused by an old configuration|internal/daemon/request.go|case n.configConfirmedSince(a):\n\t\tn.count("calls_unauthenticated")|case true:\n\t\tn.count("calls_unauthenticated")
+tenants see their own jobs|internal/daemon/request.go|case j.Tenant == "" \|\| j.Tenant == a.tenant:|case true:
+nobody cancels a tenant's job without its key|internal/daemon/request.go|case a.tenant == "" && a.op != "job.cancel":|case a.tenant == "":
+a tenant is gone by a confirmed configuration only|internal/daemon/request.go|return n.configFresh() && n.config.current.Tenants[tenant] == nil|return n.config.current.Tenants[tenant] == nil
+the tenant travels with a forwarded call|internal/daemon/request.go|tenant:         m.Tenant,|tenant:         "",
+the tenant stays in the record|internal/daemon/job_encode.go|if c.Tenant == "" {|if true {
+an owner knows the tenant first|internal/daemon/job_request.go|c.Queues[j.Queue] == nil \|\| a.tenant != "" && c.Tenants[a.tenant] == nil {|c.Queues[j.Queue] == nil {
+tenants' jobs of one ID are judged apart|internal/daemon/job_request.go|case a.tenant == f.job.Tenant:|case true:
 G
 }
 
@@ -120,7 +130,7 @@
   fi
   if [ -n "$compile_only" ]; then echo "compiles  $name"; continue; fi
   out=$(cd "$copy" && a=0 && { go test -vet=off -timeout 240s $(go list ./internal/... | grep -v /daemon$) 2>&1 || a=1; } && cd internal/daemon &&
-    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Config|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Members|Repairs|Slot|CopiedAgain|Stalled|Surest|Former|NextSet|Lease|FullDisk|FailedDisk|Batch[A-M]' 2>&1 || a=1; } &&
+    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Config|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Members|Repairs|Slot|CopiedAgain|Stalled|Surest|Former|NextSet|Lease|FullDisk|FailedDisk|Batch[A-M]|Tenant' 2>&1 || a=1; } &&
     { timeout 240 ./t -test.timeout 200s -test.run Campaign -seeds "${SEEDS:-12}" 2>&1 || a=1; } && exit $a)
   if [ $? -eq 0 ]; then echo "UNNOTICED $name"; touch "$bad"; else
     rules=$(echo "$out" | grep -oE '(twice_at_once|again_after_well|over_room|before_its_steps|before_due|lacks_label|outside_group|past_failures|after_cancel|runs_on_after_cancel|leaving_worker|emptied_site|job_forgotten|failed_without_cause|complete_too_early|setup_lost|setup_acked_twice|run_not_sent) at|jobs (still )?open|[0-9] of [0-9]+ jobs|panic|build failed|core is not whole' | sed -E 's/ at//; s/^[0-9].*/jobs open/; s/jobs still open/jobs open/' | sort | uniq -c | sort -rn | head -4 | awk '{c=$1; $1=""; printf "%s x%s,", $0, c}')
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -46,6 +46,7 @@
 	"queues":      {Kind: schema.List, Required: true, Max: 20_000, Elem: &queueField},
 	"contracts":   {Kind: schema.List, Max: 100, Elem: &contractFields},
 	"empty_sites": {Kind: schema.List, Max: 100, Elem: &schema.Field{Kind: schema.Name}},
+	"tenants":     {Kind: schema.List, Max: maxTenants, Elem: &tenantFields},
 	"source":      {Kind: schema.Any},
 }}
 
@@ -58,10 +59,13 @@
 	Contracts  map[string]*Contract
 	Lowest     int64 // urgency, of the queues that take no batches
 	Highest    int64
+	Tenants    map[string]*Tenant // by name; nil where the document declares none
 
 	digest  [sha256.Size]byte // of the document, where an operator sent it
 	emptied []string          // of EmptyZones, what the document itself says
 	hosts   map[string]*hostPrefixes
+
+	tenantsByKey map[KeyDigest]*Tenant
 }
 
 // Empty returns the configuration before the first version: version 0, no queues.
@@ -142,6 +146,9 @@
 	for i, queue := range root.Get("queues").Array() {
 		c.addQueue("queues."+strconv.Itoa(i), queue.Map()) // one pass over its fields: there are thousands
 	}
+	if tenants := root.Get("tenants"); tenants.Exists() {
+		c.addTenants("tenants", tenants.Array())
+	}
 	for _, zone := range root.Get("empty_sites").Array() {
 		c.config.EmptyZones[zone.Str] = true
 	}
--- a/internal/configuration/queue.go
+++ b/internal/configuration/queue.go
@@ -34,6 +34,7 @@
 	"trust_run_limit":  {Kind: schema.Flag},
 	"latency_ms":       {Kind: schema.Count, Min: 0, Max: 1 << 40},
 	"stretch":          {Kind: schema.Number},
+	"open":             {Kind: schema.Flag},
 	"batch":            batchFields,
 	"addresses": {Kind: schema.List, Max: 100, Elem: &schema.Field{Kind: schema.Object, Fields: map[string]schema.Field{
 		"host":   {Kind: schema.Text, Required: true, Min: 1, Max: 256},
@@ -53,6 +54,7 @@
 	LatencyMs  int64   // the target for a job's time
 	Stretch    float64 // the target for a job's time against its work alone
 	Batch      *Batch  // nil where its jobs don't wait for cheap hours
+	Open       bool    // callers need no key
 }
 
 // Choice is one label of a selector and the values that it may have.
@@ -141,6 +143,7 @@
 		Selector:   selectorOf(doc["selector"]),
 		LatencyMs:  doc["latency_ms"].Int(),
 		Stretch:    doc["stretch"].Num,
+		Open:       doc["open"].Bool(),
 	}
 	q.Admission = c.admissionOf(path, doc)
 	c.addAddresses(path, q, doc)
--- a/internal/daemon/fixture_test.go
+++ b/internal/daemon/fixture_test.go
@@ -233,6 +233,14 @@
 	must.NoError(t, os.Remove(filepath.Join(damaged, "lock")))
 }
 
+// copyOfFixture gives a member's data folder to open, which writes to it.
+func copyOfFixture(t *testing.T, name string) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	must.NoError(t, os.CopyFS(dir, os.DirFS(filepath.Join("testdata", "data", name))))
+	return dir
+}
+
 // Data folders of the release before the renaming are read as the same state.
 func TestFixtureDataFolders(t *testing.T) {
 	root := filepath.Join("testdata", "data")
@@ -242,8 +250,7 @@
 	}
 	for _, name := range append([]string{"damaged"}, fixtureMembers...) {
 		t.Run(name, func(t *testing.T) {
-			dir := t.TempDir() // opening a folder writes to it
-			must.NoError(t, os.CopyFS(dir, os.DirFS(filepath.Join(root, name))))
+			dir := copyOfFixture(t, name)
 			d, st, err := storage.Open(dir, 77, quiet)
 			must.NoError(t, err)
 			go d.Run(diskListener{func(func(*executor)) {}})
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -142,7 +142,10 @@
 	}
 	r := d.request(
 		ctx,
-		evRequest{Op: c.Op, Key: c.Key, Host: c.Host, Path: c.Path, Base: c.Expect, Digest: c.Digest, Body: c.Body},
+		evRequest{
+			Op: c.Op, Key: c.Key, Host: c.Host, Path: c.Path, Base: c.Expect, Digest: c.Digest, Body: c.Body,
+			Credential: c.Credential,
+		},
 	)
 	return platform.Answer{Status: r.Status, RetryMs: r.RetryMs, Body: r.Body}
 }
--- a/internal/daemon/job.go
+++ b/internal/daemon/job.go
@@ -84,6 +84,9 @@
 	Steps     []jobStep
 	Tasks     []task
 	Abandoned []abandonedRun // runs whose worker was silent for too long: an end of theirs that comes later doesn't count
+	// Tenant is whose key the job came with. It stands last, and a record leaves it out where it
+	// is empty: records from before there were tenants have the same form.
+	Tenant string
 }
 
 type abandonedRun struct {
@@ -272,10 +275,16 @@
 
 // jobOf reads the job in a record.
 func jobOf(r statestore.Record) (*job, bool) {
-	j := &job{}
-	if r.ID == "" || codec.Unmarshal(r.Value, j) != nil {
+	if r.ID == "" {
 		return nil, false
 	}
+	j := &job{}
+	if codec.Unmarshal(r.Value, j) != nil {
+		j = &job{}
+		if codec.Unmarshal(append(slices.Clone(r.Value), noTenant...), j) != nil || j.Tenant != "" {
+			return nil, false
+		}
+	}
 	j.ID = r.ID
 	j.fill()
 	return j, true
--- a/internal/daemon/job_encode.go
+++ b/internal/daemon/job_encode.go
@@ -12,9 +12,12 @@
 // recordCountBytes is the count that codec puts before a slice.
 const recordCountBytes = 4
 
-// abandonedRuns is the end of a job's form: its last field.
+// abandonedRuns is the end of the form of a job without a tenant.
 type abandonedRuns struct{ Runs []abandonedRun }
 
+// noTenant is the form of an empty Tenant, which records leave out.
+var noTenant = codec.Append(nil, struct{ Tenant string }{})
+
 // encode is the form of a job in its record, whose id it does not repeat.
 func (j *job) encode() []byte { return j.encodeSegmented().Value }
 
@@ -25,7 +28,11 @@
 	c.Tasks = nil
 	value := codec.Append(nil, c)
 	tail := codec.Append(nil, abandonedRuns{c.Abandoned})
+	tail = codec.Append(tail, struct{ Tenant string }{c.Tenant})
 	head := len(value) - len(tail) - recordCountBytes
+	if c.Tenant == "" {
+		tail = tail[:len(tail)-len(noTenant)]
+	}
 	value = binary.BigEndian.AppendUint32(value[:head], uint32(len(tasks)))
 	ends := make([]int, 0, len(tasks)+2)
 	ends = append(ends, len(value))
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -14,12 +14,12 @@
 		p, faults := parseJob(j.ID, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, j.Digest) {
+		} else if !bytes.Equal(p.Digest, j.Digest) || !n.sees(a, j) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 		} else {
 			n.respond(a, 200, 0, mustJSON(map[string]any{"id": j.ID, "state": j.State.String()}))
 		}
-	case a.queue != "" && a.queue != j.Queue:
+	case !n.sees(a, j):
 		n.respondMissing(a)
 	case a.op == "job.state":
 		n.respond(a, 200, 0, mustJSON(map[string]any{"state": j.State.String()}))
@@ -39,7 +39,7 @@
 		p, faults := parseJob(a.key, a.queue, a.body)
 		if len(faults) > 0 {
 			n.rejectFaults(a, 400, 0, faults)
-		} else if !bytes.Equal(p.Digest, js.Digest) {
+		} else if !bytes.Equal(p.Digest, js.Digest) || !n.sees(a, &js.job) {
 			n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
 		} else {
 			n.whenCommitted(js, waiter{version: 1, request: a, status: 200})
@@ -68,20 +68,21 @@
 		n.reject(a, "the setup is not confirmed here")
 		return
 	}
-	if n.config.current.Queues[j.Queue] == nil {
+	if c := n.config.current; c.Queues[j.Queue] == nil || a.tenant != "" && c.Tenants[a.tenant] == nil {
 		if !n.configConfirmedSince(a) && len(n.config.awaiting) < requestsMax {
-			// A version acknowledged just now may have it: ask the core first.
+			// A version acknowledged just now may have it, and the tenant's limit: ask the core first.
 			n.config.awaiting = append(n.config.awaiting, a)
 			n.leases.PollSoon()
 			return
 		}
 		if a.queue != "" { // whoever resolved its address had another configuration: soon it has this one
-			n.reject(a, "the queue is not in the newest setup")
+			n.reject(a, "the queue or the tenant is not in the newest setup")
 			return
 		}
 		n.rejectFaults(a, 400, 0, []schema.Fault{{Path: "queue", Reason: "is not in the setup"}})
 		return
 	}
+	j.Tenant = a.tenant
 	f := &fetchOp{id: a.key, job: j, requests: []*request{a}}
 	sl.admitting[a.key] = f
 	n.fetchRecord(sl, f)
@@ -93,7 +94,7 @@
 	q := n.config.current.Queues[j.Queue]
 	wall := n.fleetTime()
 	if q == nil || wall == 0 || !n.configFresh() {
-		n.rejectAdmission(f, func(a *request) { n.reject(a, "the setup or the core's time is not confirmed here") })
+		n.rejectAdmission(sl, f, func(a *request) { n.reject(a, "the setup or the core's time is not confirmed here") })
 		return
 	}
 	size := len(j.encode())
@@ -108,7 +109,7 @@
 	}
 	if b := admit(c); b != nil {
 		n.count("jobs_rejected")
-		n.rejectAdmission(f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
+		n.rejectAdmission(sl, f, func(a *request) { n.rejectFaults(a, int(b.status), b.retryMs, b.faults) })
 		return
 	}
 	j.SubmitMs = wall
@@ -129,13 +130,17 @@
 }
 
 // rejectAdmission answers all who wait for a new job that isn't taken: who hands it in
-// is told why, and for the others there is no such job.
-func (n *node) rejectAdmission(f *fetchOp, tell func(*request)) {
+// is told why, and for the others there is no such job. What another tenant hands in under
+// the same id is another job, to be taken or not for its own sake.
+func (n *node) rejectAdmission(sl *shard, f *fetchOp, tell func(*request)) {
 	for _, a := range f.requests {
-		if a.op == "job.put" {
-			tell(a)
-		} else {
+		switch {
+		case a.op != "job.put":
 			n.respondMissing(a)
+		case a.tenant == f.job.Tenant:
+			tell(a)
+		default:
+			n.handleSubmit(sl, a)
 		}
 	}
 }
@@ -170,7 +175,7 @@
 }
 
 func (n *node) handleGet(sl *shard, a *request) {
-	if js := sl.jobs[a.key]; js != nil && a.queue != "" && js.Queue != a.queue {
+	if js := sl.jobs[a.key]; js != nil && !n.sees(a, &js.job) {
 		n.respondMissing(a)
 		return
 	}
@@ -197,7 +202,7 @@
 // is told once a majority has it.
 func (n *node) handleState(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js == nil || a.queue != "" && js.Queue != a.queue {
+	if js == nil || !n.sees(a, &js.job) {
 		n.handleGet(sl, a)
 		return
 	}
@@ -226,7 +231,7 @@
 
 func (n *node) handleCancel(sl *shard, a *request) {
 	js := sl.jobs[a.key]
-	if js != nil && a.queue != "" && js.Queue != a.queue {
+	if js != nil && !n.sees(a, &js.job) {
 		n.respondMissing(a)
 		return
 	}
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -74,6 +74,7 @@
 		Host, Path string // where the call came in with the address of a queue
 		Base       int64  // the version a configuration builds on; -1 for one less than its own
 		Digest     []byte // SHA-256 of an operator's order, where it isn't that of the body
+		Credential string // the key that the caller showed
 		Body       []byte
 		// Ready is the configuration in Body, where a traffic thread compiled it already.
 		Ready *configuration.Configuration
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -49,6 +49,8 @@
 	queue        string // the queue that the address belongs to
 	maybeApplied bool   // it may have been done: handed over and not answered, or under way here
 	byAddress    bool   // it came with an address: an unknown job is told apart from an unknown queue
+	credential   string // the key that the caller showed here
+	tenant       string // whose key that is; "" where none is needed
 }
 
 type forwardedRequest struct {
@@ -133,6 +135,7 @@
 			path:        e.Path,
 			base:        e.Base,
 			digest:      e.Digest,
+			credential:  e.Credential,
 		},
 	)
 }
@@ -158,6 +161,7 @@
 			queue:          m.Queue,
 			base:           m.Expect,
 			digest:         m.Digest,
+			tenant:         m.Tenant,
 		},
 	)
 }
@@ -251,6 +255,7 @@
 			Queue:  a.queue,
 			Expect: a.base,
 			Digest: a.digest,
+			Tenant: a.tenant,
 		},
 	)
 }
@@ -354,7 +359,7 @@
 	if j, ok := jobOf(all[at]); ok {
 		delete(n.quorumReads, op)
 		n.count("states_from_core")
-		if r.request.queue != "" && j.Queue != r.request.queue {
+		if !n.sees(r.request, j) {
 			n.respond(r.request, 404, 0, mustJSON(map[string]any{"error": "no such job"}))
 			return
 		}
@@ -524,6 +529,17 @@
 		n.awaitConfirmation(a, "the setup is not confirmed here")
 		return
 	}
+	switch tenant, known := authenticate(c, queue, a.credential); {
+	case known:
+		a.tenant, a.credential = tenant, ""
+	case n.configConfirmedSince(a):
+		n.count("calls_unauthenticated")
+		n.respond(a, 401, 0, mustJSON(map[string]any{"error": "no tenant has this key"}))
+		return
+	default: // a version acknowledged just now may have it
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+		return
+	}
 	a.queue, a.byAddress, a.key = queue, true, id
 	switch {
 	case id == "" && a.op == "queue.state":
@@ -536,6 +552,45 @@
 	}
 }
 
+// authenticate gives the tenant whose key a call shows; "" where none is needed. It gives false
+// where one is needed and nobody has it. A call without a key is nobody's, whatever the digests of
+// the configuration are.
+func authenticate(c *configuration.Configuration, queue, credential string) (tenant string, known bool) {
+	if !c.Authenticates() {
+		return "", true
+	}
+	if credential != "" {
+		if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
+			return t.Name, true
+		}
+	}
+	return "", c.Queues[queue].Open
+}
+
+// sees tells whether a job is there for a call: one at an address sees the jobs of its queue,
+// and with a key those of the key's tenant. Jobs without a tenant, and those of a tenant that is
+// no longer declared, are there for all who may call. Without a key, at an open queue, any job may
+// be looked at, since its tenant's key may be one that was taken away; but not cancelled.
+func (n *node) sees(a *request, j *job) bool {
+	switch {
+	case a.queue == "":
+		return true
+	case j.Queue != a.queue:
+		return false
+	case j.Tenant == "" || j.Tenant == a.tenant:
+		return true
+	case a.tenant == "" && a.op != "job.cancel":
+		return true
+	}
+	return n.surelyUndeclared(j.Tenant)
+}
+
+// surelyUndeclared tells whether a confirmed configuration has no such tenant: one that isn't
+// confirmed may be from before the tenant was declared.
+func (n *node) surelyUndeclared(tenant string) bool {
+	return n.configFresh() && n.config.current.Tenants[tenant] == nil
+}
+
 // awaitConfirmation keeps a request until a newer confirmation of the configuration, for a while,
 // where one may still come.
 func (n *node) awaitConfirmation(a *request, reason string) {
