Tasks that no worker can hold take no share of their tenant's limit

Cause: the gang claimed a share, was granted it and kept it reserved for places that no worker has, by turns for ever. Ruled out: reservations that yield (they were in) since it reserved again after each turn.

The change: a task claims and reserves only where a worker of its queue's group is large enough for it.

TestTasksThatNoWorkerHoldsTakeNoShare fails without the check and passes with it.

--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -107,6 +107,9 @@
 // scheduleTask places a queueable task here, or asks the central scheduler for room.
 func (n *node) scheduleTask(sl *shard, js *jobState, i int, pass *schedulePass) {
 	rt := &js.runtime[i]
+	if !n.mayTakeShare(js, i, pass.queue) {
+		return
+	}
 	if n.classify(js, &js.Tasks[i]) == wire.ClassQueueable {
 		if int64(pass.outstanding) >= pass.queue.Quota {
 			return
--- a/internal/daemon/tenant_shares.go
+++ b/internal/daemon/tenant_shares.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/quota"
 	"otterchute/internal/rendezvous"
@@ -148,6 +149,22 @@
 	return js.Tenant == "" || n.limits.Declared(js.Tenant) || n.config.confirmedMs > js.enteredMs
 }
 
+// mayTakeShare tells whether a task may claim and reserve a share of its tenant's limit: one that
+// fits no worker of its queue's group would keep the share from tasks that can run.
+func (n *node) mayTakeShare(js *jobState, i int, q *configuration.Queue) bool {
+	if n.limits.Of(js.Tenant).Unlimited() {
+		return true
+	}
+	t := &js.Tasks[i]
+	for _, w := range n.workers { // some worker: the order does not matter
+		_, lacks := configuration.MissingLabel(w.labels, t.Needs)
+		if t.Resources.Fits(w.capacity) && !lacks && q.Matches(w.labels, w.zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasShare tells whether a task, or more, may be placed beside all that is placed and arranged.
 func (n *node) hasShare(sl *shard, js *jobState, amount resource.Amount) bool {
 	b := sl.shares.of(js.Tenant)
--- a/internal/daemon/tenantshares_test.go
+++ b/internal/daemon/tenantshares_test.go
@@ -25,6 +25,7 @@
 	n.config.record.Past = []configuration.VersionInfo{{Version: 1}}
 	n.adoptLimits()
 	n.core.Shards = []string{"s"}
+	n.workers["large"] = &workerView{capacity: resource.Amount{CPU: 100}}
 	for _, role := range []string{lease.ShardRole("s"), lease.Central} {
 		n.leases.Assume(role, 1, n.now+60_000)
 	}
@@ -62,6 +63,31 @@
 	must.Eq(t, n.now, behind.runtime[0].allocationMs, must.Sprint("the other tenant's task was not requested"))
 }
 
+// Tasks that no worker can hold kept a share of their tenant's limit for ever, and all its other
+// jobs stood still beside them.
+func TestTasksThatNoWorkerHoldsTakeNoShare(t *testing.T) {
+	n, sl := shareOwner(t)
+	for _, step := range []string{
+		`{"name":"s","count":2,"room":101,"gang":true}`,
+		`{"name":"s","count":2,"room":101,"estimate_ms":9000}`,
+		`{"name":"s","count":2,"room":101,"estimate_ms":10}`,
+	} {
+		js := jobOfTenant(t, sl, "a", "full", step, 2)
+		pass := n.newSchedulePass(js)
+		for i := range js.Tasks {
+			n.scheduleTask(sl, js, i, pass)
+		}
+		n.claimShares(sl, js, pass)
+		must.False(t, js.lacks, must.Sprint(step))
+		must.Eq(t, resource.Amount{}, sl.shares.reservedFor(js, 0, n.now), must.Sprint(step))
+	}
+	small := jobOfTenant(t, sl, "b", "full", `{"name":"s","count":1,"room":1,"gang":true}`, 1)
+	pass := n.newSchedulePass(small)
+	n.scheduleTask(sl, small, 0, pass)
+	n.claimShares(sl, small, pass)
+	must.True(t, small.lacks)
+}
+
 // The members of a gang that ended by another one's end take their tenant's share until their
 // workers have listed their ends, or may run no more.
 func TestGangKeepsItsShareUntilEndsAreListed(t *testing.T) {
