--- a/guards.sh
+++ b/guards.sh
@@ -53,7 +53,7 @@
 a told end is not taken back|internal/daemon/request.go|if !n.answeredByFullSet(r) {|if false {
 copied from a majority|internal/membership/learner.go|if len(l.copied) >= need {|if len(l.copied) >= 1 {
 an acknowledgement belongs to its set|internal/daemon/core_set.go|b.acked, b.sentMs = map[string]bool{}, 0|b.sentMs = 0
-unknown queues by a newer setup|internal/daemon/request.go|case !ok && n.configConfirmedSince(a):|case !ok:
+unknown queues by a newer setup|internal/daemon/request_address.go|case !ok && n.configConfirmedSince(a):|case !ok:
 one vote for a disk|internal/membership/formation.go|case store.Cluster() != 0 \|\| core != 0: // bound to another|case false:
 a response belongs to its instance|internal/daemon/identity.go|if head.To == n.Instance {|if true {
 a request belongs to its addressee|internal/daemon/identity.go|case head.To == addressOf(n.Name), |case true, 
@@ -117,12 +117,12 @@
 tasks placed by a higher limit are not started|internal/daemon/agent_dispatch.go|if n.limits.Outdated(h.spec.Tenant, h.spec.LimitVersion) {|if false {
 an owner counts what is placed|internal/daemon/shard.go|\t\tsl.shares.use(js.Tenant, t.Resources)\n|
 a tenant that is not known yet waits|internal/daemon/job_schedule.go|!n.knowsLimit(js)|false
-unknown keys are refused|internal/daemon/request.go|return "", c.Queues[queue].Open|return "", true
-a call without a key is nobody's|internal/daemon/request.go|if credential != "" {|if true {
-no key is refused by an old configuration|internal/daemon/request.go|case n.configConfirmedSince(a):\n\t\tn.count("calls_unauthenticated")|case true:\n\t\tn.count("calls_unauthenticated")
-tenants see their own jobs|internal/daemon/request.go|case j.Tenant == "" \|\| j.Tenant == a.tenant:|case true:
-nobody cancels a tenant's job without its key|internal/daemon/request.go|case a.tenant == "" && a.op != "job.cancel":|case a.tenant == "":
-a tenant is gone by a confirmed configuration only|internal/daemon/request.go|return n.configFresh() && n.config.current.Tenants[tenant] == nil|return n.config.current.Tenants[tenant] == nil
+unknown keys are refused|internal/daemon/request_address.go|return "", c.Queues[queue].Open|return "", true
+a call without a key is nobody's|internal/daemon/request_address.go|if credential != "" {|if true {
+no key is refused by an old configuration|internal/daemon/request_address.go|case n.configConfirmedSince(a):\n\t\tn.count("calls_unauthenticated")|case true:\n\t\tn.count("calls_unauthenticated")
+tenants see their own jobs|internal/daemon/request_address.go|case j.Tenant == "" \|\| j.Tenant == a.tenant:|case true:
+nobody cancels a tenant's job without its key|internal/daemon/request_address.go|case a.tenant == "" && a.op != "job.cancel":|case a.tenant == "":
+a tenant is gone by a confirmed configuration only|internal/daemon/request_address.go|return n.configFresh() && n.config.current.Tenants[tenant] == nil|return n.config.current.Tenants[tenant] == nil
 the tenant travels with a forwarded call|internal/daemon/request.go|tenant:         m.Tenant,|tenant:         "",
 the tenant stays in the record|internal/daemon/job_encode.go|if c.Tenant == "" {|if true {
 an owner knows the tenant first|internal/daemon/job_request.go|c.Queues[j.Queue] == nil \|\| a.tenant != "" && c.Tenants[a.tenant] == nil {|c.Queues[j.Queue] == nil {
--- /dev/null
+++ b/internal/daemon/request_address.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"otterchute/internal/configuration"
+	"otterchute/internal/schema"
+)
+
+// addressOps are what calls at a queue's address ask of a job's owner.
+var addressOps = map[string]string{"queue.submit": "job.put", "queue.state": "job.state", "queue.cancel": "job.cancel"}
+
+// resolveAddress finds the queue that an address belongs to, by the configuration that a
+// majority confirmed lately. That an address belongs to none is only said by
+// a configuration confirmed after the call came.
+func (n *node) resolveAddress(a *request) {
+	c := n.config.current
+	if c.Version == 0 {
+		n.reject(a, "no setup yet")
+		return
+	}
+	queue, id, ok := c.Resolve(a.host, a.path)
+	switch {
+	case !ok && n.configConfirmedSince(a):
+		n.respond(a, 404, 0, mustJSON(map[string]any{"missing": "queue", "error": "no queue has this address"}))
+		return
+	case !ok || !n.configFresh():
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+		return
+	}
+	switch tenant, known := authenticate(c, queue, a.credential); {
+	case known:
+		a.tenant, a.credential = tenant, ""
+	case n.configConfirmedSince(a):
+		n.count("calls_unauthenticated")
+		n.respond(a, 401, 0, mustJSON(map[string]any{"error": "no tenant has this key"}))
+		return
+	default: // a version acknowledged just now may have it
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+		return
+	}
+	a.queue, a.byAddress, a.key = queue, true, id
+	switch {
+	case id == "" && a.op == "queue.state":
+		n.respondPending(a, queue)
+	case !schema.ValidName(id):
+		n.respond(a, 404, 0, nil)
+	default:
+		a.op = addressOps[a.op]
+		n.handleRequest(a)
+	}
+}
+
+// authenticate gives the tenant whose key a call shows; "" where none is needed. It gives false
+// where one is needed and nobody has it. A call without a key is nobody's, whatever the digests of
+// the configuration are.
+func authenticate(c *configuration.Configuration, queue, credential string) (tenant string, known bool) {
+	if !c.Authenticates() {
+		return "", true
+	}
+	if credential != "" {
+		if t := c.TenantOfKey(configuration.DigestOfKey(credential)); t != nil {
+			return t.Name, true
+		}
+	}
+	return "", c.Queues[queue].Open
+}
+
+// sees tells whether a job is there for a call: one at an address sees the jobs of its queue,
+// and with a key those of the key's tenant. Jobs without a tenant, and those of a tenant that is
+// no longer declared, are there for all who may call. Without a key, at an open queue, any job may
+// be looked at, since its tenant's key may be one that was taken away; but not cancelled.
+func (n *node) sees(a *request, j *job) bool {
+	switch {
+	case a.queue == "":
+		return true
+	case j.Queue != a.queue && (a.op != "job.put" || n.config.current.Queues[j.Queue] != nil):
+		return false // one that is handed in again stays known after its queue was renamed
+	case j.Tenant == "" || j.Tenant == a.tenant:
+		return true
+	case a.tenant == "" && a.op != "job.cancel":
+		return true
+	}
+	return n.surelyUndeclared(j.Tenant)
+}
+
+// surelyUndeclared tells whether a confirmed configuration has no such tenant: one that isn't
+// confirmed may be from before the tenant was declared.
+func (n *node) surelyUndeclared(tenant string) bool {
+	return n.configFresh() && n.config.current.Tenants[tenant] == nil
+}
+
+// hides answers a call that a job isn't there for, and tells whether it isn't. That a job is
+// another tenant's is only said by a configuration confirmed after the call came: an older one
+// may know the callers' tenant by its former name.
+func (n *node) hides(a *request, j *job) bool {
+	switch {
+	case n.sees(a, j):
+		return false
+	case (j.Queue == a.queue || a.op == "job.put") && !n.configConfirmedSince(a):
+		a.maybeApplied = true // it may be the very job that is handed in again
+		n.awaitConfirmation(a, "the setup is not confirmed here")
+	case a.tenant != "" && n.config.current.Tenants[a.tenant] == nil,
+		a.op == "job.put" && n.config.current.Queues[a.queue] == nil:
+		a.maybeApplied = true // who found them goes by a version before a renaming
+		n.reject(a, "the queue or the tenant is not in the newest setup")
+	case a.op == "job.put":
+		n.respond(a, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
+	default:
+		n.respondMissing(a)
+	}
+	return true
+}
+
+// awaitConfirmation keeps a request until a newer confirmation of the configuration, for a while,
+// where one may still come.
+func (n *node) awaitConfirmation(a *request, reason string) {
+	if n.leases.CutOff() || len(n.config.awaiting) >= requestsMax {
+		n.reject(a, reason)
+		return
+	}
+	n.config.awaiting = append(n.config.awaiting, a)
+	n.leases.PollNextTick(tickMs) // at the next tick, if none is on its way
+}
