--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -57,7 +57,7 @@
 	name, ip, zone string
 	side           bool
 	settingsFile   string
-	process        *exec.Cmd
+	process        *os.Process
 	exited         chan struct{}
 }
 
@@ -185,7 +185,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.process, m.exited = cmd, make(chan struct{})
+	m.process, m.exited = cmd.Process, make(chan struct{})
 	go func(exited chan struct{}) {
 		_ = cmd.Wait()
 		_ = logFile.Close()
@@ -197,9 +197,8 @@
 // kill ends a machine's daemon at once.
 func (m *machine) kill() {
 	if m.process != nil {
-		_ = m.process.Process.Kill()
+		_ = m.process.Kill()
 		<-m.exited
-		m.process = nil
 	}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,9 @@
 	exitCould  = 2 // the case could not run
 )
 
+// longestRun ends a run that hangs, within the 120 s that a case may take.
+const longestRun = 115 * time.Second
+
 // A scenario plays one case on a running fleet. With trouble false it does the same without the disruption.
 type scenario func(f *fleet, workers []*worker, trouble bool) error
 
@@ -63,6 +68,17 @@
 		return could(err)
 	}
 	defer f.stopAll()
+	go func() { // the processes also end when this one is told to end, or takes too long
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+		}
+		f.stopAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(exitCould)
+	}()
 	workers, err := f.boot()
 	if err != nil {
 		return could(err)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -123,7 +123,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if answer.FenceNumber < w.fence {
+	if !w.up || answer.FenceNumber < w.fence {
 		return retryPauseMs * time.Millisecond
 	}
 	w.fence = answer.FenceNumber
