Jobs belong to the address where they were submitted, not to a queue's name

Cause: the record of a job, counts of waiting jobs, forwarded calls, allocation requests, placements and learned run times were keyed by the name of the queue, which operators change, swap and use again.

Ruled out: an outdated configuration (the calls resolve, every daemon answers alike).

Change: work that comes by an address is keyed by that address (configuration.Address.Key); Configuration.Queue finds the queue that has it in the version at hand, so daemons with different versions mean the same queue. A job is said to be another queue's only by a configuration confirmed after the call. Records that hold a name are rewritten when a change takes that name away and keeps the address. The simulated judge compares addresses instead of names, and the campaign renames, swaps, reuses and removes queues at random.

TestResolve and the test of thousands of queues compare the name by QueueName of the key, and the key's form, in place of the name alone: the same strictness, since Resolve returns the key now.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -62,6 +62,7 @@
 	digest             [sha256.Size]byte // of the document; zero if it was compiled from a Record
 	declaredEmptyZones []string          // those of EmptyZones that the document declares
 	prefixesByHost     map[string]*hostPrefixes
+	queuesByAddress    map[string]*Queue // by Address.Key
 
 	tenantsByKey map[KeyDigest]*Tenant
 }
@@ -76,13 +77,13 @@
 // hostPrefixes holds the address prefixes of one host. The longest one that a path begins with is
 // found with one lookup for each distinct length.
 type hostPrefixes struct {
-	lengths []int // longest first
-	queues  map[string]string
+	lengths []int             // longest first
+	keys    map[string]string // the Address.Key of each prefix
 }
 
-// Resolve returns the queue that an address belongs to, and the part of the path after its prefix.
-// The host may include a port.
-func (c *Configuration) Resolve(host, path string) (queue, rest string, ok bool) {
+// Resolve returns the key of the address that a path belongs to, for Queue, and the part of the path
+// after its prefix. The host may include a port.
+func (c *Configuration) Resolve(host, path string) (queueKey, rest string, ok bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
@@ -94,13 +95,46 @@
 		if size > len(path) {
 			continue
 		}
-		if queue, ok = h.queues[path[:size]]; ok {
-			return queue, strings.TrimPrefix(path[size:], "/"), true
+		if queueKey, ok = h.keys[path[:size]]; ok {
+			return queueKey, strings.TrimPrefix(path[size:], "/"), true
 		}
 	}
 	return "", "", false
 }
 
+// Queue returns the queue of a key: the queue with this name, or the one that this version has at the
+// address with this Address.Key. It returns nil if there is none. A prefix with and without a slash at
+// its end reaches the same paths, so one stands for the other unless both are configured.
+func (c *Configuration) Queue(key string) *Queue {
+	if !IsAddressKey(key) {
+		return c.Queues[key]
+	}
+	if queue := c.queuesByAddress[key]; queue != nil {
+		return queue
+	}
+	if withoutSlash, found := strings.CutSuffix(key, "/"); found {
+		return c.queuesByAddress[withoutSlash]
+	}
+	return c.queuesByAddress[key+"/"]
+}
+
+// SameQueue reports whether two keys are equal or belong to the same queue of this version.
+func (c *Configuration) SameQueue(key, other string) bool {
+	if key == other {
+		return true
+	}
+	queue := c.Queue(key)
+	return queue != nil && queue == c.Queue(other)
+}
+
+// QueueName returns the name that the queue of a key has in this version, or the key itself if there is no such queue.
+func (c *Configuration) QueueName(key string) string {
+	if queue := c.Queue(key); queue != nil {
+		return queue.Name
+	}
+	return key
+}
+
 // WithEmptiedZones returns the configuration with additional zones that were emptied separately
 // from the document.
 func (c *Configuration) WithEmptiedZones(zones []string) *Configuration {
@@ -112,9 +146,9 @@
 	return &next
 }
 
-// Urgency returns a queue's urgency; a queue that is no longer configured comes last.
-func (c *Configuration) Urgency(queue string) int64 {
-	if q := c.Queues[queue]; q != nil {
+// Urgency returns the urgency of a key's queue; a queue that is no longer configured comes last.
+func (c *Configuration) Urgency(queueKey string) int64 {
+	if q := c.Queue(queueKey); q != nil {
 		return q.Urgency
 	}
 	return -1
@@ -137,7 +171,8 @@
 	}
 	root := gjson.ParseBytes(doc)
 	c := compiler{config: &Configuration{Version: version, Queues: map[string]*Queue{}, EmptyZones: map[string]bool{},
-		LowestUrgency: 1 << 40, prefixesByHost: map[string]*hostPrefixes{}, Contracts: map[string]*Contract{}}}
+		LowestUrgency: 1 << 40, prefixesByHost: map[string]*hostPrefixes{}, queuesByAddress: map[string]*Queue{},
+		Contracts: map[string]*Contract{}}}
 	for i, contract := range root.Get("contracts").Array() {
 		c.addContract("contracts."+strconv.Itoa(i), contract)
 	}
@@ -198,22 +233,24 @@
 
 // addAddress adds an address of a queue, and reports whether it is the first with its host and
 // prefix.
-func (c *compiler) addAddress(a Address, queue string) bool {
+func (c *compiler) addAddress(a Address, queue *Queue) bool {
 	h := c.config.prefixesByHost[a.Host]
 	if h == nil {
-		h = &hostPrefixes{queues: map[string]string{}}
+		h = &hostPrefixes{keys: map[string]string{}}
 		c.config.prefixesByHost[a.Host] = h
 	}
-	if _, twice := h.queues[a.Prefix]; twice {
+	if _, twice := h.keys[a.Prefix]; twice {
 		return false
 	}
-	h.queues[a.Prefix] = queue
+	key := a.Key()
+	h.keys[a.Prefix] = key
+	c.config.queuesByAddress[key] = queue
 	return true
 }
 
 func (h *hostPrefixes) sortLengths() {
 	seen := map[int]bool{}
-	for prefix := range h.queues {
+	for prefix := range h.keys {
 		seen[len(prefix)] = true
 	}
 	h.lengths = slices.Sorted(maps.Keys(seen))
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -112,15 +112,49 @@
 		{"one.example", "/x/1", "a", "1"}, {"ONE.example", "/x/y/2", "b", "2"}, {"one.example:8080", "/x/y", "a", "y"}, {"one.example", "/x/", "a", ""},
 		{"one.example", "/x/yz/3", "c", "3"}, {"one.example", "/x", "", ""}, {"two.example", "/x/y/4", "a", "x/y/4"}, {"three.example", "/x/1", "", ""}, {"one.example", "", "", ""},
 	} {
-		queue, rest, ok := c.Resolve(x.host, x.path)
+		key, rest, ok := c.Resolve(x.host, x.path)
 		must.Eq(t, x.queue != "", ok, must.Sprint(x))
-		must.Eq(t, x.queue, queue, must.Sprint(x))
+		must.Eq(t, ok, IsAddressKey(key), must.Sprint(x))
+		must.Eq(t, x.queue, c.QueueName(key), must.Sprint(x))
 		must.Eq(t, x.rest, rest, must.Sprint(x))
 	}
 	_, faults = Compile(1, []byte(`{"queues":[{"name":"a","addresses":[{"host":"h","prefix":"/a"}]},{"name":"b","addresses":[{"host":"g","prefix":"/a"},{"host":"H","prefix":"/a"}]}]}`))
 	must.Eq(t, []schema.Fault{{Path: "queues.1.addresses.1", Reason: "stands twice"}}, faults)
 }
 
+// Guards against work that goes to another queue once queues are renamed, swap their names or reuse one: an
+// address key names the queue that has the address in each version.
+func TestAddressKeysFollowTheAddress(t *testing.T) {
+	compile := func(doc string) *Configuration {
+		c, faults := Compile(1, []byte(doc))
+		must.SliceEmpty(t, faults)
+		return c
+	}
+	queue := func(name, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"addresses":[{"host":"H","prefix":%q}]}`, name, prefix)
+	}
+	for _, x := range []struct{ setup, ofA, ofB string }{
+		{queue("a", "/a/") + "," + queue("b", "/b/"), "a", "b"},
+		{queue("b", "/a/") + "," + queue("a", "/b/"), "b", "a"},
+		{queue("c", "/a/") + "," + queue("a", "/d/"), "c", "//h/b/"},
+		{queue("a", "/c/"), "//h/a/", "//h/b/"},
+		{queue("a", "/a") + "," + queue("b", "/"), "a", "//h/b/"},
+		{queue("c", "/a") + "," + queue("a", "/a/"), "a", "//h/b/"},
+	} {
+		c := compile(`{"queues":[` + x.setup + `]}`)
+		must.Eq(t, x.ofA, c.QueueName("//h/a/"), must.Sprint(x))
+		must.Eq(t, x.ofB, c.QueueName("//h/b/"), must.Sprint(x))
+		must.Eq(t, c.Queue("//h/a/") == nil, IsAddressKey(x.ofA))
+		must.False(t, c.SameQueue("//h/a/", "//h/b/"))
+		must.True(t, c.SameQueue("//h/b/", "//h/b/"))
+	}
+	c := compile(`{"queues":[` + queue("a", "/a") + `]}`)
+	must.Eq(t, "a", c.QueueName("//h/a/"))
+	must.True(t, c.SameQueue("a", "//h/a"))
+	must.Nil(t, c.Queue("//h"))
+	must.Eq(t, int64(-1), c.Urgency("//h/b/"))
+}
+
 // Compiles thousands of queues, as in the largest documents in use.
 func TestThousandsOfQueuesCompile(t *testing.T) {
 	var b strings.Builder
@@ -136,8 +170,9 @@
 	c, faults := Compile(1, []byte(b.String()))
 	t.Logf("%d bytes, %d queues in %v", b.Len(), len(c.Queues), time.Since(start))
 	must.SliceEmpty(t, faults)
-	queue, rest, _ := c.Resolve("h17.example", "/p7817/abc")
-	must.Eq(t, "q7817", queue)
+	key, rest, _ := c.Resolve("h17.example", "/p7817/abc")
+	must.Eq(t, "//h17.example/p7817/", key)
+	must.Eq(t, "q7817", c.QueueName(key))
 	must.Eq(t, "abc", rest)
 }
 
--- a/internal/configuration/queue.go
+++ b/internal/configuration/queue.go
@@ -66,6 +66,21 @@
 // Address is where callers reach a queue: all paths of a host that begin with a prefix.
 type Address struct{ Host, Prefix string }
 
+// addressKeyMark begins the key of an address. No queue name contains a slash.
+const addressKeyMark = "//"
+
+// Key returns the key under which work that was submitted at the address is stored. Operators may rename
+// queues and reuse names, so a queue is only known by its name within one version; the address that a caller
+// used stays the same.
+//
+// Example: Address{"shop.example", "/checks/"}.Key() == "//shop.example/checks/"
+func (a Address) Key() string { return addressKeyMark + a.Host + a.Prefix }
+
+// IsAddressKey reports whether a queue's key is that of an address, rather than a name.
+//
+// Example: IsAddressKey("//shop.example/checks/") // true
+func IsAddressKey(key string) bool { return strings.HasPrefix(key, addressKeyMark) }
+
 // Matches reports whether a worker's labels put it in the queue's group. The worker's zone counts
 // as its label "site".
 func (q *Queue) Matches(labels []wire.Label, zone string) bool {
@@ -188,7 +203,7 @@
 func (c *compiler) addAddresses(path string, q *Queue, doc queueDocument) {
 	for i, a := range doc["addresses"].Array() {
 		at := Address{strings.ToLower(a.Get("host").Str), a.Get("prefix").Str}
-		if !c.addAddress(at, q.Name) {
+		if !c.addAddress(at, q) {
 			c.addFault(fmt.Sprintf("%s.addresses.%d", path, i), "stands twice")
 		}
 		q.Addresses = append(q.Addresses, at)
--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -94,7 +94,7 @@
 // startOrSkip starts a queued attempt if it is allowed to and fits, or preempts others for it. It
 // returns false if no attempt behind it in the queue may overtake it.
 func (n *node) startOrSkip(agent *workerAgent, attempt *agentAttempt, avail *resource.Amount) bool {
-	queue := n.config.current.Queues[attempt.spec.Queue]
+	queue := n.config.current.Queue(attempt.spec.Queue)
 	_, missing := configuration.MissingLabel(agent.labels, attempt.spec.RequiredLabels)
 	if queue == nil || missing || !queue.Matches(agent.labels, agent.zone) ||
 		attempt.spec.MaxPerWorker > 0 && agent.startedTasksOfStep(attempt) >= int(attempt.spec.MaxPerWorker) {
@@ -247,7 +247,7 @@
 				"id":       taskSpec.Key.String(),
 				"job":      taskSpec.Key.Job,
 				"name":     taskSpec.Name,
-				"queue":    taskSpec.Queue,
+				"queue":    n.config.current.QueueName(taskSpec.Queue),
 				"class":    taskSpec.Class.String(),
 				"room":     taskSpec.Resources,
 				"limit_ms": taskSpec.LimitMs,
--- a/internal/daemon/allocate.go
+++ b/internal/daemon/allocate.go
@@ -61,7 +61,7 @@
 	}
 	for _, key := range keys {
 		request := c.pending[key]
-		if q := n.config.current.Queues[request.Queue]; q != nil {
+		if q := n.config.current.Queue(request.Queue); q != nil {
 			n.allocate(c, pass, request, q)
 		}
 	}
--- a/internal/daemon/allocation_request.go
+++ b/internal/daemon/allocation_request.go
@@ -149,7 +149,7 @@
 	if job == nil || job.State != jobRunning {
 		return
 	}
-	queue := n.config.current.Queues[job.Queue]
+	queue := n.config.current.Queue(job.Queue)
 	if !n.acceptsGang(shard, job, queue, m.Places) {
 		n.count("grants_not_taken")
 		return
--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -87,7 +87,7 @@
 // batchRules returns the batch rules that apply to a job, or nil. Jobs with gangs or long-running tasks are exempt:
 // they may date from before the queue became a batch queue.
 func (n *node) batchRules(j *jobRecord) *configuration.BatchRules {
-	queue := n.config.current.Queues[j.Queue]
+	queue := n.config.current.Queue(j.Queue)
 	if queue == nil || queue.Batch == nil ||
 		slices.ContainsFunc(j.Steps, func(s jobStep) bool { return s.Gang || s.LongRunning }) {
 		return nil
@@ -97,7 +97,7 @@
 
 // batchRulesOfSpec returns the batch rules that apply to a task at a worker, or nil if it isn't a batch task.
 func (n *node) batchRulesOfSpec(spec *wire.TaskSpec) *configuration.BatchRules {
-	if queue := n.config.current.Queues[spec.Queue]; queue != nil && spec.Class == wire.ClassQueueable {
+	if queue := n.config.current.Queue(spec.Queue); queue != nil && spec.Class == wire.ClassQueueable {
 		return queue.Batch
 	}
 	return nil
@@ -150,10 +150,11 @@
 	slices.SortStableFunc(batches, func(a, b batchJob) int { return cmp.Compare(a.deadlineMs, b.deadlineMs) })
 	capacities, workAheadMs := map[string]resource.Amount{}, 0.0
 	for _, batch := range batches {
-		capacity, known := capacities[batch.job.Queue]
+		queueName := n.config.current.QueueName(batch.job.Queue)
+		capacity, known := capacities[queueName]
 		if !known {
-			capacity = n.batchCapacity(batch.job.Queue, batch.rules)
-			capacities[batch.job.Queue] = capacity
+			capacity = n.batchCapacity(queueName, batch.rules)
+			capacities[queueName] = capacity
 		}
 		chainMs, workMs := n.batchRemaining(batch.job, capacity)
 		workAheadMs += workMs * float64(max(1, len(n.core.Shards))) // assumes that each other shard has as much work
@@ -161,7 +162,7 @@
 		newPlan := planBatch(batch.rules, batch.job.ID, batch.fromMs, clusterTimeMs, needMs)
 		if newPlan.AtAnyPrice && (batch.job.plan == nil || !batch.job.plan.AtAnyPrice) {
 			n.count("batches_at_any_price")
-			n.log("batch_at_any_price", "job", batch.job.ID, "queue", batch.job.Queue, "need_ms", needMs, "price", newPlan.Price)
+			n.log("batch_at_any_price", "job", batch.job.ID, "queue", queueName, "need_ms", needMs, "price", newPlan.Price)
 		}
 		batch.job.plan = &newPlan
 	}
@@ -169,7 +170,7 @@
 
 // batchCapacity returns the capacity that the batch tasks of a queue may use in total.
 func (n *node) batchCapacity(queue string, rules *configuration.BatchRules) (total resource.Amount) {
-	q := n.config.current.Queues[queue]
+	q := n.config.current.Queue(queue)
 	for _, w := range n.workers {
 		if n.now-w.receivedMs < workerSilentMs && !w.leaving && !n.config.current.EmptyZones[w.zone] &&
 			q.Matches(w.labels, w.zone) {
@@ -239,8 +240,8 @@
 	return waitingWorkers > 0 && waitingWorkers*batchPauseWorkerRatio >= liveWorkers
 }
 
-// queueOnWorker is the key of the resources that a queue's batch tasks use at a worker; an empty queue stands for
-// all queues.
+// queueOnWorker is the key of the resources that a queue's batch tasks use at a worker, by the queue's name; an empty
+// name stands for all queues.
 type queueOnWorker struct{ queue, worker string }
 
 // batchLoad returns the resources that the batch tasks of a queue, or of all queues if it is empty, are known to use
@@ -255,13 +256,14 @@
 		}
 	}()
 	for ref, amount := range shard.placedByWorker[worker] {
-		if job := shard.jobs[ref.jobID]; job != nil && job.plan != nil && (job.Queue == queue || queue == "") {
+		if job := shard.jobs[ref.jobID]; job != nil && job.plan != nil &&
+			(queue == "" || n.config.current.QueueName(job.Queue) == queue) {
 			sum = sum.Plus(amount)
 		}
 	}
 	if w := n.workers[worker]; w != nil {
 		for _, b := range w.batchUse[shard.name] {
-			if b.Queue == queue || queue == "" {
+			if queue == "" || n.config.current.QueueName(b.Queue) == queue {
 				sum = sum.Plus(b.Resources)
 			}
 		}
@@ -287,7 +289,7 @@
 	if !job.plan.AtAnyPrice && !n.batchLoad(shard, "", worker).Plus(t.Resources).Plus(headroom).Fits(w.spare.minimum()) {
 		return 0, false
 	}
-	load := n.batchLoad(shard, job.Queue, worker)
+	load := n.batchLoad(shard, n.config.current.QueueName(job.Queue), worker)
 	if !load.Plus(t.Resources).Fits(w.capacity.Share(sharePercent)) {
 		return 0, false
 	}
@@ -318,7 +320,7 @@
 		return ""
 	}
 	t := &job.Tasks[i]
-	step, queue := &job.Steps[t.Step], n.config.current.Queues[job.Queue]
+	step, queue := &job.Steps[t.Step], n.config.current.Queue(job.Queue)
 	var used map[string]int32
 	if step.MaxPerWorker > 0 {
 		used = job.stepTasksByWorker(i)
@@ -341,7 +343,7 @@
 	}
 	if best != "" {
 		shard.batchStartsInTick++
-		for _, queueName := range []string{job.Queue, ""} {
+		for _, queueName := range []string{n.config.current.QueueName(job.Queue), ""} {
 			load := n.batchLoad(shard, queueName, best).Plus(t.Resources)
 			shard.batchUseByWorker[queueOnWorker{queueName, best}] = load
 		}
@@ -392,7 +394,7 @@
 
 // largestBatchShare returns, for each resource, the most that one worker offers to the batch tasks of a queue.
 func (n *node) largestBatchShare(queue string, rules *configuration.BatchRules) (largest resource.Amount) {
-	q := n.config.current.Queues[queue]
+	q := n.config.current.Queue(queue)
 	for _, w := range n.workers {
 		if share := w.capacity.Share(rules.SharePercent); n.workerAllowed(w, q, nil, resource.Amount{}) {
 			largest = resource.Amount{
@@ -451,7 +453,8 @@
 	n.count("batches_complete")
 	if job.DoneMs > job.plan.DeadlineMs {
 		n.count("batches_late")
-		n.log("batch_late", "job", job.ID, "queue", job.Queue, "late_ms", job.DoneMs-job.plan.DeadlineMs)
+		n.log("batch_late", "job", job.ID, "queue", n.config.current.QueueName(job.Queue),
+			"late_ms", job.DoneMs-job.plan.DeadlineMs)
 	}
 }
 
@@ -558,7 +561,7 @@
 	}
 	sum := attempt.spec.Resources
 	for _, other := range agent.attempts {
-		if other != attempt && other.spec.Queue == attempt.spec.Queue &&
+		if other != attempt && n.config.current.SameQueue(other.spec.Queue, attempt.spec.Queue) &&
 			(other.state == wire.AttemptOrdered || other.state == wire.AttemptRunning) &&
 			n.batchRulesOfSpec(&other.spec) != nil {
 			sum = sum.Plus(other.spec.Resources)
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -240,7 +240,7 @@
 	}
 	available := w.Capacity.Minus(w.guaranteed).Minus(c.grantedResources()[w.Worker])
 	for _, status := range w.Attempts {
-		if q := n.config.current.Queues[status.Queue]; q != nil && q.Batch != nil {
+		if q := n.config.current.Queue(status.Queue); q != nil && q.Batch != nil {
 			continue // batches are never guaranteed
 		}
 		if isPromotable(status) && status.Resources.Fits(available) {
--- a/internal/daemon/config_state.go
+++ b/internal/daemon/config_state.go
@@ -134,9 +134,11 @@
 			return
 		}
 	}
+	previous := n.config.current
 	n.config.current, n.config.record, n.config.ballot =
 		compiled.WithEmptiedZones(newRecord.EmptiedZones), newRecord, newBallot
 	n.adoptLimits()
+	n.rebindRenamedQueues(previous)
 	n.config.confirmedMs, n.config.confirmedPoll = -1<<40, 0
 	n.log("config_adopted", "version", newRecord.Version, "queues", len(compiled.Queues))
 	n.leases.PollSoon()
--- a/internal/daemon/headroom.go
+++ b/internal/daemon/headroom.go
@@ -46,7 +46,7 @@
 // worker.
 func (a *workerAgent) urgentUse(n *node, states ...wire.AttemptState) (used resource.Amount) {
 	for _, attempt := range a.attempts { // the order does not affect sums
-		q := n.config.current.Queues[attempt.spec.Queue]
+		q := n.config.current.Queue(attempt.spec.Queue)
 		if q == nil || !n.mayUseUrgentHeadroom(q, attempt.spec.Excess) {
 			continue
 		}
--- a/internal/daemon/job.go
+++ b/internal/daemon/job.go
@@ -68,7 +68,7 @@
 // jobRecord is a job as its shard's record stores it, with all its tasks.
 type jobRecord struct {
 	ID       string
-	Queue    string
+	Queue    string // the key of the address where it was submitted, or the queue's name; see Configuration.Queue
 	Digest   []byte // of the request body, see bodyDigest
 	SubmitMs int64
 	DueMs    int64
@@ -303,8 +303,9 @@
 	return j, true
 }
 
-// describe returns the job as replies show it. waitReason returns why a task waits, or "" if it doesn't.
-func (j *jobRecord) describe(waitReason func(*task) string) map[string]any {
+// describeJob returns a job as replies show it, with the name that its queue has now. waitReason returns why a task
+// waits, or "" if it doesn't.
+func (n *node) describeJob(j *jobRecord, waitReason func(*task) string) map[string]any {
 	steps := make([]map[string]any, len(j.Steps))
 	for i, s := range j.Steps {
 		after := []string{}
@@ -334,7 +335,7 @@
 	}
 	out := map[string]any{
 		"id":           j.ID,
-		"queue":        j.Queue,
+		"queue":        n.config.current.QueueName(j.Queue),
 		"state":        state,
 		"submitted_ms": j.SubmitMs,
 		"due_ms":       j.DueMs,
--- a/internal/daemon/job_explain.go
+++ b/internal/daemon/job_explain.go
@@ -28,7 +28,7 @@
 		return "steps before it have not all ended well"
 	case n.now < rt.retryAtMs && (t.Failures > 0 || job.plan == nil):
 		return "backing off after a failure"
-	case n.config.current.Queues[job.Queue] == nil:
+	case n.config.current.Queue(job.Queue) == nil:
 		return "its queue is not in the setup"
 	}
 	if reason := n.explainNoWorker(job, t); reason != "" {
@@ -48,7 +48,7 @@
 func (n *node) explainNoWorker(job *liveJob, t *task) string {
 	reasons := []string{"", "all allowed workers are leaving or in emptied sites", "all allowed workers are silent",
 		"no allowed worker has so much room", "no worker of its queue's group has the labels it needs"}
-	queue, nearest := n.config.current.Queues[job.Queue], len(reasons)-1
+	queue, nearest := n.config.current.Queue(job.Queue), len(reasons)-1
 	for _, name := range sortedKeys(n.workers) {
 		worker, obstacle := n.workers[name], 0
 		_, lacksLabel := configuration.MissingLabel(worker.labels, t.RequiredLabels)
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -26,7 +26,7 @@
 	case req.op == "job.cancel" && record.State != jobCancelled:
 		n.respond(req, 409, 0, mustJSON(map[string]any{"error": "the job has ended", "state": record.State.String()}))
 	default:
-		n.respond(req, 200, 0, mustJSON(record.describe(func(*task) string { return "" })))
+		n.respond(req, 200, 0, mustJSON(n.describeJob(record, func(*task) string { return "" })))
 	}
 }
 
@@ -71,7 +71,7 @@
 		n.reject(req, "the setup is not confirmed here")
 		return
 	}
-	if config := n.config.current; config.Queues[record.Queue] == nil ||
+	if config := n.config.current; config.Queue(record.Queue) == nil ||
 		req.tenant != "" && config.Tenants[req.tenant] == nil {
 		if !n.configConfirmedSince(req) && len(n.config.awaiting) < requestsMax {
 			// A newer configuration, acknowledged just now, may declare the queue, or the tenant and its limit:
@@ -97,7 +97,7 @@
 // follows once the record is committed.
 func (n *node) admitJob(shard *ownedShard, fetch *fetchOp) {
 	record, req := fetch.job, fetch.requests[0]
-	queue := n.config.current.Queues[record.Queue]
+	queue := n.config.current.Queue(record.Queue)
 	clusterTimeMs := n.clusterTime()
 	if queue == nil || clusterTimeMs == 0 || !n.configFresh() {
 		n.rejectAdmission(shard, fetch, func(req *request) {
@@ -109,7 +109,7 @@
 	candidate := &admission{
 		job:           record,
 		queue:         queue,
-		queueLive:     shard.liveByQueue[record.Queue],
+		queueLive:     n.liveInQueue(shard, record.Queue),
 		shardLive:     len(shard.jobs),
 		bytes:         shard.recordBytes + size,
 		lowestUrgency: queue.Urgency <= n.config.current.LowestUrgency && len(n.config.current.Queues) > 1,
@@ -151,6 +151,16 @@
 	}
 }
 
+// liveInQueue counts a shard's live jobs in the queue of a key.
+func (n *node) liveInQueue(shard *ownedShard, queueKey string) (count int) {
+	for key, jobs := range shard.liveByQueue {
+		if n.config.current.SameQueue(key, queueKey) {
+			count += jobs
+		}
+	}
+	return count
+}
+
 // rejectAdmission responds to all requests that wait for the admission of a job that was rejected: submissions are
 // rejected with its reason, other requests find no job. A submission by another tenant under the same ID is a
 // different job and is handled on its own.
@@ -209,7 +219,7 @@
 			n.whenCommitted(job, waiter{version: 1, request: req, status: 200})
 			return
 		}
-		n.respond(req, 200, 0, mustJSON(job.describe(func(t *task) string { return n.explainWait(job, t) })))
+		n.respond(req, 200, 0, mustJSON(n.describeJob(&job.jobRecord, func(t *task) string { return n.explainWait(job, t) })))
 		return
 	}
 	if record := shard.finished[req.key]; record != nil {
--- a/internal/daemon/job_schedule.go
+++ b/internal/daemon/job_schedule.go
@@ -75,7 +75,7 @@
 
 // newSchedulePass starts a scheduling pass over a job's tasks.
 func (n *node) newSchedulePass(job *liveJob) *schedulePass {
-	pass := &schedulePass{clusterTimeMs: n.clusterTime(), queue: n.config.current.Queues[job.Queue],
+	pass := &schedulePass{clusterTimeMs: n.clusterTime(), queue: n.config.current.Queue(job.Queue),
 		batch: n.batchRules(&job.jobRecord) != nil}
 	for i := range job.Tasks {
 		if t := &job.Tasks[i]; t.State == taskPlaced && t.Class == wire.ClassQueueable {
@@ -206,7 +206,7 @@
 	if rt.silentSinceMs == 0 {
 		rt.silentSinceMs = n.now
 	}
-	if q := n.config.current.Queues[job.Queue]; q != nil && q.TrustRunLimit && n.configFresh() &&
+	if q := n.config.current.Queue(job.Queue); q != nil && q.TrustRunLimit && n.configFresh() &&
 		n.now-rt.silentSinceMs > ownerContactMs+orderTimeoutMs+t.LimitMs+limitMarginMs {
 		n.count("run_limits_resolved")
 		n.resolveAttempt(shard, job, i, wire.ResultLost, 0)
--- a/internal/daemon/job_timeline.go
+++ b/internal/daemon/job_timeline.go
@@ -64,7 +64,8 @@
 // timelineOf returns the timeline of a job in a shard that this daemon owns.
 func (n *node) timelineOf(shard *ownedShard, job *liveJob) jobTimeline {
 	timeline := jobTimeline{
-		ID: job.ID, Queue: job.Queue, State: job.state(), Shard: shard.name, Owner: n.Name, Epoch: shard.epoch,
+		ID: job.ID, Queue: n.config.current.QueueName(job.Queue), State: job.state(),
+		Shard: shard.name, Owner: n.Name, Epoch: shard.epoch,
 		KnownSince: sinceUnknown, StageMs: map[string]int64{}, Tasks: []taskTimeline{},
 	}
 	if trace := job.trace; trace != nil {
--- a/internal/daemon/job_trace.go
+++ b/internal/daemon/job_trace.go
@@ -35,7 +35,7 @@
 
 // observeStage records how long a task or job was in a stage.
 func (n *node) observeStage(job *liveJob, class wire.TaskClass, stage jobtrace.Stage, ms int64) {
-	n.stages.Observe(jobtrace.Key{Queue: job.Queue, Class: class.String(), Stage: stage}, ms)
+	n.stages.Observe(jobtrace.Key{Queue: n.config.current.QueueName(job.Queue), Class: class.String(), Stage: stage}, ms)
 }
 
 // jobClass returns the class under which stages of the whole job are recorded: that of the first task.
--- a/internal/daemon/platformjudge_test.go
+++ b/internal/daemon/platformjudge_test.go
@@ -316,7 +316,7 @@
 			c.report("ROUTE", e.atMs, "%s is number %d of its step there, the most is %d", what, there, step.perWorker)
 		}
 	}
-	if len(c.setups) > 0 && !slices.ContainsFunc(c.setups, func(o *observedSetup) bool { return o.setup.routesTo(s.queue.name, w.facts) }) {
+	if len(c.setups) > 0 && !slices.ContainsFunc(c.setups, func(o *observedSetup) bool { return o.setup.routesTo(s.queue, w.facts) }) {
 		c.report("ROUTE", e.atMs, "%s: no configuration routes queue %s there", what, s.queue.name)
 	}
 	for _, a := range step.after {
--- a/internal/daemon/platformworld_callers_test.go
+++ b/internal/daemon/platformworld_callers_test.go
@@ -224,7 +224,16 @@
 func (b *platformWorld) usualSetup() *platformSetup {
 	s := &platformSetup{note: fmt.Sprint(b.rng.Uint32()), tenants: copyTenants(b.tenants)}
 	for _, k := range b.deployment.kinds {
-		s.queues = append(s.queues, k.queue)
+		q := k.queue
+		if name := b.queueNames[q.prefix]; name != "" {
+			q.name = name
+		}
+		if service := b.queueServices[q.prefix]; service != "" {
+			q.service = service
+		}
+		if !b.removedQueues[q.prefix] {
+			s.queues = append(s.queues, q)
+		}
 	}
 	return s
 }
--- a/internal/daemon/platformworld_sites_test.go
+++ b/internal/daemon/platformworld_sites_test.go
@@ -75,9 +75,11 @@
 	return slices.ContainsFunc(s.queues, func(o platformQueue) bool { return o.host == q.host && o.prefix == q.prefix })
 }
 
-// routesTo reports whether tasks of a queue may run at a worker.
-func (s *platformSetup) routesTo(queue string, f *workerFacts) bool {
-	return slices.ContainsFunc(s.queues, func(o platformQueue) bool { return o.name == queue && f.labels["service"] == o.service })
+// routesTo reports whether tasks that were submitted at a queue's address may run at a worker.
+func (s *platformSetup) routesTo(q *platformQueue, f *workerFacts) bool {
+	return slices.ContainsFunc(s.queues, func(o platformQueue) bool {
+		return o.host == q.host && o.prefix == q.prefix && f.labels["service"] == o.service
+	})
 }
 
 func (s *platformSetup) body() []byte {
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -63,6 +63,10 @@
 	onlyTenant       string           // if set, all drawn jobs belong to it
 	createdKeys      int
 	urgentChecks     []urgentCheck
+	queueNames       map[string]string // the names that queues have now, by prefix, if not those of the deployment
+	queueServices    map[string]string // the services that queues are routed to now, likewise
+	createdNames     int
+	removedQueues    map[string]bool // the queues that are not declared now, by prefix
 }
 
 type gangName struct {
@@ -87,7 +91,8 @@
 	dep := historycheck.Deployment{Name: deployment.name, Daemons: deployment.edges + deployment.workerHosts}
 	b := &platformWorld{world: newWorld(seed, dep), deployment: deployment, byHost: map[string]*platformWorker{}, jobs: map[string]*platformJob{}, gangs: map[gangName]*platformExecution{},
 		savedPoints: map[string]savedPoint{}, wastedCoreSeconds: map[string]float64{}, responseCounts: map[string]int{}, cutOff: map[string]bool{}, evacuatedZones: map[string]bool{}, trafficFactor: 1,
-		tenants: copyTenants(deployment.tenants), cutOneWay: map[string]cutDirection{}, sentSetups: map[string]*sentSetup{}, activeFaults: map[string]int{}, faultFreeSinceMs: map[string]int64{}}
+		tenants: copyTenants(deployment.tenants), cutOneWay: map[string]cutDirection{}, sentSetups: map[string]*sentSetup{}, activeFaults: map[string]int{}, faultFreeSinceMs: map[string]int64{},
+		queueNames: map[string]string{}, queueServices: map[string]string{}, removedQueues: map[string]bool{}}
 	b.maxHeldMs = wire.UserTimeoutMs
 	b.onEachResponse(b.recordAcceptance)
 	b.edgeHosts, b.diskHosts = sortedKeys(b.nodes)[:deployment.edges], sortedKeys(b.nodes)[:deployment.disks]
--- a/internal/daemon/queue_counts.go
+++ b/internal/daemon/queue_counts.go
@@ -18,10 +18,10 @@
 type queueCounts struct {
 	epoch      uint64
 	receivedMs int64
-	pending    map[string]int64 // queue -> jobs that wait for their first start
+	pending    map[string]int64 // by jobRecord.Queue: jobs that wait for their first start
 }
 
-// pendingByQueue counts a shard's jobs that wait for their first start, by queue.
+// pendingByQueue counts a shard's jobs that wait for their first start, by jobRecord.Queue.
 func pendingByQueue(shard *ownedShard) map[string]int64 {
 	pending := map[string]int64{}
 	for _, job := range shard.jobs {
@@ -73,24 +73,34 @@
 
 // pendingIn counts a queue's jobs, in all shards, that wait for their first start; known is false if the
 // counts of some shard are missing or stale.
-func (n *node) pendingIn(queue string) (count int64, known bool) {
+func (n *node) pendingIn(queueKey string) (count int64, known bool) {
 	for _, name := range n.core.Shards {
 		if shard := n.shards[name]; shard != nil && shard.serving && n.leases.Holds(lease.ShardRole(name)) {
-			count += pendingByQueue(shard)[queue]
+			count += n.pendingOfQueue(pendingByQueue(shard), queueKey)
 			continue
 		}
 		counts := n.queueCounts[name]
 		if counts == nil || n.now-counts.receivedMs > queueCountsStaleMs {
 			return 0, false
 		}
-		count += counts.pending[queue]
+		count += n.pendingOfQueue(counts.pending, queueKey)
 	}
 	return count, len(n.core.Shards) > 0
 }
 
+// pendingOfQueue adds up the counts of all keys under which a queue's jobs are stored.
+func (n *node) pendingOfQueue(pending map[string]int64, queueKey string) (count int64) {
+	for key, jobs := range pending {
+		if n.config.current.SameQueue(key, queueKey) {
+			count += jobs
+		}
+	}
+	return count
+}
+
 // respondPending responds with the number of a queue's jobs that wait for their first start.
-func (n *node) respondPending(req *request, queue string) {
-	count, known := n.pendingIn(queue)
+func (n *node) respondPending(req *request, queueKey string) {
+	count, known := n.pendingIn(queueKey)
 	if !known {
 		n.reject(req, "not all shards have told what waits")
 		return
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -295,7 +295,7 @@
 // fitsElsewhere reports whether another worker could start a queued task at once.
 func (n *node) fitsElsewhere(shard *ownedShard, job *liveJob, i int) bool {
 	t := &job.Tasks[i]
-	queue := n.config.current.Queues[job.Queue]
+	queue := n.config.current.Queue(job.Queue)
 	if queue == nil || !n.Policies.On(scheduler.Recall) {
 		return false
 	}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -46,7 +46,7 @@
 	path         string
 	base         int64  // the version that a configuration builds on; -1 for one less than its own
 	digest       []byte // SHA-256 of an operator's change as it was sent, if that isn't the configuration itself
-	queue        string // the queue that the address belongs to
+	queue        string // the key of the address that the client used, see configuration.Address.Key
 	maybeApplied bool   // it may have taken effect: forwarded without a reply, or in progress here
 	byAddress    bool   // it names a queue by address: an unknown job is distinguished from an unknown queue
 	credential   string // the API key in the call
@@ -388,7 +388,7 @@
 			)
 			return
 		}
-		n.respond(read.request, 200, 0, mustJSON(job.describe(func(t *task) string {
+		n.respond(read.request, 200, 0, mustJSON(n.describeJob(job, func(t *task) string {
 			if t.State == taskPending || t.State == taskPlaced {
 				return "its slice is being taken over"
 			}
--- a/internal/daemon/request_address.go
+++ b/internal/daemon/request_address.go
@@ -17,7 +17,7 @@
 		n.reject(req, "no setup yet")
 		return
 	}
-	queue, id, ok := cfg.Resolve(req.host, req.path)
+	queueKey, id, ok := cfg.Resolve(req.host, req.path)
 	switch {
 	case !ok && n.configConfirmedSince(req):
 		n.respond(req, 404, 0, mustJSON(map[string]any{"missing": "queue", "error": "no queue has this address"}))
@@ -26,7 +26,7 @@
 		n.awaitConfirmation(req, "the setup is not confirmed here")
 		return
 	}
-	switch tenant, known := authenticate(cfg, queue, req.credential); {
+	switch tenant, known := authenticate(cfg, queueKey, req.credential); {
 	case known:
 		req.tenant, req.credential = tenant, ""
 	case n.configConfirmedSince(req):
@@ -37,10 +37,10 @@
 		n.awaitConfirmation(req, "the setup is not confirmed here")
 		return
 	}
-	req.queue, req.byAddress, req.key = queue, true, id
+	req.queue, req.byAddress, req.key = queueKey, true, id
 	switch {
 	case id == "" && req.op == "queue.state":
-		n.respondPending(req, queue)
+		n.respondPending(req, queueKey)
 	case !schema.ValidName(id):
 		n.respond(req, 404, 0, nil)
 	default:
@@ -52,7 +52,7 @@
 // authenticate returns the tenant of the API key in a call, or "" if no key is needed. It
 // returns false if a key is needed and no tenant has it. A call without a key belongs to no
 // tenant, whatever digests the configuration contains.
-func authenticate(config *configuration.Configuration, queue, credential string) (tenant string, known bool) {
+func authenticate(config *configuration.Configuration, queueKey, credential string) (tenant string, known bool) {
 	if !config.RequiresKey() {
 		return "", true
 	}
@@ -61,11 +61,11 @@
 			return t.Name, true
 		}
 	}
-	return "", config.Queues[queue].Open
+	return "", config.Queue(queueKey).Open
 }
 
 // jobVisible reports whether a request may access a job. A call at an address may access the jobs of
-// its queue, and with a key only those of the key's tenant. Jobs without a tenant, and those
+// the queue that has the address now, and with a key only those of the key's tenant. Jobs without a tenant, and those
 // of a tenant that is no longer declared, are visible to every permitted client. At an open
 // queue, a call without a key may read every job, since the key of the job's tenant may have
 // been removed; but it may not cancel jobs of a tenant.
@@ -73,8 +73,8 @@
 	switch {
 	case req.queue == "":
 		return true
-	case job.Queue != req.queue && (req.op != "job.put" || n.config.current.Queues[job.Queue] != nil):
-		return false // except for a job that is submitted again after its queue was renamed
+	case !n.inQueueOf(req, job):
+		return false
 	case job.Tenant == "" || job.Tenant == req.tenant:
 		return true
 	case req.tenant == "" && req.op != "job.cancel":
@@ -83,6 +83,14 @@
 	return n.tenantUndeclared(job.Tenant)
 }
 
+// inQueueOf reports whether a job belongs to the queue of a call at an address. A job that is stored under the name of
+// a queue, and not under an address, may have been submitted at the address before its queue was renamed, so it
+// belongs to every queue once that name is not configured.
+func (n *node) inQueueOf(req *request, job *jobRecord) bool {
+	return n.config.current.SameQueue(job.Queue, req.queue) ||
+		!configuration.IsAddressKey(job.Queue) && n.config.current.Queue(job.Queue) == nil
+}
+
 // tenantUndeclared reports whether a recently confirmed configuration lacks a tenant. One
 // that isn't confirmed may be older than the declaration of the tenant.
 func (n *node) tenantUndeclared(tenant string) bool {
@@ -90,18 +98,19 @@
 }
 
 // respondIfHidden answers a request that may not see a job, and reports whether it did. It
-// treats the job as another tenant's only if the configuration was confirmed after the request
-// arrived: an older one may have the client's tenant under its previous name.
+// treats the job as another queue's or tenant's only if the configuration was confirmed after the
+// request arrived: an older one may have the client's address at another queue, or its tenant under
+// its previous name.
 func (n *node) respondIfHidden(req *request, job *jobRecord) bool {
 	switch {
 	case n.jobVisible(req, job):
 		return false
-	case (job.Queue == req.queue || req.op == "job.put") && !n.configConfirmedSince(req):
+	case !n.configConfirmedSince(req):
 		req.maybeApplied = true // it may be the same job, submitted again
 		n.awaitConfirmation(req, "the setup is not confirmed here")
 	case req.tenant != "" && n.config.current.Tenants[req.tenant] == nil,
-		req.op == "job.put" && n.config.current.Queues[req.queue] == nil:
-		req.maybeApplied = true // the daemon that resolved them used a version from before a renaming
+		n.config.current.Queue(req.queue) == nil:
+		req.maybeApplied = true // the daemon that resolved them used an older version
 		n.reject(req, "the queue or the tenant is not in the newest setup")
 	case req.op == "job.put":
 		n.respond(req, 409, 0, mustJSON(map[string]any{"error": "another job has this id"}))
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -382,10 +382,7 @@
 func (n *node) retireJob(shard *ownedShard, job *liveJob) {
 	delete(shard.jobs, job.ID)
 	shard.recordBytes -= job.recordBytes
-	shard.liveByQueue[job.Queue]--
-	if shard.liveByQueue[job.Queue] <= 0 {
-		delete(shard.liveByQueue, job.Queue)
-	}
+	shard.removeLive(job)
 	n.traceOutcome(shard, job)
 	record := job.jobRecord
 	record.Version = n.now // in finished jobs the version holds the time of retirement
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -95,9 +95,9 @@
 func KindOf(msg any) uint8 { return messageKinds[reflect.TypeOf(msg).Elem()] }
 
 const (
-	// FormatVersion rises with each change to the encoding of frames or messages.
+	// FormatVersion rises with each change to the encoding or the meaning of frames or messages.
 	// Daemons with different versions reject each other's frames.
-	FormatVersion = 10
+	FormatVersion = 11
 	// magic identifies frames of this format: "otw" and the format version. Up to
 	// version 3 a frame began with the eight bytes "otterchu" and a version.
 	magic int32 = 0x6f747700 | FormatVersion
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -21,7 +21,7 @@
 	Op          string
 	Key         string
 	Body        []byte
-	Queue       string // the queue whose address the caller used; "" for any other address
+	Queue       string // the key of the queue's address that the caller used; "" if it used none
 	BaseVersion int64  // the version that a configuration change is based on
 	Digest      []byte // of an operator's command, if it differs from the body's digest
 	Tenant      string // the tenant of the caller's key; "" for a call that needs no key
