Accepted jobs of a removed queue run to their end

Cause: a queue's workers, urgency and quota were known from the newest version alone, while accepted work outlives that version. Found on the paths related to the renamed queues.

--- a/guards.sh
+++ b/guards.sh
@@ -117,7 +117,9 @@
 tasks placed by a higher limit are not started|internal/daemon/agent_dispatch.go|if n.limits.Outdated(attempt.spec.Tenant, attempt.spec.LimitVersion) {|if false {
 an owner counts what is placed|internal/daemon/shard.go|\t\ts.shares.use(job.Tenant, t.Resources)\n|
 a tenant that is not known yet waits|internal/daemon/job_schedule.go|!n.knowsLimit(job)|false
-unknown keys are refused|internal/daemon/request_address.go|return "", config.Queue(queueKey).Open|return "", true
+unknown keys are refused|internal/daemon/request_address.go|return "", config.DeclaredQueue(queueKey).Open|return "", true
+jobs of a removed queue run|internal/configuration/configuration.go|return c.retired[key]|return nil
+a removed queue takes no new jobs|internal/daemon/job_request.go|queue := n.config.current.DeclaredQueue(record.Queue)|queue := n.config.current.Queue(record.Queue)
 a job belongs to its address|internal/configuration/configuration.go|h.keys[a.Prefix] = key|h.keys[a.Prefix] = queue.Name
 jobs stored by name follow a rename|internal/daemon/config_state.go|\tn.rebindRenamedQueues(previous)|\t_ = previous
 no job is denied by an old configuration|internal/daemon/request_address.go|case !n.configConfirmedSince(req):\n\t\treq.maybeApplied|case false:\n\t\treq.maybeApplied
@@ -128,7 +130,7 @@
 a tenant is gone by a confirmed configuration only|internal/daemon/request_address.go|return n.configFresh() && n.config.current.Tenants[tenant] == nil|return n.config.current.Tenants[tenant] == nil
 the tenant travels with a forwarded call|internal/daemon/request.go|tenant:         m.Tenant,|tenant:         "",
 the tenant stays in the record|internal/daemon/job_encode.go|if stored.Tenant == "" {|if true {
-an owner knows the tenant first|internal/daemon/job_request.go|config.Queue(record.Queue) == nil \|\|\n\t\treq.tenant != "" && config.Tenants[req.tenant] == nil {|config.Queue(record.Queue) == nil {
+an owner knows the tenant first|internal/daemon/job_request.go|config.DeclaredQueue(record.Queue) == nil \|\|\n\t\treq.tenant != "" && config.Tenants[req.tenant] == nil {|config.DeclaredQueue(record.Queue) == nil {
 the key reaches the node|internal/daemon/http_server.go|Credential: c.Credential,|Credential: "",
 tenants' jobs of one ID are judged apart|internal/daemon/job_request.go|case req.tenant == fetch.job.Tenant:|case true:
 G
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -63,6 +63,7 @@
 	declaredEmptyZones []string          // those of EmptyZones that the document declares
 	prefixesByHost     map[string]*hostPrefixes
 	queuesByAddress    map[string]*Queue // by Address.Key
+	retired            map[string]*Queue // queues that earlier changes removed, by Address.Key
 
 	tenantsByKey map[KeyDigest]*Tenant
 }
@@ -102,10 +103,19 @@
 	return "", "", false
 }
 
-// Queue returns the queue of a key: the queue with this name, or the one that this version has at the
+// Queue returns the queue by whose rules the accepted jobs of a key run: its declared queue or, if a change has
+// removed that, the queue as it was declared last. It returns nil if neither is known.
+func (c *Configuration) Queue(key string) *Queue {
+	if queue := c.DeclaredQueue(key); queue != nil {
+		return queue
+	}
+	return c.retired[key]
+}
+
+// DeclaredQueue returns the queue of a key: the queue with this name, or the one that this version declares at the
 // address with this Address.Key. It returns nil if there is none. A prefix with and without a slash at
 // its end reaches the same paths, so one stands for the other unless both are configured.
-func (c *Configuration) Queue(key string) *Queue {
+func (c *Configuration) DeclaredQueue(key string) *Queue {
 	if !IsAddressKey(key) {
 		return c.Queues[key]
 	}
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -264,7 +264,7 @@
 	doc := []byte(`{"queues":[{"name":"a"}]}`)
 	for version := int64(1); version <= MaxPastVersions+5; version++ {
 		change := ChangeID{Version: version, Base: version - 1, Digest: sha256.Sum256(doc)}
-		r = r.Next(change, doc, version*1000)
+		r = r.Next(change, doc, version*1000, Empty(), Empty())
 		must.True(t, r.AcceptedChanges.Contains(change))
 	}
 	must.Len(t, MaxPastVersions, r.PastVersions)
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -31,6 +31,39 @@
 	PastVersions    []VersionInfo
 	EmptiedZones    []string // zones emptied by an operator's command, separately from the document; sorted
 	AcceptedChanges History
+	// Retired holds the queues that changes have removed, as packRetired encodes them. It is the last field, and the
+	// encoding omits it if it is empty, so that records from before queues were retired can be decoded.
+	Retired []byte
+}
+
+// noRetired is the encoding of an empty Record.Retired, which records omit.
+var noRetired = codec.Append(nil, struct{ Retired []byte }{})
+
+// Encode returns the value of the register for a record.
+//
+// Example: value := record.Encode()
+func (r *Record) Encode() []byte {
+	value := codec.Append(nil, r)
+	if len(r.Retired) == 0 {
+		return value[:len(value)-len(noRetired)]
+	}
+	return value
+}
+
+// DecodeRecord decodes the value of the register. No value is the zero Record.
+//
+// Example: record, err := configuration.DecodeRecord(value)
+func DecodeRecord(value []byte) (Record, error) {
+	var r Record
+	if len(value) == 0 {
+		return r, nil
+	}
+	if codec.Unmarshal(value, &r) == nil {
+		return r, nil
+	}
+	r = Record{}
+	err := codec.Unmarshal(append(slices.Clone(value), noRetired...), &r)
+	return r, err
 }
 
 // VersionInfo is the summary of an accepted version, for operators.
@@ -43,8 +76,9 @@
 }
 
 // Next returns the record after a change with this document was accepted at the given wall-clock
-// time.
-func (r *Record) Next(change ChangeID, doc []byte, atMs int64) Record {
+// time. The two configurations are those of the record and of the document, from which it follows which
+// queues the change retires.
+func (r *Record) Next(change ChangeID, doc []byte, atMs int64, current, next *Configuration) Record {
 	info := VersionInfo{
 		Version: change.Version,
 		Digest:  binary.BigEndian.Uint64(change.Digest[:]),
@@ -62,7 +96,19 @@
 		PastVersions:    past,
 		EmptiedZones:    r.EmptiedZones,
 		AcceptedChanges: r.AcceptedChanges.With(change),
+		Retired:         packRetired(retire(unpackRetired(r.Retired), current, next)),
+	}
+}
+
+// Complete returns the configuration of the record's document with what the record holds beside it: the zones emptied
+// separately and the retired queues.
+func (r *Record) Complete(document *Configuration) *Configuration {
+	next := document.WithEmptiedZones(r.EmptiedZones)
+	next.retired = map[string]*Queue{}
+	for _, q := range unpackRetired(r.Retired) {
+		next.retired[q.AddressKey] = q.queue()
 	}
+	return next
 }
 
 // Previous returns the version accepted before this one; 0 for none.
@@ -73,7 +119,7 @@
 	return r.PastVersions[len(r.PastVersions)-2].Version
 }
 
-// Compile compiles the record's document, without the zones emptied separately.
+// Compile compiles the record's document alone, see Complete.
 func (r *Record) Compile() (*Configuration, []schema.Fault) {
 	doc, ok := Inflate(r.Document)
 	if !ok {
@@ -125,8 +171,11 @@
 // Compile returns the configuration in a message; nil if it contains none.
 func (p *Precompiler) Compile(msg any) *Configuration {
 	m, ok := msg.(*wire.RegisterValue)
-	var r Record
-	if !ok || m.Register != RegisterName || codec.Unmarshal(m.Value, &r) != nil || r.Version == 0 {
+	if !ok || m.Register != RegisterName {
+		return nil
+	}
+	r, err := DecodeRecord(m.Value)
+	if err != nil || r.Version == 0 {
 		return nil
 	}
 	p.mu.Lock()
@@ -151,11 +200,11 @@
 	if c.ballot == a.Accepted && c.value != nil {
 		return c.value
 	}
-	var r Record
-	if codec.Unmarshal(a.Value, &r) != nil {
+	r, err := DecodeRecord(a.Value)
+	if err != nil || len(a.Value) == 0 {
 		return a.Value
 	}
 	r.AcceptedChanges = History{}
-	c.ballot, c.value = a.Accepted, codec.Append(nil, r)
+	c.ballot, c.value = a.Accepted, r.Encode()
 	return c.value
 }
--- a/internal/daemon/config_change.go
+++ b/internal/daemon/config_change.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"slices"
 
-	"otterchute/internal/codec"
 	"otterchute/internal/configuration"
 	"otterchute/internal/register"
 	"otterchute/internal/schema"
@@ -14,24 +13,50 @@
 // version. A change that was accepted before leaves the register as it is, even if
 // later versions have been accepted since.
 func decideConfig(n *node, change *registerChange, current []byte) (register.Decision, []byte) {
-	var record configuration.Record
+	record, err := configuration.DecodeRecord(current)
 	switch {
-	case len(current) > 0 && codec.Unmarshal(current, &record) != nil:
+	case err != nil:
 		return register.Fail, nil
 	case record.AcceptedChanges.Contains(change.changeID):
 		return register.Keep, nil
 	case record.Version != change.changeID.Base:
 		return register.Refuse, nil
 	}
-	return register.Replace, codec.Append(nil, record.Next(change.changeID, change.argument, n.clusterTime()))
+	currentConfig := n.configOf(&record)
+	if currentConfig == nil {
+		return register.Fail, nil
+	}
+	next := record.Next(change.changeID, change.argument, n.clusterTime(), currentConfig, change.proposedConfig())
+	return register.Replace, next.Encode()
+}
+
+// proposedConfig returns the configuration that a change proposes; nil if its document can't be compiled.
+func (change *registerChange) proposedConfig() *configuration.Configuration {
+	if change.request != nil && change.request.config != nil {
+		return change.request.config
+	}
+	compiled, _ := configuration.Compile(change.changeID.Version, change.argument)
+	return compiled
+}
+
+// configOf returns the configuration of a record's document, which is nil if that is damaged.
+func (n *node) configOf(record *configuration.Record) *configuration.Configuration {
+	switch {
+	case record.Version == 0:
+		return configuration.Empty()
+	case record.SameDocument(&n.config.record):
+		return n.config.current
+	}
+	compiled, _ := record.Compile()
+	return compiled
 }
 
 // decideEmptiedZones adds a zone to the emptied zones or removes it from them,
 // without changing the configuration document. The change has no base version: it
 // applies to whichever version is current.
 func decideEmptiedZones(_ *node, change *registerChange, current []byte) (register.Decision, []byte) {
-	var record configuration.Record
-	if len(current) > 0 && codec.Unmarshal(current, &record) != nil {
+	record, err := configuration.DecodeRecord(current)
+	if err != nil {
 		return register.Fail, nil
 	}
 	zone := string(change.argument)
@@ -41,7 +66,7 @@
 		slices.Sort(zones)
 	}
 	record.EmptiedZones = zones
-	return register.Replace, codec.Append(nil, record)
+	return register.Replace, record.Encode()
 }
 
 // onZonesChange responds to the request that handleSetZone started.
@@ -53,8 +78,8 @@
 		n.reject(change.request, "outcome unknown: send it again")
 		return
 	}
-	var record configuration.Record
-	if codec.Unmarshal(change.Value(), &record) == nil && n.config.ballot.Less(change.ValueBallot()) {
+	record, err := configuration.DecodeRecord(change.Value())
+	if err == nil && n.config.ballot.Less(change.ValueBallot()) {
 		n.adoptConfig(change.ValueBallot(), record)
 	}
 	n.log("zones_accepted", "emptied", record.EmptiedZones)
@@ -63,8 +88,8 @@
 
 // onConfigChange responds to the request that handlePutConfig started.
 func (n *node) onConfigChange(change *registerChange, outcome register.Outcome) {
-	var record configuration.Record
-	if change.request == nil || len(change.Value()) > 0 && codec.Unmarshal(change.Value(), &record) != nil {
+	record, err := configuration.DecodeRecord(change.Value())
+	if change.request == nil || err != nil {
 		return
 	}
 	switch outcome {
@@ -141,9 +166,9 @@
 // accepted and can't be accepted any more; otherwise an earlier attempt of it may still
 // take effect.
 func decideFindChange(_ *node, change *registerChange, current []byte) (register.Decision, []byte) {
-	var record configuration.Record
+	record, err := configuration.DecodeRecord(current)
 	switch {
-	case len(current) > 0 && codec.Unmarshal(current, &record) != nil:
+	case err != nil:
 		return register.Fail, nil
 	case record.AcceptedChanges.Contains(change.changeID) || record.Version == change.changeID.Base:
 		return register.Keep, nil
@@ -153,9 +178,9 @@
 
 // onFindChange responds to the request that handleFindChange started.
 func (n *node) onFindChange(change *registerChange, outcome register.Outcome) {
-	var record configuration.Record
+	record, err := configuration.DecodeRecord(change.Value())
 	switch {
-	case outcome == register.Unknown || len(change.Value()) > 0 && codec.Unmarshal(change.Value(), &record) != nil:
+	case outcome == register.Unknown || err != nil:
 		n.reject(change.request, "outcome unknown: send it again")
 	case outcome == register.Refused:
 		n.respondRefused(change, &record)
--- a/internal/daemon/config_state.go
+++ b/internal/daemon/config_state.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"otterchute/internal/codec"
 	"otterchute/internal/configuration"
 	"otterchute/internal/lease"
 	"otterchute/internal/register"
@@ -104,8 +103,8 @@
 	if m.Register != "setup" || !n.config.ballot.Less(m.Ballot) {
 		return
 	}
-	var record configuration.Record
-	if len(m.Value) > 0 && codec.Unmarshal(m.Value, &record) != nil {
+	record, err := configuration.DecodeRecord(m.Value)
+	if err != nil {
 		return
 	}
 	n.adoptConfig(m.Ballot, record)
@@ -136,7 +135,7 @@
 	}
 	previous := n.config.current
 	n.config.current, n.config.record, n.config.ballot =
-		compiled.WithEmptiedZones(newRecord.EmptiedZones), newRecord, newBallot
+		newRecord.Complete(compiled), newRecord, newBallot
 	n.adoptLimits()
 	n.rebindRenamedQueues(previous)
 	n.config.confirmedMs, n.config.confirmedPoll = -1<<40, 0
--- a/internal/daemon/job_request.go
+++ b/internal/daemon/job_request.go
@@ -71,7 +71,7 @@
 		n.reject(req, "the setup is not confirmed here")
 		return
 	}
-	if config := n.config.current; config.Queue(record.Queue) == nil ||
+	if config := n.config.current; config.DeclaredQueue(record.Queue) == nil ||
 		req.tenant != "" && config.Tenants[req.tenant] == nil {
 		if !n.configConfirmedSince(req) && len(n.config.awaiting) < requestsMax {
 			// A newer configuration, acknowledged just now, may declare the queue, or the tenant and its limit:
@@ -97,7 +97,7 @@
 // follows once the record is committed.
 func (n *node) admitJob(shard *ownedShard, fetch *fetchOp) {
 	record, req := fetch.job, fetch.requests[0]
-	queue := n.config.current.Queue(record.Queue)
+	queue := n.config.current.DeclaredQueue(record.Queue)
 	clusterTimeMs := n.clusterTime()
 	if queue == nil || clusterTimeMs == 0 || !n.configFresh() {
 		n.rejectAdmission(shard, fetch, func(req *request) {
--- a/internal/daemon/platformrename_test.go
+++ b/internal/daemon/platformrename_test.go
@@ -94,7 +94,7 @@
 	"reuse name": func(b *platformWorld) { b.reuseQueueName(b.twoKinds()) },
 	"queue out": func(b *platformWorld) {
 		kind, _ := b.twoKinds()
-		b.removeQueueFor(kind, 300+b.rng.Int64N(2000), b.chance(0.5))
+		b.removeQueueFor(kind, 300+b.rng.Int64N(8000), b.chance(0.5))
 	},
 }
 
@@ -127,7 +127,7 @@
 		b.run(2500)
 		b.removeQueueFor(2, 1000, false)
 		b.run(2500)
-		b.removeQueueFor(1, 1500, true)
+		b.removeQueueFor(1, 6000, true)
 		b.after(700_000, b.kill(b.holder(b.randomShardRole()), false))
 		b.run(10_000)
 	}
@@ -163,6 +163,51 @@
 	}
 }
 
+// Guards against accepted jobs that are not run while no queue is declared at their address, also by owners, agents
+// and a central scheduler that started after the queue was removed.
+func TestJobsOfARemovedQueueRun(t *testing.T) {
+	for name, kill := range map[string]func(b *platformWorld){
+		"calm":         func(*platformWorld) {},
+		"owner killed": func(b *platformWorld) { b.after(500_000, b.kill(b.holder(b.randomShardRole()), false)) },
+		"power loss":   platformFaults["power all"],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := formPlatform(t, 4300, "ikenna")
+			capacity := b.deployment.capacity
+			var jobs []*platformJob
+			for range 20 {
+				jobs = append(jobs, b.submit(b.simple(1, 3, amounts{capacity[0] / 4, capacity[1] / 4}, 4000)))
+			}
+			lasting := b.lastingJob()
+			lasting.queue = jobs[0].queue
+			b.submit(lasting)
+			b.run(3500)
+			b.removeQueueFor(1, 60_000, false)
+			b.run(1000)
+			kill(b)
+			b.run(1000)
+			b.crashAndReplace(b.worker(2), 500)
+			b.run(40_000)
+			for _, j := range jobs {
+				must.Eq(t, j.requiredSuccesses(), len(j.okTasks), must.Sprint(j.id))
+			}
+			running := 0
+			for _, host := range b.workerHosts {
+				for k := range b.byHost[host].runs {
+					if k.job == lasting.id {
+						running++
+					}
+				}
+			}
+			must.Eq(t, lasting.steps[0].count, running)
+			b.run(22_000)
+			b.finish(60_000)
+			checkPlatformRun(t, b)
+		})
+	}
+}
+
 // Guards against a count of waiting jobs that is 0 once their queue has another name.
 func TestPendingCountsFollowTheAddress(t *testing.T) {
 	b := formPlatform(t, 4200, "hakata")
--- a/internal/daemon/queue_rename.go
+++ b/internal/daemon/queue_rename.go
@@ -22,12 +22,12 @@
 
 // rebindJob changes the queue of a job from the former name of the queue to one of its addresses.
 func (n *node) rebindJob(shard *ownedShard, job *liveJob, previous *configuration.Configuration) {
-	formerQueue := previous.Queue(job.Queue)
-	if configuration.IsAddressKey(job.Queue) || formerQueue == nil || n.config.current.Queue(job.Queue) != nil {
+	formerQueue := previous.DeclaredQueue(job.Queue)
+	if configuration.IsAddressKey(job.Queue) || formerQueue == nil || n.config.current.DeclaredQueue(job.Queue) != nil {
 		return
 	}
 	kept := slices.IndexFunc(formerQueue.Addresses, func(a configuration.Address) bool {
-		return n.config.current.Queue(a.Key()) != nil
+		return n.config.current.DeclaredQueue(a.Key()) != nil
 	})
 	if kept < 0 {
 		return
--- a/internal/daemon/request_address.go
+++ b/internal/daemon/request_address.go
@@ -61,7 +61,7 @@
 			return t.Name, true
 		}
 	}
-	return "", config.Queue(queueKey).Open
+	return "", config.DeclaredQueue(queueKey).Open
 }
 
 // jobVisible reports whether a request may access a job. A call at an address may access the jobs of
@@ -109,7 +109,7 @@
 		req.maybeApplied = true // it may be the same job, submitted again
 		n.awaitConfirmation(req, "the setup is not confirmed here")
 	case req.tenant != "" && n.config.current.Tenants[req.tenant] == nil,
-		n.config.current.Queue(req.queue) == nil:
+		n.config.current.DeclaredQueue(req.queue) == nil:
 		req.maybeApplied = true // the daemon that resolved them used an older version
 		n.reject(req, "the queue or the tenant is not in the newest setup")
 	case req.op == "job.put":
