A worker that signs off first serves on: its tasks stay with it

Cause: the sign-off was taken for the worker's end, whatever it reported afterwards; the next heartbeat also cleared the mark that it leaves.

Ruled out: lapsed holds (the worker got a hold in each reply).

Change: such a worker leaves for good, and its attempts end when it lists them or its hold lapses, as after a crash. Owners and the central scheduler keep the sign-off by the worker's id over restarts of its agent. A drained worker ends with its sign-off as before, unless it reports once more. The campaign draws such departures.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -64,6 +64,8 @@
 	ownerReplyMs     map[string]int64 // shard -> when the last report that its owner answered was sent
 	toStart          []*agentAttempt  // attempts that the reply to the current heartbeat starts
 	replying         bool             // a heartbeat is being answered
+	draining         bool             // the worker's last report announced its departure
+	signedOff        bool             // the worker has signed off; it may serve on for a while
 	goneAtMs         int64            // when a worker that signed off has ended for certain; 0 if it has not
 	leavesAtMs       int64            // when a leaving worker ends all its attempts; 0 if unknown
 	replaced         bool             // another worker sends heartbeats to this daemon instead
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -25,9 +25,10 @@
 	lastPercent      = 99     // the highest progress that a worker reports before an attempt ends
 	lateEndsMax      = 100    // ends that may wait behind a late one; beyond, the hold must lapse
 	heartbeatEndsMax = 500    // most ends that one heartbeat lists
-	signOffDelayMs   = 500    // a worker that signed off has ended after this time
+	signOffDelayMs   = 500    // a drained worker that signed off has ended after this time, unless it reports again
 	leaveStopMs      = 800    // checkpointing attempts stop this long before their worker leaves, to resume elsewhere
 	goneAgentKeepMs  = 60_000 // the agent of a worker that has gone keeps unacknowledged ends for this long
+	formerWorkersMax = 64     // workers that signed off, and former ones of this machine, that are remembered
 )
 
 // A colocated agent is the only recipient of its worker's heartbeats, and sends its orders in the replies.
@@ -155,7 +156,8 @@
 		labelsOf(heartbeat.Get("labels"))
 	agent.capacity = resource.Parse(heartbeat.Get("capacity"))
 	agent.free = agent.capacity
-	if leaving := heartbeat.Get("leaving").Bool(); leaving != agent.leaving {
+	agent.draining, agent.goneAtMs = heartbeat.Get("leaving").Bool(), 0 // a worker that reports has not ended
+	if leaving := agent.draining || agent.signedOff; leaving != agent.leaving {
 		agent.leaving, changed = leaving, true
 		n.log("worker_leaving", "worker", agent.worker, "leaving", leaving, "leaves_ms", heartbeat.Get("leaves_ms").Int())
 	}
@@ -205,6 +207,7 @@
 		lastContactMs: n.now,
 		tokenMs:       -1 << 40,
 		colocated:     true,
+		signedOff:     slices.Contains(n.signedOffWorkers, worker),
 		endsByNumber:  map[int64]wire.AttemptKey{},
 		ownerReplyMs:  map[string]int64{},
 	}
@@ -575,6 +578,9 @@
 	if agent.goneAtMs == 0 {
 		agent.voidEnds()
 	}
+	if silent && agent.signedOff {
+		agent.goneAtMs = n.now
+	}
 	if n.resolveLostAttempts(agent) {
 		changed = true
 		n.log("worker_silent", "worker", agent.worker, "silent_ms", n.now-agent.lastContactMs)
@@ -594,12 +600,30 @@
 	return !slices.ContainsFunc(agent.keys(), unacknowledged) && n.now-agent.lastContactMs > ownerContactMs
 }
 
-// handleWorkerGone handles the sign-off of a worker that is shutting down.
+// handleWorkerGone handles the sign-off of a worker. A worker that has announced its departure before ends with its
+// sign-off. Any other one may serve on for seconds: it gets no more work, and its attempts run until it reports their
+// end or its hold has lapsed, as for a worker that crashes.
 func (n *node) handleWorkerGone(req *request) {
-	if agent := n.agents[req.key]; agent != nil && agent.colocated && agent.goneAtMs == 0 {
-		agent.leaving, agent.goneAtMs = true, n.now+signOffDelayMs
-		n.log("worker_gone", "worker", agent.worker)
+	agent := n.agents[req.key]
+	switch {
+	case agent == nil:
+		n.rememberSignOff(req.key) // it may report again: its sign-off came before any report to this process
+	case agent.colocated && !agent.signedOff:
+		agent.signedOff, agent.leaving = true, true
+		if agent.draining {
+			agent.goneAtMs = n.now + signOffDelayMs
+		}
+		n.log("worker_gone", "worker", agent.worker, "draining", agent.draining)
 		n.reportAgent(agent)
 	}
 	n.respond(req, 200, 0, mustJSON(map[string]any{"worker": req.key}))
 }
+
+// rememberSignOff records that a worker without an agent here has signed off.
+func (n *node) rememberSignOff(worker string) {
+	if !schema.ValidName(worker) || slices.Contains(n.signedOffWorkers, worker) {
+		return
+	}
+	n.signedOffWorkers = append(n.signedOffWorkers, worker)
+	n.signedOffWorkers = n.signedOffWorkers[max(0, len(n.signedOffWorkers)-formerWorkersMax):]
+}
--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -94,6 +94,74 @@
 	must.Eq(t, wire.ResultLost, old.attempts[wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 1), Attempt: 1}].result)
 }
 
+// signOff sends the sign-off of worker w1 to its agent.
+func signOff(n *node) {
+	reduce(n, event{NowMs: n.now, WallMs: 1, Seed: 1, Body: evRequest{ID: 88, Op: "worker.gone", Key: "w1", Base: -1}})
+}
+
+// Guards against tasks that are started elsewhere while a worker that signed off, without having announced its
+// departure, serves on. It gets no more work, and what runs there counts as running until its hold has lapsed.
+func TestWorkerServesOnAfterItsSignOff(t *testing.T) {
+	key := wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 0), Attempt: 1}
+	begin := func(t *testing.T, lists string) (*node, func(int64, string) heartbeatReply, *agentAttempt) {
+		n, heartbeat := agentOfWorker(t)
+		heartbeat(100, runningList("j1", 0, 1, 0)+lists)
+		attempt := n.agents["w1"].attempts[key]
+		attempt.specUnknown, attempt.confirmedMs, attempt.spec.LongRunning = false, n.now+60_000, true
+		heartbeat(50, runningList("j1", 0, 1, 1)+lists)
+		signOff(n)
+		return n, heartbeat, attempt
+	}
+	tick := func(n *node, ms int64) {
+		for end := n.now + ms; n.now < end; {
+			reduce(n, event{NowMs: n.now + tickMs, WallMs: 1, Seed: 1, Body: evTick{}})
+		}
+	}
+	t.Run("reports as ready", func(t *testing.T) {
+		n, heartbeat, attempt := begin(t, "")
+		for range 60 {
+			tick(n, 2*tickMs)
+			must.Eq(t, int64(holdMaxMs), heartbeat(50, runningList("j1", 0, 1, 2)).HoldMs)
+			must.Eq(t, wire.AttemptRunning, attempt.state)
+			must.True(t, n.agents["w1"].leaving)
+		}
+		silentSinceMs := n.now
+		for attempt.state == wire.AttemptRunning {
+			tick(n, tickMs)
+		}
+		must.Eq(t, wire.ResultLost, attempt.result)
+		must.Between(t, holdMaxMs, n.now-silentSinceMs, holdMaxMs*(100+driftPercent)/100+lapseMarginMs+2*tickMs)
+	})
+	t.Run("was drained and ends", func(t *testing.T) {
+		n, _, attempt := begin(t, `,"leaving":true`)
+		tick(n, signOffDelayMs+2*tickMs)
+		must.Eq(t, wire.ResultLost, attempt.result)
+	})
+	t.Run("was drained and reports again", func(t *testing.T) {
+		n, heartbeat, attempt := begin(t, `,"leaving":true`)
+		heartbeat(200, runningList("j1", 0, 1, 2)+`,"leaving":true`)
+		tick(n, signOffDelayMs+2*tickMs)
+		must.Eq(t, wire.AttemptRunning, attempt.state)
+	})
+	t.Run("before its first report", func(t *testing.T) {
+		n, heartbeat := agentOfWorker(t)
+		signOff(n)
+		heartbeat(100, "")
+		must.True(t, n.agents["w1"].leaving)
+	})
+}
+
+// Guards against new work for a worker that signed off at an agent which was restarted since.
+func TestSignOffOutlivesTheAgent(t *testing.T) {
+	n, _ := shareOwner(t)
+	n.recordWorker("side-1", &wire.AgentReport{Worker: "w1", Epoch: 1, SentMs: 10, Rebuilt: true, SignedOff: true})
+	must.True(t, n.workers["w1"].leaving)
+	report := &wire.AgentReport{Worker: "w1", Epoch: 2, SentMs: 5, Rebuilt: true}
+	n.recordWorker("side-1", report)
+	must.True(t, n.workers["w1"].leaving)
+	must.True(t, report.Leaving)
+}
+
 func jsonTo(b []byte, out any) error { return json.Unmarshal(b, out) }
 
 // Guards against an order that is sent twice: it must be in one reply only, whether that reply arrived
--- a/internal/daemon/platformcampaign_test.go
+++ b/internal/daemon/platformcampaign_test.go
@@ -13,6 +13,9 @@
 	"hang":  func(b *platformWorld) { b.slowFor(b.somePlatformWorker(), "hang", 1, true, 5500) },
 	"leave": func(b *platformWorld) { b.leaveAndReplace(b.somePlatformWorker(), false) },
 	"spot":  func(b *platformWorld) { b.leaveAndReplace(b.somePlatformWorker(), true) },
+	"leave unannounced": func(b *platformWorld) {
+		b.leaveUnannouncedAndReplace(b.somePlatformWorker(), b.rng.Int64N(6000))
+	},
 	"side kill": func(b *platformWorld) {
 		b.after(100_000+b.rng.Int64N(6_000_000), b.kill(b.pickOne(b.workerHosts), b.chance(0.5)))
 	},
--- a/internal/daemon/platformscenario_test.go
+++ b/internal/daemon/platformscenario_test.go
@@ -100,6 +100,16 @@
 		b.leaveAndReplace(b.worker(9), false)
 		b.run(14_000)
 	},
+	"workers leave unannounced": func(t *testing.T, b *platformWorld) {
+		b.day(6000)
+		b.leaveUnannouncedAndReplace(b.worker(2), 3000)
+		b.run(2500)
+		b.leaveUnannouncedAndReplace(b.worker(9), 6000)
+		b.after(700_000, b.kill(b.worker(9).node.Name, false))
+		b.run(2500)
+		b.leaveUnannouncedAndReplace(b.worker(5), 0)
+		b.run(14_000)
+	},
 	"workers leave at short notice": func(t *testing.T, b *platformWorld) {
 		b.day(6000)
 		b.leaveAndReplace(b.worker(2), true)
--- a/internal/daemon/platformworld_faults_test.go
+++ b/internal/daemon/platformworld_faults_test.go
@@ -163,6 +163,19 @@
 	})
 }
 
+// leaveUnannouncedAndReplace lets a worker sign off first, serve on and end, and starts a new one in its place.
+func (b *platformWorld) leaveUnannouncedAndReplace(w *platformWorker, serveMs int64) {
+	if !w.up {
+		return
+	}
+	calm := b.beginWorkerFault("leaving", w)
+	w.leaveUnannounced(serveMs)
+	b.after((serveMs+4000)*1000, func() {
+		calm()
+		w.start()
+	})
+}
+
 // leaveAndReplace lets a worker leave, gracefully or at short notice, and starts a new one in its place.
 func (b *platformWorld) leaveAndReplace(w *platformWorker, short bool) {
 	if !w.up {
--- a/internal/daemon/platformworld_workers_test.go
+++ b/internal/daemon/platformworld_workers_test.go
@@ -65,6 +65,7 @@
 	leaving          bool
 	leavesMs         int64 // simulated time; -1 if unknown
 	endScheduled     bool  // its end is scheduled
+	servesOn         bool  // it signs off first, serves on for a while and ends, without ever announcing its departure
 	bootUs           int64
 	drift            float64 // its clock is slow by this fraction
 	holdUs           int64   // when the hold expires, by the worker's clock
@@ -95,7 +96,7 @@
 	}
 	b := w.b
 	b.workerLives++
-	w.up, w.id, w.seq, w.endSeq, w.leaving, w.leavesMs, w.endScheduled = true, fmt.Sprintf("i-%03d", b.workerLives), 0, 0, false, -1, false
+	w.up, w.id, w.seq, w.endSeq, w.leaving, w.leavesMs, w.endScheduled, w.servesOn = true, fmt.Sprintf("i-%03d", b.workerLives), 0, 0, false, -1, false, false
 	w.gen++
 	w.bootUs, w.drift, w.holdUs, w.nextHeartbeatUs, w.heartbeatPending, w.heartbeatAgain = b.nowUs-b.rng.Int64N(1_000_000_000), b.rng.Float64()*0.02, 0, 0, false, false
 	w.runs, w.highestRun, w.ends, w.used = map[runName]*platformRun{}, map[runName]int64{}, nil, amounts{}
@@ -150,6 +151,41 @@
 	})
 }
 
+// leaveUnannounced signs off without having announced the departure, serves on for a while and ends.
+func (w *platformWorker) leaveUnannounced(serveMs int64) {
+	if !w.up || w.leaving || w.servesOn {
+		return
+	}
+	gen := w.gen
+	w.servesOn = true
+	var signOff func()
+	signOff = func() {
+		if w.gen != gen {
+			return
+		}
+		w.signOff(func(status int) {
+			if status != 200 && w.gen == gen {
+				w.b.after(200_000, signOff)
+			}
+		})
+	}
+	signOff()
+	w.b.after(serveMs*1000, func() {
+		if w.gen == gen {
+			w.crash()
+		}
+	})
+}
+
+// signOff tells the daemon beside the worker that the worker leaves.
+func (w *platformWorker) signOff(done func(status int)) {
+	if !w.node.up {
+		w.b.after(1000, func() { done(0) })
+		return
+	}
+	w.b.call(w.node.Name, w.node, platformCall{op: "worker.gone", key: w.id}, 1000, func(status int, _ int64, _ []byte) { done(status) })
+}
+
 func (w *platformWorker) runNames() []runName {
 	out := make([]runName, 0, len(w.runs))
 	for k := range w.runs {
@@ -257,12 +293,11 @@
 				if w.gen != gen {
 					return
 				}
-				dead := func(int, int64, []byte) {
+				w.signOff(func(int) {
 					if w.gen == gen {
 						w.crash()
 					}
-				}
-				b.call(w.node.Name, w.node, platformCall{op: "worker.gone", key: w.id}, 1000, dead)
+				})
 			})
 		}
 	}
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -57,6 +57,8 @@
 	if m.Epoch < w.epoch {
 		return false
 	}
+	signedOff := w.signedOff || m.SignedOff
+	m.Leaving = m.Leaving || signedOff
 	if m.Epoch > w.epoch || m.SentMs > w.agentClockMs {
 		others, batchUse := w.usedByOthers, w.batchUse
 		if others == nil || m.Epoch > w.epoch {
@@ -64,7 +66,7 @@
 		}
 		*w = workerView{
 			agent: from, epoch: m.Epoch, agentClockMs: m.SentMs, receivedMs: n.now, zone: m.Zone, labels: m.Labels,
-			leaving: m.Leaving, rebuilt: m.Rebuilt, reportFresh: m.WorkerReportFresh,
+			leaving: m.Leaving, signedOff: signedOff, rebuilt: m.Rebuilt, reportFresh: m.WorkerReportFresh,
 			free: m.Free, capacity: m.Capacity, queued: m.Queued, rankMs: m.RankMs,
 			silentMs: m.SilentMs, usedByOthers: others, batchUse: batchUse, unstarted: m.WaitingTasks,
 			spare: w.spare.observe(n.now, m.SpareCapacity),
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -175,14 +175,16 @@
 	shards   map[string]*ownedShard
 	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
 	// When each counter here last received a report from the owner of each shard.
-	shareReports    map[string]map[string]int64
-	limits          quota.Limits
-	agents          map[string]*workerAgent
-	central         *centralScheduler
-	ranks           rankState
-	workers         map[string]*workerView
-	estimates       scheduler.Estimates
-	nextEstimatesMs int64
+	shareReports     map[string]map[string]int64
+	limits           quota.Limits
+	agents           map[string]*workerAgent
+	central          *centralScheduler
+	ranks            rankState
+	workers          map[string]*workerView
+	estimates        scheduler.Estimates
+	nextEstimatesMs  int64
+	signedOffWorkers []string // workers that signed off before they reported to this process, the last ones
+
 	// queueCounts holds the latest counts that each shard's owner sent; this daemon sends its own at
 	// nextQueueCountsMs.
 	queueCounts       map[string]*queueCounts
--- a/internal/daemon/shard.go
+++ b/internal/daemon/shard.go
@@ -192,6 +192,7 @@
 	zone           string
 	labels         []wire.Label
 	leaving        bool
+	signedOff      bool // the worker has signed off; later agents of it can\'t take that back
 	rebuilt        bool
 	reportFresh    bool
 	free           resource.Amount
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -118,6 +118,7 @@
 	Zone              string
 	Labels            []Label
 	Leaving           bool
+	SignedOff         bool // the worker has signed off: it gets no more work, whichever agent it has next
 	Rack              string
 	Free              resource.Amount
 	Capacity          resource.Amount
