Only a reply that was received tells which worker of a machine runs now

Cause: any unknown id counted as the newest life by the time of its arrival, and former ids were forgotten after 1.5 s; owners did the same over a restart of the daemon, and a new agent took its worker's first heartbeat as complete.

Ruled out: callSequence and the worker's clock, which order nothing across lives; connections that were accepted later, since something between may hold a call back.

Change: a worker that lists an attempt ordered in a reply, or sends its next heartbeat on the reply's connection, ran after the reply; all that had reported before it have ended. Only then their attempts are resolved at once, also by owners over incarnations (AgentReport.ReachedWorker); else the end of holds decides. 64 ended ids are remembered.

Two tests asserted that a first heartbeat of another id replaces a worker; that was the fault. They now assert that it does not, nor does a second one by another connection, and that the one on the reply's connection does.

--- a/guards.sh
+++ b/guards.sh
@@ -120,9 +120,13 @@
 unknown keys are refused|internal/daemon/request_address.go|return "", config.DeclaredQueue(queueKey).Open|return "", true
 jobs of a removed queue run|internal/configuration/configuration.go|return c.retired[key]|return nil
 a removed queue takes no new jobs|internal/daemon/job_request.go|queue := n.config.current.DeclaredQueue(record.Queue)|queue := n.config.current.Queue(record.Queue)
-a sign-off is not an end|internal/daemon/heartbeat.go|\t\tif agent.draining {\n\t\t\tagent.goneAtMs|\t\tif true {\n\t\t\tagent.goneAtMs
+a sign-off is not an end|internal/daemon/worker_lives.go|\t\tif agent.draining {\n\t\t\tagent.goneAtMs|\t\tif true {\n\t\t\tagent.goneAtMs
 a worker that reports has not ended|internal/daemon/heartbeat.go|agent.draining, agent.goneAtMs = heartbeat.Get("leaving").Bool(), 0|agent.draining = heartbeat.Get("leaving").Bool()
 a sign-off outlives the agent|internal/daemon/reconcile.go|signedOff := w.signedOff \|\| m.SignedOff|signedOff := m.SignedOff
+a former worker is told by a reply that was received|internal/daemon/worker_lives.go|former.firstHeartbeat > current.receivedReply|false
+a former worker stays one|internal/daemon/worker_lives.go|n.formerWorkers = remember(n.formerWorkers, name)|_ = name
+a worker serves once its lists are complete|internal/daemon/worker_lives.go|\treturn agent.heartbeats > 1|\treturn true
+owners replace a worker by a received reply|internal/daemon/reconcile.go|\|\| !m.ReachedWorker {|{
 a job belongs to its address|internal/configuration/configuration.go|h.keys[a.Prefix] = key|h.keys[a.Prefix] = queue.Name
 jobs stored by name follow a rename|internal/daemon/config_state.go|\tn.rebindRenamedQueues(previous)|\t_ = previous
 no job is denied by an old configuration|internal/daemon/request_address.go|case !n.configConfirmedSince(req):\n\t\treq.maybeApplied|case false:\n\t\treq.maybeApplied
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -64,20 +64,26 @@
 	ownerReplyMs     map[string]int64 // shard -> when the last report that its owner answered was sent
 	toStart          []*agentAttempt  // attempts that the reply to the current heartbeat starts
 	replying         bool             // a heartbeat is being answered
-	draining         bool             // the worker's last report announced its departure
-	signedOff        bool             // the worker has signed off; it may serve on for a while
-	goneAtMs         int64            // when a worker that signed off has ended for certain; 0 if it has not
-	leavesAtMs       int64            // when a leaving worker ends all its attempts; 0 if unknown
-	replaced         bool             // another worker sends heartbeats to this daemon instead
-	lapseUntilMs     int64            // no hold is granted before this time, so that the last one lapses; 0 otherwise
-	suspectUntilMs   int64
-	suspectCount     int64                 // recent suspicions; it decays
-	adoptedMs        int64                 // when rebuilt was set
-	lastReports      map[string]sentReport // shard, "" for the central scheduler -> its last report
-	nextChangesMs    int64                 // no partial report is sent before this time
-	changesPending   bool                  // attempts have ended since the last report
-	reportedQuiet    bool                  // whether the last full report was sent while the worker was quiet
-	guaranteedEnded  bool                  // a guaranteed attempt has ended since the last report to the central scheduler
+	// firstHeartbeat, receivedReply and the reply's connection order the lives of the machine's workers, see
+	// worker_lives.go. They are values of node.heartbeatCount.
+	firstHeartbeat  uint64 // the worker's first heartbeat to this process
+	heartbeats      int64  // heartbeats that were accepted from the worker
+	receivedReply   uint64 // the worker has certainly received the reply to this heartbeat; 0 for none
+	repliedOn       uint64 // the connection of the last reply
+	repliedAt       uint64 // the heartbeat that the last reply was for
+	draining        bool   // the worker's last report announced its departure
+	signedOff       bool   // the worker has signed off; it may serve on for a while
+	goneAtMs        int64  // when a worker that signed off has ended for certain; 0 if it has not
+	leavesAtMs      int64  // when a leaving worker ends all its attempts; 0 if unknown
+	replaced        bool   // another worker sends heartbeats to this daemon instead
+	lapseUntilMs    int64  // no hold is granted before this time, so that the last one lapses; 0 otherwise
+	suspectUntilMs  int64
+	suspectCount    int64                 // recent suspicions; it decays
+	lastReports     map[string]sentReport // shard, "" for the central scheduler -> its last report
+	nextChangesMs   int64                 // no partial report is sent before this time
+	changesPending  bool                  // attempts have ended since the last report
+	reportedQuiet   bool                  // whether the last full report was sent while the worker was quiet
+	guaranteedEnded bool                  // a guaranteed attempt has ended since the last report to the central scheduler
 }
 
 // agentAttempt is an attempt as its worker's agent tracks it, from placement to acknowledgement.
@@ -99,8 +105,9 @@
 	ordered     bool // an order may have been sent, so the worker may have the attempt
 	acked       bool // the owner has acknowledged the end
 
-	specUnknown    bool  // reported by the worker only; the owner has not sent its spec and resources yet
-	orderSeq       int64 // sequence number of the heartbeat whose reply carried the order
+	specUnknown    bool   // reported by the worker only; the owner has not sent its spec and resources yet
+	orderSeq       int64  // sequence number of the heartbeat whose reply carried the order
+	orderedIn      uint64 // the same heartbeat as a value of node.heartbeatCount; 0 if this process didn't order it
 	percent        int64
 	lastProgressMs int64
 	endedLate      bool  // its owner may have resolved it as lost before it ended by itself
--- a/internal/daemon/agent_dispatch.go
+++ b/internal/daemon/agent_dispatch.go
@@ -220,7 +220,7 @@
 	taskSpec := &attempt.spec
 	n.count("orders_" + taskSpec.Class.String())
 	if agent.colocated {
-		attempt.orderSeq = agent.reportSeq
+		attempt.orderSeq, attempt.orderedIn = agent.reportSeq, n.heartbeatCount
 		agent.toStart = append(agent.toStart, attempt)
 		return
 	}
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -194,9 +194,11 @@
 	waiting, spare := agent.loadWithoutBatches(n)
 	return wire.AgentReport{
 		Worker: agent.worker, Agent: n.Name, Epoch: agent.epoch, SentMs: n.now,
-		Rebuilt: agent.rebuilt, WorkerReportFresh: n.now-agent.tokenMs <= workerReportMaxAgeMs,
-		SilentMs: n.now - agent.lastContactMs,
-		Zone:     agent.zone, Labels: agent.labels, Rack: agent.rack, Leaving: agent.leaving, SignedOff: agent.signedOff,
+		Rebuilt: agent.rebuilt, ReachedWorker: agent.receivedReply != 0,
+		WorkerReportFresh: n.now-agent.tokenMs <= workerReportMaxAgeMs,
+		SilentMs:          n.now - agent.lastContactMs,
+		Zone:              agent.zone, Labels: agent.labels, Rack: agent.rack,
+		Leaving: agent.leaving, SignedOff: agent.signedOff,
 		Free: agent.free, Capacity: agent.capacity, SpareCapacity: spare, WaitingTasks: waiting,
 		Suspect: n.now < agent.suspectUntilMs, RecentFailures: agent.evidence.Suspect(),
 		Probation: agent.suspectCount > 0 && n.now >= agent.suspectUntilMs, Colocated: agent.colocated,
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -28,7 +28,6 @@
 	signOffDelayMs   = 500    // a drained worker that signed off has ended after this time, unless it reports again
 	leaveStopMs      = 800    // checkpointing attempts stop this long before their worker leaves, to resume elsewhere
 	goneAgentKeepMs  = 60_000 // the agent of a worker that has gone keeps unacknowledged ends for this long
-	formerWorkersMax = 64     // workers that signed off, and former ones of this machine, that are remembered
 )
 
 // A colocated agent is the only recipient of its worker's heartbeats, and sends its orders in the replies.
@@ -142,14 +141,15 @@
 	}
 	heartbeat := gjson.ParseBytes(req.body)
 	agent := n.agents[req.key]
-	if agent == nil {
+	if agent == nil && !n.isFormerWorker(req.key) {
 		agent = n.addColocatedAgent(req.key)
 	}
 	seq := heartbeat.Get("seq").Int()
-	if agent.replaced || !agent.colocated || seq <= agent.reportSeq {
+	if agent == nil || agent.replaced || !agent.colocated || seq <= agent.reportSeq {
 		n.respond(req, 200, 0, mustJSON(heartbeatReply{IntervalMs: heartbeatMs, Start: []taskOrder{}, Stop: []taskOrder{}}))
 		return
 	}
+	n.recordLife(agent, req.connection)
 	changed, missed := !agent.rebuilt, n.now-agent.lastContactMs > freezeThresholdMs
 	agent.reportSeq, agent.lastContactMs, agent.tokenMs = seq, n.now, n.now
 	agent.zone, agent.rack, agent.labels = heartbeat.Get("site").Str, heartbeat.Get("rack").Str,
@@ -166,9 +166,9 @@
 	}
 	ended, differs := n.applyHeartbeatLists(agent, heartbeat, missed)
 	changed = changed || differs
-	if !agent.rebuilt { // attempts ordered by a former agent of this daemon are in the lists, or will never start
-		agent.rebuilt, agent.adoptedMs = true, n.now
-		agent.holdUntilMs = n.now + holdMaxMs*(100+driftPercent)/100
+	n.endFormerWorkers(agent)
+	if !agent.rebuilt && n.mayServe(agent) { // attempts ordered by a former agent are in the lists, or will never start
+		agent.rebuilt = true
 		n.log("agent_rebuilt", "worker", agent.worker, "epoch", agent.epoch, "held", len(agent.attempts))
 	}
 	n.detectStalledWork(agent)
@@ -177,6 +177,7 @@
 	n.startPending(agent)
 	agent.replying = false
 	n.respond(req, 200, 0, mustJSON(n.heartbeatReply(agent)))
+	agent.repliedOn, agent.repliedAt = req.connection, n.heartbeatCount
 	switch {
 	case changed:
 		n.reportAgent(agent)
@@ -185,37 +186,6 @@
 	}
 }
 
-// addColocatedAgent creates the agent of a worker that sends heartbeats to this daemon. Only one worker
-// runs beside a daemon, so a former one has crashed and runs nothing any more.
-func (n *node) addColocatedAgent(worker string) *workerAgent {
-	for _, name := range sortedKeys(n.agents) {
-		if old := n.agents[name]; old.colocated && !old.replaced {
-			n.log("worker_replaced", "worker", name, "by", worker)
-			n.resolveLostAttempts(old)
-			old.replaced, old.leaving = true, true
-			n.reportAgent(old)
-		}
-	}
-	agent := &workerAgent{
-		worker:        worker,
-		epoch:         n.Incarnation,
-		startMs:       n.now,
-		attempts:      map[wire.AttemptKey]*agentAttempt{},
-		tombstones:    map[wire.AttemptKey]int64{},
-		ownerEpochs:   map[string]uint64{},
-		lastSuccessMs: n.now,
-		lastContactMs: n.now,
-		tokenMs:       -1 << 40,
-		colocated:     true,
-		signedOff:     slices.Contains(n.signedOffWorkers, worker),
-		endsByNumber:  map[int64]wire.AttemptKey{},
-		ownerReplyMs:  map[string]int64{},
-	}
-	n.agents[worker] = agent
-	n.log("worker_new", "worker", worker, "epoch", agent.epoch)
-	return agent
-}
-
 // resolveLostAttempts ends all attempts of a worker that certainly runs none of them any more.
 func (n *node) resolveLostAttempts(agent *workerAgent) (resolved bool) {
 	for _, key := range agent.keys() {
@@ -290,6 +260,7 @@
 		attempt.orderedMs = n.now
 		changed = true
 	}
+	agent.receivedReply = max(agent.receivedReply, attempt.orderedIn)
 	if attempt.state != wire.AttemptRunning {
 		if attempt.state == wire.AttemptEnded {
 			n.log("attempt_runs_after_end", "attempt", key.String(), "worker", agent.worker)
@@ -332,6 +303,7 @@
 		attempt.startedMs = n.now
 		attempt.endedLate = finalOutcomes[outcome]
 	}
+	agent.receivedReply = max(agent.receivedReply, attempt.orderedIn)
 	if saved := entry.Get("saved").Str; saved != "" {
 		attempt.spec.Checkpoint = saved
 	}
@@ -572,7 +544,7 @@
 	}
 	silent := n.now > agent.holdUntilMs+lapseMarginMs && n.now-agent.lastContactMs > lapseMarginMs
 	gone := agent.goneAtMs != 0 && n.now > agent.goneAtMs
-	if !agent.rebuilt || agent.replaced || !silent && !gone {
+	if agent.replaced || !silent && !gone {
 		return changed
 	}
 	if agent.goneAtMs == 0 {
@@ -599,31 +571,3 @@
 	unacknowledged := func(k wire.AttemptKey) bool { return !agent.attempts[k].acked }
 	return !slices.ContainsFunc(agent.keys(), unacknowledged) && n.now-agent.lastContactMs > ownerContactMs
 }
-
-// handleWorkerGone handles the sign-off of a worker. A worker that has announced its departure before ends with its
-// sign-off. Any other one may serve on for seconds: it gets no more work, and its attempts run until it reports their
-// end or its hold has lapsed, as for a worker that crashes.
-func (n *node) handleWorkerGone(req *request) {
-	agent := n.agents[req.key]
-	switch {
-	case agent == nil:
-		n.rememberSignOff(req.key) // it may report again: its sign-off came before any report to this process
-	case agent.colocated && !agent.signedOff:
-		agent.signedOff, agent.leaving = true, true
-		if agent.draining {
-			agent.goneAtMs = n.now + signOffDelayMs
-		}
-		n.log("worker_gone", "worker", agent.worker, "draining", agent.draining)
-		n.reportAgent(agent)
-	}
-	n.respond(req, 200, 0, mustJSON(map[string]any{"worker": req.key}))
-}
-
-// rememberSignOff records that a worker without an agent here has signed off.
-func (n *node) rememberSignOff(worker string) {
-	if !schema.ValidName(worker) || slices.Contains(n.signedOffWorkers, worker) {
-		return
-	}
-	n.signedOffWorkers = append(n.signedOffWorkers, worker)
-	n.signedOffWorkers = n.signedOffWorkers[max(0, len(n.signedOffWorkers)-formerWorkersMax):]
-}
--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -75,8 +75,8 @@
 	must.Eq(t, wire.ResultRejected, agent.attempts[wire.AttemptKey{Job: "j2", Task: uniformTaskID(0, 0, 1), Attempt: 3}].result)
 }
 
-// Another worker at the same address means that the former has crashed. An end is acknowledged to the
-// worker only once its owner has recorded it.
+// Another worker at the same address, which has received a reply sent after the former reported, means that the former
+// has crashed. An end is acknowledged to the worker only once its owner has recorded it.
 func TestWorkerReplacedAtItsAddress(t *testing.T) {
 	n, heartbeat := agentOfWorker(t)
 	heartbeat(100, runningList("j1", 0, 1, 10))
@@ -88,12 +88,83 @@
 	must.Eq(t, int64(1), heartbeat(50, ended).AcknowledgedEnds)
 
 	heartbeat(50, runningList("j1", 1, 1, 10))
-	reduce(n, event{NowMs: n.now + 50, WallMs: 1, Body: evRequest{ID: 99, Op: "worker.beat", Key: "w2", Base: -1, Body: []byte(`{"seq":1,"site":"east","capacity":{"cpu":1,"memory":1,"accelerators":0}}`)}})
+	next := func(seq int, connection uint64) {
+		reduce(n, event{NowMs: n.now + 50, WallMs: 1, Body: evRequest{ID: 99, Op: "worker.beat", Key: "w2", Base: -1, Connection: connection,
+			Body: fmt.Appendf(nil, `{"seq":%d,"site":"east","capacity":{"cpu":1,"memory":1,"accelerators":0}}`, seq)}})
+	}
 	old := n.agents["w1"]
+	next(1, 5)
+	next(2, 6) // by another connection: it may have been sent before the reply
+	must.False(t, old.replaced)
+	must.Eq(t, wire.AttemptRunning, old.attempts[wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 1), Attempt: 1}].state)
+	next(3, 6)
 	must.True(t, old.replaced)
 	must.Eq(t, wire.ResultLost, old.attempts[wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 1), Attempt: 1}].result)
 }
 
+// Guards against a late heartbeat of a former worker that ends the attempts of the one that runs now, whether this
+// process has met the former worker or was started since.
+func TestLateHeartbeatOfAFormerWorker(t *testing.T) {
+	key := wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 0), Attempt: 1}
+	send := func(n *node, worker string, seq int, connection uint64, lists string) heartbeatReply {
+		body := fmt.Appendf(nil, `{"seq":%d,"site":"east","capacity":{"cpu":8000}%s}`, seq, lists)
+		for _, e := range reduce(n, event{NowMs: n.now + 50, WallMs: 1, Seed: 1, Body: evRequest{ID: 9, Op: "worker.beat", Key: worker, Base: -1, Body: body, Connection: connection}}) {
+			if r, ok := e.(effReply); ok {
+				var reply heartbeatReply
+				must.NoError(t, jsonTo(r.Body, &reply))
+				return reply
+			}
+		}
+		t.Fatal("a heartbeat got no reply")
+		return heartbeatReply{}
+	}
+	for _, met := range []bool{true, false} {
+		for _, lists := range []string{"", runningList("j0", 0, 1, 50)} {
+			n, _ := agentOfWorker(t)
+			if met {
+				send(n, "former", 1, 0, "")
+				send(n, "former", 2, 0, lists)
+				n.now += 1000
+			}
+			for seq := range 3 {
+				send(n, "w1", seq+1, 7, runningList("j1", 0, 1, seq))
+			}
+			agent := n.agents["w1"]
+			attempt := agent.attempts[key]
+			attempt.specUnknown, attempt.confirmedMs = false, n.now+60_000
+			for seq := range 3 { // several of them, each by its own connection
+				send(n, "former", 10+seq, uint64(20+seq), lists)
+				must.False(t, agent.replaced)
+				must.True(t, agent.rebuilt)
+				must.Eq(t, wire.AttemptRunning, attempt.state)
+				must.Eq(t, int64(holdMaxMs), send(n, "w1", 10+seq, 7, runningList("j1", 0, 1, 50)).HoldMs)
+			}
+			if former := n.agents["former"]; former != nil {
+				must.True(t, former.replaced)
+				must.False(t, former.rebuilt && !met)
+			}
+			must.Zero(t, send(n, "former", 20, 30, lists).HoldMs)
+		}
+	}
+}
+
+// Guards against tasks of the worker that runs now which their owner resolves as lost, since the first heartbeat that
+// a restarted daemon received came late, from a former worker.
+func TestOwnerKeepsTasksUntilAReplyReachedTheWorker(t *testing.T) {
+	n, shard := shareOwner(t)
+	job := jobOfTenant(t, shard, "a", "", `{"name":"s","count":1,"room":1}`, 1)
+	job.State = jobRunning
+	n.workers["now"] = &workerView{agent: "side-1", epoch: 1}
+	n.placeTask(shard, job, 0, "now", wire.ClassQueueable)
+	job.committed = job.Version
+	report := wire.AgentReport{Worker: "former", Agent: "side-1", Epoch: 2, SentMs: n.now, Shard: "s", Colocated: true, Rebuilt: true}
+	n.resolveReplaced(shard, &report)
+	must.Eq(t, taskPlaced, job.Tasks[0].State)
+	report.ReachedWorker = true
+	n.resolveReplaced(shard, &report)
+	must.Eq(t, taskPending, job.Tasks[0].State)
+}
+
 // signOff sends the sign-off of worker w1 to its agent.
 func signOff(n *node) {
 	reduce(n, event{NowMs: n.now, WallMs: 1, Seed: 1, Body: evRequest{ID: 88, Op: "worker.gone", Key: "w1", Base: -1}})
--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -146,7 +146,7 @@
 		ctx,
 		evRequest{
 			Op: c.Op, Key: c.Key, Host: c.Host, Path: c.Path, Base: c.BaseVersion, Digest: c.Digest, Body: c.Body,
-			Credential: c.Credential,
+			Credential: c.Credential, Connection: c.Connection,
 		},
 	)
 	return platform.Response{Status: r.Status, RetryAfterMs: r.RetryMs, Body: r.Body}
--- a/internal/daemon/platformcampaign_test.go
+++ b/internal/daemon/platformcampaign_test.go
@@ -16,6 +16,9 @@
 	"leave unannounced": func(b *platformWorld) {
 		b.leaveUnannouncedAndReplace(b.somePlatformWorker(), b.rng.Int64N(6000))
 	},
+	"late heartbeats": func(b *platformWorld) {
+		b.delayHeartbeats(b.somePlatformWorker(), 1+b.rng.IntN(4), b.chance(0.6), b.chance(0.4))
+	},
 	"side kill": func(b *platformWorld) {
 		b.after(100_000+b.rng.Int64N(6_000_000), b.kill(b.pickOne(b.workerHosts), b.chance(0.5)))
 	},
--- a/internal/daemon/platformscenario_test.go
+++ b/internal/daemon/platformscenario_test.go
@@ -18,7 +18,7 @@
 
 // requestOf returns a call as a daemon receives it.
 func requestOf(c platformCall) evRequest {
-	return evRequest{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Base: c.expect, Body: c.body, Credential: c.credential}
+	return evRequest{Op: c.op, Key: c.key, Host: c.host, Path: c.path, Base: c.expect, Body: c.body, Credential: c.credential, Connection: c.connection}
 }
 
 // formPlatform returns a world whose daemons have formed a cluster, with the usual
@@ -110,6 +110,14 @@
 		b.leaveUnannouncedAndReplace(b.worker(5), 0)
 		b.run(14_000)
 	},
+	"heartbeats of former workers": func(t *testing.T, b *platformWorld) {
+		b.day(6000)
+		for i := range 9 {
+			b.delayHeartbeats(b.worker(i), 2, true, i%3 == 0)
+			b.run(1200)
+		}
+		b.run(14_000)
+	},
 	"workers leave at short notice": func(t *testing.T, b *platformWorld) {
 		b.day(6000)
 		b.leaveAndReplace(b.worker(2), true)
--- a/internal/daemon/platformunit_test.go
+++ b/internal/daemon/platformunit_test.go
@@ -93,12 +93,13 @@
 func TestReplacedWorkerRejectsPlaces(t *testing.T) {
 	n := newNode(nodeConfig{Name: "d0", Incarnation: 7}, nil)
 	n.now = 100_000
-	heartbeat := func(id string) {
+	heartbeat := func(id string, seq int) {
 		n.now += 50
-		n.handleHeartbeat(&request{key: id, body: []byte(`{"seq":1,"site":"east","capacity":{"cpu":4},"running":[],"ended":[]}`)})
+		n.handleHeartbeat(&request{key: id, connection: 1, body: fmt.Appendf(nil, `{"seq":%d,"site":"east","capacity":{"cpu":4},"running":[],"ended":[]}`, seq)})
 	}
-	heartbeat("w1")
-	heartbeat("w2")
+	heartbeat("w1", 1)
+	heartbeat("w2", 1)
+	heartbeat("w2", 2)
 	must.True(t, n.agents["w1"].replaced)
 	key := wire.AttemptKey{Job: "j", Task: uniformTaskID(0, 0, 1), Attempt: 1}
 	n.onPlacement("d1", &wire.Placement{Worker: "w1", AgentEpoch: 7, ShardEpoch: 1, AgentClockMs: n.now, Spec: wire.TaskSpec{Key: key, Shard: "s", Resources: resource.Amount{CPU: 1}}})
--- a/internal/daemon/platformworld_callers_test.go
+++ b/internal/daemon/platformworld_callers_test.go
@@ -13,6 +13,7 @@
 	expect              int64
 	body                []byte
 	credential          string
+	connection          uint64
 }
 
 func (b *platformWorld) call(from string, to *simNode, c platformCall, waitMs int64, cb func(status int, retryMs int64, body []byte)) {
--- a/internal/daemon/platformworld_faults_test.go
+++ b/internal/daemon/platformworld_faults_test.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// delayHeartbeats lets some heartbeats of a worker arrive seconds late, while it serves on, crashes and is followed by
+// another one, or its daemon restarts.
+func (b *platformWorld) delayHeartbeats(w *platformWorker, count int, crash, restart bool) {
+	w.lateHeartbeats = count
+	calm := b.beginWorkerFault("late heartbeats", w)
+	b.after(8_000_000, calm)
+	if crash {
+		b.after(100_000+b.rng.Int64N(400_000), func() {
+			if w.up {
+				b.crashAndReplace(w, 200+b.rng.Int64N(1500))
+			}
+		})
+	}
+	if restart {
+		b.after(100_000+b.rng.Int64N(1_500_000), func() { b.after(100_000+b.rng.Int64N(1_000_000), b.kill(w.node.Name, false)) })
+	}
+}
+
 // slowFor slows a worker down, or lets it hang, for a while.
 func (b *platformWorld) slowFor(w *platformWorker, text string, slow float64, hang bool, ms int64) {
 	calm := b.beginWorkerFault(text, w)
--- a/internal/daemon/platformworld_test.go
+++ b/internal/daemon/platformworld_test.go
@@ -66,6 +66,7 @@
 	queueNames       map[string]string // the names that queues have now, by prefix, if not those of the deployment
 	queueServices    map[string]string // the services that queues are routed to now, likewise
 	createdNames     int
+	connections      uint64          // of workers, so far
 	removedQueues    map[string]bool // the queues that are not declared now, by prefix
 }
 
--- a/internal/daemon/platformworld_workers_test.go
+++ b/internal/daemon/platformworld_workers_test.go
@@ -63,9 +63,11 @@
 	gen              int
 	seq              int64
 	leaving          bool
-	leavesMs         int64 // simulated time; -1 if unknown
-	endScheduled     bool  // its end is scheduled
-	servesOn         bool  // it signs off first, serves on for a while and ends, without ever announcing its departure
+	leavesMs         int64  // simulated time; -1 if unknown
+	endScheduled     bool   // its end is scheduled
+	connection       uint64 // of its heartbeats while none fails; 0 for a new one
+	lateHeartbeats   int    // so many of its next heartbeats arrive late
+	servesOn         bool   // it signs off first, serves on for a while and ends, without ever announcing its departure
 	bootUs           int64
 	drift            float64 // its clock is slow by this fraction
 	holdUs           int64   // when the hold expires, by the worker's clock
@@ -97,6 +99,7 @@
 	b := w.b
 	b.workerLives++
 	w.up, w.id, w.seq, w.endSeq, w.leaving, w.leavesMs, w.endScheduled, w.servesOn = true, fmt.Sprintf("i-%03d", b.workerLives), 0, 0, false, -1, false, false
+	w.connection, w.lateHeartbeats = 0, 0
 	w.gen++
 	w.bootUs, w.drift, w.holdUs, w.nextHeartbeatUs, w.heartbeatPending, w.heartbeatAgain = b.nowUs-b.rng.Int64N(1_000_000_000), b.rng.Float64()*0.02, 0, 0, false, false
 	w.runs, w.highestRun, w.ends, w.used = map[runName]*platformRun{}, map[runName]int64{}, nil, amounts{}
@@ -253,6 +256,9 @@
 			return
 		}
 		w.heartbeatPending = false
+		if status != 200 {
+			w.connection = 0
+		}
 		if status == 200 {
 			w.handleResponse(body, sentUs, announcedLeaving)
 		}
@@ -278,7 +284,34 @@
 		b.after(1000, func() { done(0, nil) })
 		return
 	}
-	b.call(w.node.Name, w.node, platformCall{op: "worker.beat", key: w.id, body: mustJSON(doc)}, 1000, func(status int, _ int64, body []byte) { done(status, body) })
+	if w.connection == 0 || !w.keepsConnection() {
+		b.connections++
+		w.connection = b.connections
+	}
+	call := platformCall{op: "worker.beat", key: w.id, body: mustJSON(doc), connection: w.connection}
+	if w.lateHeartbeats > 0 {
+		w.lateHeartbeats--
+		b.deliverLate(w.node, call)
+		if b.chance(0.5) { // else this is a copy, and the heartbeat arrives in time too
+			b.after(1_000_000, func() { done(0, nil) })
+			return
+		}
+	}
+	b.call(w.node.Name, w.node, call, 1000, func(status int, _ int64, body []byte) { done(status, body) })
+}
+
+// keepsConnection reports whether the worker uses one connection for all its heartbeats.
+func (w *platformWorker) keepsConnection() bool { return w.id[len(w.id)-1]%2 == 0 }
+
+// deliverLate delivers a call seconds late, by a connection of its own. Nobody gets the response.
+func (b *platformWorld) deliverLate(to *simNode, c platformCall) {
+	b.connections++
+	c.connection = b.connections
+	b.after(300_000+b.rng.Int64N(5_000_000), func() {
+		if to.up {
+			b.call(to.Name, to, c, 1000, func(int, int64, []byte) {})
+		}
+	})
 }
 
 // handleResponse handles the response to a heartbeat.
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -319,9 +319,10 @@
 }
 
 // resolveReplaced resolves as lost the tasks placed on workers that the reporting worker has replaced. A worker has
-// replaced another if it runs on the same machine, beside a later incarnation of the same agent.
+// replaced another if it runs on the same machine, and has received a reply of a later incarnation of the same agent:
+// the other one, which got its tasks from an earlier incarnation, has ended then.
 func (n *node) resolveReplaced(shard *ownedShard, m *wire.AgentReport) {
-	if !m.Colocated || !m.Rebuilt {
+	if !m.Colocated || !m.Rebuilt || !m.ReachedWorker {
 		return
 	}
 	for _, worker := range sortedKeys(shard.placedByWorker) {
--- a/internal/daemon/reduce.go
+++ b/internal/daemon/reduce.go
@@ -77,6 +77,7 @@
 		Digest     []byte // SHA-256 of an operator's change, if it isn't that of the body
 		Credential string // the API key in the call
 		Body       []byte
+		Connection uint64 // the connection that the call came by, see platform.Call; 0 if unknown
 		// Precompiled is the configuration in Body, if a network goroutine compiled it already.
 		Precompiled *configuration.Configuration
 	}
@@ -175,14 +176,17 @@
 	shards   map[string]*ownedShard
 	counters map[string]*quota.Counter // of tenants, by the shard whose owner counts them
 	// When each counter here last received a report from the owner of each shard.
-	shareReports     map[string]map[string]int64
-	limits           quota.Limits
-	agents           map[string]*workerAgent
-	central          *centralScheduler
-	ranks            rankState
-	workers          map[string]*workerView
-	estimates        scheduler.Estimates
-	nextEstimatesMs  int64
+	shareReports    map[string]map[string]int64
+	limits          quota.Limits
+	agents          map[string]*workerAgent
+	central         *centralScheduler
+	ranks           rankState
+	workers         map[string]*workerView
+	estimates       scheduler.Estimates
+	nextEstimatesMs int64
+	// The workers that have reported to this process or signed off, see worker_lives.go.
+	heartbeatCount   uint64   // heartbeats that were accepted from colocated workers
+	formerWorkers    []string // workers of this machine that have certainly ended, the last ones
 	signedOffWorkers []string // workers that signed off before they reported to this process, the last ones
 
 	// queueCounts holds the latest counts that each shard's owner sent; this daemon sends its own at
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -50,6 +50,7 @@
 	maybeApplied bool   // it may have taken effect: forwarded without a reply, or in progress here
 	byAddress    bool   // it names a queue by address: an unknown job is distinguished from an unknown queue
 	credential   string // the API key in the call
+	connection   uint64 // see evRequest
 	tenant       string // the tenant of that key; "" if no key is needed
 }
 
@@ -141,6 +142,7 @@
 			base:        e.Base,
 			digest:      e.Digest,
 			credential:  e.Credential,
+			connection:  e.Connection,
 		},
 	)
 }
--- a/internal/wire/scheduling.go
+++ b/internal/wire/scheduling.go
@@ -113,6 +113,7 @@
 	SentMs            int64
 	Shard             string // "" in a report to the central scheduler
 	Rebuilt           bool   // the agent has its worker's full state again after a start
+	ReachedWorker     bool   // the worker has received a reply of this agent's process
 	WorkerReportFresh bool   // the worker has reported recently
 	SilentMs          int64  // time since the worker's last report
 	Zone              string
