Two more paths that trusted arrival: a stopped process's holds, late reports

A daemon that stops in order grants holds of up to 7 s; the next process assumed 4 s for what its worker's first heartbeat lists. If that worker was then cut off, its tasks were started elsewhere up to 3 s too early. The new agent now awaits the longest hold that a former process may have granted. TestHoldOfAStoppedProcessIsAwaited failed before (ended 2.6 s early).

A report that reached the central scheduler after a newer one of the same agent gave it back an earlier state of the worker. Reports are ordered by their sending time at the agent, as at owners. TestCentralIgnoresALateReport failed before.

After: these and the heartbeat, hold and central tests pass.

--- a/guards.sh
+++ b/guards.sh
@@ -127,6 +127,8 @@
 a former worker stays one|internal/daemon/worker_lives.go|n.formerWorkers = remember(n.formerWorkers, name)|_ = name
 a worker serves once its lists are complete|internal/daemon/worker_lives.go|\treturn agent.heartbeats > 1|\treturn true
 owners replace a worker by a received reply|internal/daemon/reconcile.go|\|\| !m.ReachedWorker {|{
+a former process's hold is awaited|internal/daemon/heartbeat.go|agent.holdUntilMs = max(agent.holdUntilMs, n.now+n.formerHoldMs())|_ = n.formerHoldMs
+a late report changes nothing at the central scheduler|internal/daemon/central.go|m.Epoch < w.Epoch \|\| m.Epoch == w.Epoch && m.SentMs < w.SentMs|m.Epoch < w.Epoch
 a job belongs to its address|internal/configuration/configuration.go|h.keys[a.Prefix] = key|h.keys[a.Prefix] = queue.Name
 jobs stored by name follow a rename|internal/daemon/config_state.go|\tn.rebindRenamedQueues(previous)|\t_ = previous
 no job is denied by an old configuration|internal/daemon/request_address.go|case !n.configConfirmedSince(req):\n\t\treq.maybeApplied|case false:\n\t\treq.maybeApplied
--- a/internal/daemon/central.go
+++ b/internal/daemon/central.go
@@ -159,8 +159,8 @@
 		w = &workerCapacity{}
 		c.workers[m.Worker] = w
 	}
-	if m.Epoch < w.Epoch {
-		return
+	if m.Epoch < w.Epoch || m.Epoch == w.Epoch && m.SentMs < w.SentMs {
+		return // from a former agent, or sent before the last one
 	}
 	w.AgentReport, w.receivedMs = *m, n.now
 	w.guaranteed, w.occupied = resource.Amount{}, m.OtherShards // a report without a shard counts all attempts there
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -166,6 +166,9 @@
 	}
 	ended, differs := n.applyHeartbeatLists(agent, heartbeat, missed)
 	changed = changed || differs
+	if agent.heartbeats == 1 && len(agent.attempts) > 0 {
+		agent.holdUntilMs = max(agent.holdUntilMs, n.now+n.formerHoldMs())
+	}
 	n.endFormerWorkers(agent)
 	if !agent.rebuilt && n.mayServe(agent) { // attempts ordered by a former agent are in the lists, or will never start
 		agent.rebuilt = true
@@ -424,6 +427,12 @@
 	return until
 }
 
+// formerHoldMs returns the longest hold that a former process of this daemon may have granted to running attempts, by
+// a clock that runs slow. A process that stops in order grants more than holdMaxMs, see holdUntil.
+func (n *node) formerHoldMs() int64 {
+	return min(max(n.holdDurationMs(), n.MaxHoldMs), ownerTimeoutMs) * (100 + driftPercent) / 100
+}
+
 // holdDurationMs returns the length of the hold that a reply grants.
 func (n *node) holdDurationMs() int64 {
 	if n.MaxHoldMs > 0 {
--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"testing"
 
+	"otterchute/internal/configuration"
 	"otterchute/internal/quorum"
+	"otterchute/internal/resource"
 	"otterchute/internal/wire"
 
 	"github.com/shoenig/test/must"
@@ -165,6 +167,53 @@
 	must.Eq(t, taskPending, job.Tasks[0].State)
 }
 
+// Guards against runs of over ten minutes that end as failures although nobody has set a limit: the platform's queues
+// have the longest limit there is.
+func TestLongRunIsNotEndedByADefault(t *testing.T) {
+	current, faults := configuration.Compile(1, []byte(`{"queues":[{"name":"q","default_limit_ms":2592000000}]}`))
+	must.SliceEmpty(t, faults)
+	job, faults := parseJob("j1", "q", []byte(`{"steps":[{"name":"s","count":1,"room":1}]}`))
+	must.SliceEmpty(t, faults)
+	must.Nil(t, admit(&admission{job: job, queue: current.Queue("q")}))
+	n, heartbeat := agentOfWorker(t)
+	heartbeat(100, runningList("j1", 0, 1, 0))
+	attempt := n.agents["w1"].attempts[wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 0), Attempt: 1}]
+	attempt.specUnknown, attempt.spec.LimitMs = false, job.Steps[0].LimitMs
+	for percent := range 90 {
+		attempt.confirmedMs = n.now
+		must.Len(t, 0, heartbeat(10_000, runningList("j1", 0, 1, percent+1)).Stop)
+	}
+	must.Eq(t, wire.AttemptRunning, attempt.state)
+}
+
+// Guards against tasks that are started elsewhere while a former process of the daemon, which was stopped in order, had
+// granted a longer hold than usual and the worker is cut off from the new process.
+func TestHoldOfAStoppedProcessIsAwaited(t *testing.T) {
+	n, heartbeat := agentOfWorker(t)
+	heartbeat(100, runningList("j1", 0, 1, 10))
+	attempt := n.agents["w1"].attempts[wire.AttemptKey{Job: "j1", Task: uniformTaskID(0, 0, 0), Attempt: 1}]
+	for end := n.now + ownerTimeoutMs; n.now < end; {
+		must.Eq(t, wire.AttemptRunning, attempt.state, must.Sprint(end-n.now))
+		reduce(n, event{NowMs: n.now + tickMs, WallMs: 1, Seed: 1, Body: evTick{}})
+	}
+	reduce(n, event{NowMs: n.now + 1000, WallMs: 1, Seed: 1, Body: evTick{}})
+	must.Eq(t, wire.AttemptEnded, attempt.state)
+}
+
+// Guards against a late report that gives the central scheduler back an earlier state of a worker.
+func TestCentralIgnoresALateReport(t *testing.T) {
+	n, _ := shareOwner(t)
+	n.startCentral(1)
+	report := func(sentMs int64, free int64) {
+		n.onAgentReport("side-1", &wire.AgentReport{Worker: "w1", Agent: "side-1", Epoch: 1, SentMs: sentMs, Free: resource.Amount{CPU: free}})
+	}
+	report(20, 1)
+	report(10, 9)
+	must.Eq(t, 1, n.central.workers["w1"].Free.CPU)
+	report(30, 5)
+	must.Eq(t, 5, n.central.workers["w1"].Free.CPU)
+}
+
 // signOff sends the sign-off of worker w1 to its agent.
 func signOff(n *node) {
 	reduce(n, event{NowMs: n.now, WallMs: 1, Seed: 1, Body: evRequest{ID: 88, Op: "worker.gone", Key: "w1", Base: -1}})
