--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -152,18 +152,7 @@
 	n.recordLife(agent, req.connection)
 	changed, missed := !agent.rebuilt, n.now-agent.lastContactMs > freezeThresholdMs
 	agent.reportSeq, agent.lastContactMs, agent.tokenMs = seq, n.now, n.now
-	agent.zone, agent.rack, agent.labels = heartbeat.Get("site").Str, heartbeat.Get("rack").Str,
-		labelsOf(heartbeat.Get("labels"))
-	agent.capacity = resource.Parse(heartbeat.Get("capacity"))
-	agent.free = agent.capacity
-	agent.draining, agent.goneAtMs = heartbeat.Get("leaving").Bool(), 0 // a worker that reports has not ended
-	if leaving := agent.draining || agent.signedOff; leaving != agent.leaving {
-		agent.leaving, changed = leaving, true
-		n.log("worker_leaving", "worker", agent.worker, "leaving", leaving, "leaves_ms", heartbeat.Get("leaves_ms").Int())
-	}
-	if leaves := heartbeat.Get("leaves_ms"); leaves.Exists() && agent.leaving {
-		agent.leavesAtMs = n.now + leaves.Int()
-	}
+	changed = n.applyWorkerState(agent, heartbeat) || changed
 	ended, differs := n.applyHeartbeatLists(agent, heartbeat, missed)
 	changed = changed || differs
 	if agent.heartbeats == 1 && len(agent.attempts) > 0 {
@@ -189,6 +178,23 @@
 	}
 }
 
+// applyWorkerState applies what a heartbeat says of the worker itself. It reports whether owners need a full report.
+func (n *node) applyWorkerState(agent *workerAgent, heartbeat gjson.Result) (changed bool) {
+	agent.zone, agent.rack, agent.labels = heartbeat.Get("site").Str, heartbeat.Get("rack").Str,
+		labelsOf(heartbeat.Get("labels"))
+	agent.capacity = resource.Parse(heartbeat.Get("capacity"))
+	agent.free = agent.capacity
+	agent.draining, agent.goneAtMs = heartbeat.Get("leaving").Bool(), 0 // a worker that reports has not ended
+	if leaving := agent.draining || agent.signedOff; leaving != agent.leaving {
+		agent.leaving, changed = leaving, true
+		n.log("worker_leaving", "worker", agent.worker, "leaving", leaving, "leaves_ms", heartbeat.Get("leaves_ms").Int())
+	}
+	if leaves := heartbeat.Get("leaves_ms"); leaves.Exists() && agent.leaving {
+		agent.leavesAtMs = n.now + leaves.Int()
+	}
+	return changed
+}
+
 // resolveLostAttempts ends all attempts of a worker that certainly runs none of them any more.
 func (n *node) resolveLostAttempts(agent *workerAgent) (resolved bool) {
 	for _, key := range agent.keys() {
