--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,306 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// begin places and starts a fleet, has a configuration with one route taken and waits until all daemons are ready.
+func (c *trial) begin(routes []map[string]any, machines ...*machine) error {
+	if err := c.fleet.place(machines...); err != nil {
+		return err
+	}
+	if err := c.fleet.startAll(); err != nil {
+		return err
+	}
+	if err := c.fleet.operate("PUT", "/configuration", 0, configuration(1, routes...), 0); err != nil {
+		return err
+	}
+	return c.fleet.waitReady()
+}
+
+func smallCore() []*machine {
+	return []*machine{
+		{name: "edge-a-1", zone: "fukuoka-a", disk: true}, {name: "edge-b-1", zone: "kumamoto-b", disk: true},
+		{name: "edge-c-1", zone: "kagoshima-c", disk: true},
+	}
+}
+
+// waitFor waits until a condition holds.
+func waitFor(what string, limit time.Duration, condition func() bool) error {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: not within %v", what, limit)
+}
+
+// endsCase: the daemon beside a worker is killed and starts again while more ends are open than one beat lists.
+func endsCase(c *trial) ([]string, error) {
+	const tasks, takes = 620, 4 * time.Second
+	side := &machine{name: "side-a-1", zone: "fukuoka-a", side: true}
+	other := &machine{name: "side-b-1", zone: "kumamoto-b", side: true}
+	if err := c.begin([]map[string]any{route("r-1", "/lohu930/")}, append(smallCore(), side, other)...); err != nil {
+		return nil, err
+	}
+	ctx := c.fleet.ctx
+	took := func(string) time.Duration { return takes }
+	w := c.fleet.newWorker("i-7f3a91c2", side, []string{"a", "r1-1"}, took)
+	o := c.fleet.newWorker("i-58e0b7d4", other, []string{"b", "r2-1"}, took)
+	go w.work(ctx)
+	go o.work(ctx)
+	time.Sleep(2 * time.Second)
+	id := "5c0e7a21d94b36f8"
+	err := c.fleet.submit("/lohu930/", id, step{Count: tasks, CPU: 100, TaskMemoryMb: 100,
+		EstimateMs: takes.Milliseconds(), RequiredLabels: []string{"a"}})
+	if err != nil {
+		return nil, err
+	}
+	if err := waitFor("all tasks run", 20*time.Second, func() bool { n, _ := w.counts(); return n == tasks }); err != nil {
+		return nil, err
+	}
+	if c.trouble {
+		time.Sleep(takes - 1500*time.Millisecond)
+		c.fleet.signal(side, syscall.SIGKILL)
+		<-side.exited
+		if err := waitFor("all tasks end", 10*time.Second, func() bool { n, _ := w.counts(); return n == 0 }); err != nil {
+			return nil, err
+		}
+		if err := c.fleet.start(side, false); err != nil {
+			return nil, err
+		}
+	}
+	_ = waitFor("the job completes", 25*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		return c.fleet.state(c.fleet.machines[1], "/lohu930/", id) == "complete"
+	})
+	time.Sleep(2 * time.Second)
+	return judgeTwice(c.rec, w, o), nil
+}
+
+// routesCase: a change removes a queue, and many others, while a job that was accepted there is half done.
+func routesCase(c *trial) ([]string, error) {
+	const others, takes = 350, 3 * time.Second
+	side := &machine{name: "side-a-1", zone: "fukuoka-a", side: true}
+	keep, old := route("r-keep", "/keep001/"), route("r-job", "/lohu930/")
+	all := []map[string]any{keep, old}
+	for i := range others {
+		all = append(all, route(fmt.Sprintf("r-idle-%03d", i), fmt.Sprintf("/pule%03d/", i)))
+	}
+	if err := c.begin([]map[string]any{keep, old}, append(smallCore(), side)...); err != nil {
+		return nil, err
+	}
+	if err := c.fleet.operate("PUT", "/configuration", 1, configuration(2, all...), 1); err != nil {
+		return nil, err
+	}
+	ctx := c.fleet.ctx
+	w := c.fleet.newWorker("i-7f3a91c2", side, []string{"a", "r1-1"}, func(string) time.Duration { return takes })
+	go w.work(ctx)
+	time.Sleep(2 * time.Second)
+	id := "5c0e7a21d94b36f8"
+	err := c.fleet.submit("/lohu930/", id,
+		step{Count: 2, CPU: 1000, TaskMemoryMb: 100, EstimateMs: takes.Milliseconds()},
+		step{Count: 2, CPU: 1000, TaskMemoryMb: 100, EstimateMs: takes.Milliseconds(), DependsOn: []int{0}})
+	if err != nil {
+		return nil, err
+	}
+	if err := waitFor("the first step runs", 20*time.Second, func() bool { n, _ := w.counts(); return n == 2 }); err != nil {
+		return nil, err
+	}
+	if c.trouble {
+		if err := c.fleet.operate("PUT", "/configuration", 2, configuration(3, keep), 2); err != nil {
+			return nil, err
+		}
+	}
+	if err := waitFor("the first step ends", 20*time.Second, func() bool { _, n := w.counts(); return n == 2 }); err != nil {
+		return nil, err
+	}
+	turnMs := c.rec.nowMs()
+	// The rule allows 3 s; the script waits 20 s, five times the longest bound for an acknowledgement.
+	waits := waitFor("the second step starts", 20*time.Second, func() bool { n, _ := w.counts(); return n > 0 })
+	if waits != nil {
+		c.rec.line("nothing of job %s has run since %d ms; the worker is idle", id, turnMs)
+		return []string{fmt.Sprintf(
+			"LOST: job %s: no task runs for %d ms, while the turn of its second step has come and the only worker is idle",
+			id, c.rec.nowMs()-turnMs)}, nil
+	}
+	return nil, waitFor("the second step ends", 20*time.Second, func() bool { _, n := w.counts(); return n == 4 })
+}
+
+// pileCase: one member of the core is killed and starts again while many accepted jobs wait for room.
+func pileCase(c *trial) ([]string, error) {
+	const (
+		jobs, wide   = 520, 300
+		every        = 40 * time.Millisecond // 25 jobs a second
+		takes        = 1400 * time.Millisecond
+		downFor      = 3500 * time.Millisecond
+		recoveryS    = 12
+		cpu, allowed = 3200, 3 * time.Second
+	)
+	sides := []*machine{{name: "side-a-1", zone: "fukuoka-a", side: true}, {name: "side-b-1", zone: "kumamoto-b", side: true},
+		{name: "side-c-1", zone: "kagoshima-c", side: true}}
+	if err := c.begin([]map[string]any{route("r-1", "/lohu930/")}, append(smallCore(), sides...)...); err != nil {
+		return nil, err
+	}
+	ctx := c.fleet.ctx
+	var workers []*worker
+	for i, side := range sides {
+		w := c.fleet.newWorker(fmt.Sprintf("i-7f3a91c%d", i), side, []string{"a", fmt.Sprintf("r%d-1", i)},
+			func(string) time.Duration { return takes })
+		workers = append(workers, w)
+		go w.work(ctx)
+	}
+	time.Sleep(2 * time.Second)
+	same := step{Count: wide, CPU: cpu, TaskMemoryMb: 4600, EstimateMs: takes.Milliseconds()}
+	second, third := same, same
+	second.DependsOn, third.DependsOn = []int{0}, []int{1}
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	var accepted []string
+	for i := range jobs {
+		<-ticker.C
+		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
+		m := c.fleet.machines[i%3]
+		status, answer := c.fleet.post(m, "/lohu930/", id, same, second, third)
+		c.rec.line("client POST %s to %s: %d %s", id, m.name, status, short(answer))
+		if status == 200 {
+			accepted = append(accepted, id)
+		}
+	}
+	c.rec.line("%d of %d jobs were accepted", len(accepted), jobs)
+	fmt.Printf("%d of %d jobs were accepted\n", len(accepted), jobs)
+	time.Sleep(time.Second)
+	if c.trouble {
+		core := c.fleet.machines[0]
+		c.fleet.signal(core, syscall.SIGKILL)
+		<-core.exited
+		time.Sleep(downFor)
+		if err := c.fleet.start(core, false); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(recoveryS * time.Second)
+	// Every job needs three times what the workers do in this script, so all of them have tasks that wait.
+	var breaks []string
+	idleSince, mostMb := time.Time{}, map[string]int{}
+	for until := time.Now().Add(25 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		inUse, room := int64(0), int64(0)
+		for _, w := range workers {
+			running, _ := w.counts()
+			inUse, room = inUse+int64(running)*cpu, room+w.cpu
+		}
+		for _, m := range c.fleet.edges() {
+			mostMb[m.name] = max(mostMb[m.name], m.residentMb())
+		}
+		switch {
+		case 2*inUse >= room:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		case time.Since(idleSince) > allowed:
+			breaks = append(breaks, fmt.Sprintf(
+				"LOST: at %d ms: for 3 s, %d of %d millicores at most are in use, while %d accepted jobs wait with tasks of %d",
+				c.rec.nowMs(), inUse, room, len(accepted), cpu))
+			idleSince = time.Time{}
+		}
+	}
+	ended := 0
+	for _, w := range workers {
+		_, n := w.counts()
+		ended += n
+	}
+	c.rec.line("%d runs have ended", ended)
+	for i := 0; i < len(accepted); i += 40 {
+		c.fleet.state(c.fleet.machines[1], "/lohu930/", accepted[i])
+	}
+	for _, m := range c.fleet.edges() {
+		c.rec.line("%s used up to %d MB", m.name, mostMb[m.name])
+	}
+	return breaks, nil
+}
+
+// cancelsCase: all processes of the core are killed at once, after many accepted jobs were cancelled. The platform kills
+// a process that is over its memory, and starts each one again.
+func cancelsCase(c *trial) ([]string, error) {
+	const (
+		jobs, wide = 1100, 300
+		recoveryS  = 12
+		asked      = 60
+	)
+	side := &machine{name: "side-a-1", zone: "fukuoka-a", side: true}
+	if err := c.begin([]map[string]any{route("r-1", "/lohu930/")}, append(smallCore(), side)...); err != nil {
+		return nil, err
+	}
+	ctx := c.fleet.ctx
+	w := c.fleet.newWorker("i-7f3a91c2", side, []string{"a", "r1-1"}, func(string) time.Duration { return time.Second })
+	go w.work(ctx)
+	p := c.fleet.watchMemory(ctx)
+	time.Sleep(2 * time.Second)
+	same := step{Count: wide, CPU: 3200, TaskMemoryMb: 4600, EstimateMs: 1400, RequiredLabels: []string{"ssd"}}
+	second, third := same, same
+	second.DependsOn, third.DependsOn = []int{0}, []int{1}
+	cancelled := 0
+	for i := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b%04x", i)
+		m := c.fleet.machines[i%3]
+		handed, _ := c.fleet.post(m, "/lohu930/", id, same, second, third)
+		status, _ := call("DELETE", "http://"+c.fleet.address(m, frontPort)+"/lohu930/"+id, host,
+			map[string]string{"Otterchute-Deadline-Ms": "3000"}, nil, 3*time.Second)
+		c.rec.line("client POST %s to %s: %d, DELETE: %d", id, m.name, handed, status)
+		if handed == 200 && status == 200 {
+			cancelled++
+		}
+	}
+	c.rec.line("%d of %d jobs were accepted and cancelled", cancelled, jobs)
+	fmt.Printf("%d of %d jobs were accepted and cancelled\n", cancelled, jobs)
+	time.Sleep(3 * time.Second)
+	served, _ := c.ask("5c0e7a21d95a", asked)
+	if 4*served < asked {
+		return nil, fmt.Errorf("only %d of %d requests are served before the kill", served, asked)
+	}
+	if c.trouble {
+		for _, m := range c.fleet.edges() {
+			c.fleet.signal(m, syscall.SIGKILL)
+		}
+	}
+	time.Sleep(time.Second + recoveryS*time.Second)
+	served, sent := c.ask("5c0e7a21d95b", asked)
+	for _, m := range c.fleet.edges() {
+		c.rec.line("%s used up to %d MB; the platform ended it %d times for its memory", m.name, p.most(m), p.kills(m))
+		fmt.Printf("%s used up to %d MB; the platform ended it %d times for its memory\n", m.name, p.most(m), p.kills(m))
+	}
+	if 4*served < sent {
+		return []string{fmt.Sprintf("RECOVER: %d of %d requests are served, sent %d s and more after the core came back",
+			served, sent, recoveryS)}, nil
+	}
+	return nil, nil
+}
+
+// ask hands small jobs in, one every 0.2 s, each at another daemon, with a further try at the next one, and returns how
+// many were served.
+func (c *trial) ask(prefix string, count int) (served, sent int) {
+	results := make(chan bool, count)
+	for i := range count {
+		go func() {
+			for try := range 2 {
+				status, _ := c.fleet.post(c.fleet.edges()[(i+try)%3], "/lohu930/", fmt.Sprintf("%s%04x", prefix, i),
+					step{Count: 1, CPU: 1000, EstimateMs: 1000})
+				c.rec.line("client POST %s%04x: %d", prefix, i, status)
+				if status == 200 {
+					results <- true
+					return
+				}
+			}
+			results <- false
+		}()
+		time.Sleep(200 * time.Millisecond)
+	}
+	for range count {
+		if <-results {
+			served++
+		}
+	}
+	return served, count
+}
