--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -304,3 +304,52 @@
 	}
 	return served, count
 }
+
+// cutCase: a busy worker is cut off and runs on; meanwhile more of its runs end than one beat lists, and among them are
+// some that it began just before the cut.
+func cutCase(c *trial) ([]string, error) {
+	const takes = time.Second
+	side := &machine{name: "side-a-1", zone: "fukuoka-a", side: true}
+	other := &machine{name: "side-b-1", zone: "kumamoto-b", side: true}
+	if err := c.begin([]map[string]any{route("r-1", "/lohu930/")}, append(smallCore(), side, other)...); err != nil {
+		return nil, err
+	}
+	ctx := c.fleet.ctx
+	took := func(string) time.Duration { return takes }
+	w := c.fleet.newWorker("i-7f3a91c2", side, []string{"a", "r1-1"}, took)
+	o := c.fleet.newWorker("i-58e0b7d4", other, []string{"b", "r2-1"}, took)
+	go w.work(ctx)
+	go o.work(ctx)
+	time.Sleep(2 * time.Second)
+	ids := []string{"5c0e7a21d94b36f8", "5c0e7a21d94b36f9", "5c0e7a21d94b36fa"}
+	for _, id := range ids {
+		if err := c.fleet.submit("/lohu930/", id, step{Count: 1000, CPU: 100, TaskMemoryMb: 100, EstimateMs: 3000,
+			RequiredLabels: []string{"a"}}); err != nil {
+			return nil, err
+		}
+	}
+	if err := waitFor("the worker is busy", 20*time.Second, func() bool { n, ended := w.counts(); return n > 560 && ended > 100 }); err != nil {
+		return nil, err
+	}
+	if c.trouble { // the cut begins soon after an order, as most answers to this worker carry some
+		err := waitFor("an answer with some starts", 10*time.Second, func() bool {
+			n, _ := w.counts()
+			return n > 560 && w.lastOrdered() >= 10
+		})
+		if err != nil {
+			return nil, err
+		}
+		w.cut(3 * time.Second)
+	}
+	_ = waitFor("the jobs complete", 40*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		for _, id := range ids {
+			if c.fleet.state(c.fleet.machines[1], "/lohu930/", id) != "complete" {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second)
+	return judgeTwice(c.rec, w, o), nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(c *trial) ([]string, error){
 	"ends":    endsCase,
+	"cut":     cutCase,
 	"routes":  routesCase,
 	"pile":    pileCase,
 	"cancels": cancelsCase,
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -59,6 +59,8 @@
 	lastSeen  int64
 	fence     int64
 	holdUntil time.Time
+	cutUntil  time.Time // until then no beat gets through
+	ordered   int       // starts in the last answer
 	hasHold   bool
 	wake      chan struct{}
 }
@@ -162,7 +164,13 @@
 		"freeCapacity": map[string]int64{"cpu": w.cpu, "taskMemoryMb": w.memory, "gpu": 0},
 		"running":      running, "finished": finished,
 	})
+	isCut := time.Now().Before(w.cutUntil)
 	w.mu.Unlock()
+	if isCut { // the beat is lost; the worker waits a second for its answer
+		w.rec.line("worker %s: beat %d is lost", w.id, w.sequence)
+		time.Sleep(time.Second)
+		return 50 * time.Millisecond
+	}
 	sent := time.Now()
 	req, _ := http.NewRequest("PUT", w.url, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
@@ -196,6 +204,7 @@
 		return
 	}
 	w.fence = a.FenceNumber
+	w.ordered = len(a.Start)
 	for _, s := range a.Stop {
 		w.stop(s[0].(string), int64(s[1].(float64)))
 	}
@@ -239,6 +248,21 @@
 	})
 }
 
+// cut makes all beats get lost for a while, as a cut between the worker and all machines does.
+func (w *worker) cut(length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutUntil = time.Now().Add(length)
+	w.rec.line("worker %s: cut off for %v", w.id, length)
+}
+
+// lastOrdered returns how many starts the last answer carried.
+func (w *worker) lastOrdered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ordered
+}
+
 // counts returns how many tasks run and how many runs have ended.
 func (w *worker) counts() (running, ended int) {
 	w.mu.Lock()
