--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -31,6 +33,13 @@
 	trouble bool
 }
 
+// interrupted returns a channel of the signals that ask this program to end.
+func interrupted() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	return signals
+}
+
 func main() {
 	os.Exit(runCase())
 }
@@ -65,6 +74,8 @@
 	var r result
 	select {
 	case r = <-results:
+	case s := <-interrupted():
+		r.err = fmt.Errorf("ended by %v", s)
 	case <-time.After(110 * time.Second):
 		r.err = fmt.Errorf("the case took too long")
 	}
