--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -157,13 +157,13 @@
 	changed, missed := !agent.rebuilt, n.now-agent.lastContactMs > freezeThresholdMs
 	agent.reportSeq, agent.lastContactMs, agent.tokenMs = seq, n.now, n.now
 	changed = n.applyWorkerState(agent, heartbeat) || changed
-	ended, differs := n.applyHeartbeatLists(agent, heartbeat, missed)
-	changed = changed || differs
+	listed := n.applyHeartbeatLists(agent, heartbeat, missed)
+	changed = changed || listed.report
 	if agent.heartbeats == 1 && len(agent.attempts) > 0 {
 		agent.holdUntilMs = max(agent.holdUntilMs, n.now+n.formerHoldMs())
 	}
 	n.endFormerWorkers(agent)
-	if !agent.rebuilt && n.mayServe(agent) { // attempts ordered by a former agent are in the lists, or will never start
+	if !agent.rebuilt && listed.complete && n.mayServe(agent) { // a former agent's attempts are listed, or will never start
 		agent.rebuilt = true
 		n.log("agent_rebuilt", "worker", agent.worker, "epoch", agent.epoch, "held", len(agent.attempts))
 	}
@@ -177,7 +177,7 @@
 	switch {
 	case changed:
 		n.reportAgent(agent)
-	case ended || agent.changesPending:
+	case listed.ended || agent.changesPending:
 		n.reportChanges(agent)
 	}
 }
--- a/internal/daemon/heartbeat_lists.go
+++ b/internal/daemon/heartbeat_lists.go
@@ -6,7 +6,16 @@
 	"github.com/tidwall/gjson"
 )
 
-// A heartbeat lists the attempts that run at its worker, and the ends that are not acknowledged yet.
+// A heartbeat lists all attempts that run at its worker, and the ends that are not acknowledged yet, in the order of
+// their numbers and at most heartbeatEndsMax of them. A list of that length may be cut short: an attempt that is in
+// neither list may have ended, and its end follows once earlier ones are acknowledged.
+
+// listedChanges tells what a heartbeat's lists have changed.
+type listedChanges struct {
+	ended    bool // attempts have ended
+	report   bool // owners need a full report
+	complete bool // an attempt that the lists don't contain neither runs nor has an end to be acknowledged
+}
 
 // endedList collects the attempts that a heartbeat lists as ended.
 type endedList struct {
@@ -17,15 +26,17 @@
 	changed     bool
 }
 
+// isCutShort reports whether more ends may follow those that a heartbeat lists.
+func (l *endedList) isCutShort() bool { return l.count >= heartbeatEndsMax }
+
 // applyHeartbeatLists updates the agent's attempts from the worker's lists. If heartbeats were missed, the
-// times of the changes since the last one are unknown. It reports whether attempts have ended, and whether
-// owners need a full report.
-func (n *node) applyHeartbeatLists(agent *workerAgent, heartbeat gjson.Result, missed bool) (ended, changed bool) {
+// times of the changes since the last one are unknown.
+func (n *node) applyHeartbeatLists(agent *workerAgent, heartbeat gjson.Result, missed bool) (changes listedChanges) {
 	running := map[wire.AttemptKey]bool{}
 	heartbeat.Get("running").ForEach(func(_, e gjson.Result) bool {
 		if key, ok := parseHeartbeatRun(e); ok {
 			running[key] = true
-			changed = n.applyRunning(agent, key, e, missed) || changed
+			changes.report = n.applyRunning(agent, key, e, missed) || changes.report
 		}
 		return true
 	})
@@ -42,7 +53,11 @@
 	if list.firstNumber > 0 && agent.acknowledgedEnds < list.firstNumber-1 {
 		agent.acknowledgedEnds = list.firstNumber - 1
 	}
-	return n.endUnlisted(agent, running, list) || list.changed, changed
+	if changes.complete = !list.isCutShort(); !changes.complete {
+		n.count("heartbeats_cut_short")
+	}
+	changes.ended = n.endUnlisted(agent, running, list) || list.changed
+	return changes
 }
 
 // adoptUnknown adds an attempt that only the worker lists, since a former agent ordered it.
@@ -127,7 +142,7 @@
 	for _, key := range agent.keys() {
 		attempt := agent.attempts[key]
 		attempt.listed = running[key]
-		mayBeCutShort := ended.count >= heartbeatEndsMax // the list is full, so more attempts may have ended
+		mayBeCutShort := ended.isCutShort()
 		switch {
 		case running[key] || ended.keys[key] || mayBeCutShort && attempt.state == wire.AttemptRunning:
 		case attempt.state == wire.AttemptOrdered && attempt.orderSeq < agent.reportSeq:
--- /dev/null
+++ b/internal/daemon/heartbeat_lists_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"otterchute/internal/wire"
+
+	"github.com/shoenig/test/must"
+)
+
+// endsList returns a heartbeat's list of ends, all ok, of the tasks first to last of a job's first step. Their numbers
+// are those of the tasks, from 1.
+func endsList(job string, first, last int) string {
+	entries := make([]string, 0, last-first+1)
+	for index := first; index <= last; index++ {
+		entries = append(entries, fmt.Sprintf(
+			`{"n":%d,"job":"%s","round":0,"step":0,"index":%d,"run":1,"saved":"","outcome":"ok"}`, index+1, job, index))
+	}
+	return `,"ended":[` + strings.Join(entries, ",") + `]`
+}
+
+// acknowledgeListed has the owner acknowledge the ends of the tasks first to last of a job's first step.
+func acknowledgeListed(agent *workerAgent, job string, first, last int) {
+	for index := first; index <= last; index++ {
+		agent.attempts[firstAttempt(job, index)].acked = true
+	}
+}
+
+// firstAttempt returns the key of the first attempt of a task of a job's first step.
+func firstAttempt(job string, index int) wire.AttemptKey {
+	return wire.AttemptKey{Job: job, Task: uniformTaskID(0, 0, int32(index)), Attempt: 1}
+}
+
+// Guards against tasks that are run again though they have ended: a restarted agent must not count as rebuilt while
+// the worker's lists of ends are cut short, however many follow each other, since owners take what a rebuilt agent
+// doesn't report for lost.
+func TestAgentIsRebuiltFromCompleteListsOnly(t *testing.T) {
+	n, heartbeat := agentOfWorker(t)
+	for range 3 { // the owner's acknowledgement takes a while
+		heartbeat(50, endsList("j1", 0, 499))
+		must.False(t, n.agents["w1"].rebuilt)
+	}
+	agent := n.agents["w1"]
+	acknowledgeListed(agent, "j1", 0, 499)
+	must.Eq(t, 500, heartbeat(50, endsList("j1", 0, 499)).AcknowledgedEnds)
+	heartbeat(50, endsList("j1", 500, 999))
+	must.False(t, agent.rebuilt)
+	acknowledgeListed(agent, "j1", 500, 999)
+	must.Eq(t, 1000, heartbeat(50, endsList("j1", 500, 999)).AcknowledgedEnds)
+	must.False(t, agent.rebuilt)
+	must.False(t, n.baseReport(agent).Rebuilt)
+	heartbeat(50, endsList("j1", 1000, 1050))
+	must.True(t, agent.rebuilt)
+	must.Eq(t, wire.ResultOK, agent.attempts[firstAttempt("j1", 1050)].result)
+}
--- /dev/null
+++ b/internal/daemon/platformcutlists_test.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A worker lists at most 500 ends in a heartbeat, the first ones first. The scenarios here end more runs than that
+// while a worker's daemon, or its connection, is gone.
+
+// reserveWorker gives a worker a label that no other has.
+func (b *platformWorld) reserveWorker(w *platformWorker) map[string]string {
+	w.labels["kind"] = "reserved"
+	return map[string]string{"kind": "reserved"}
+}
+
+// submitSmallTasks submits jobs with the given number of small tasks in all, at workers with the labels.
+func (b *platformWorld) submitSmallTasks(labels map[string]string, tasks int, workMs float64) {
+	const widest, perWorker = 400, 3200
+	room := amounts{b.deployment.capacity[0] / perWorker, b.deployment.capacity[1] / perWorker}
+	for ; tasks > 0; tasks -= widest {
+		job := b.simple(1, min(tasks, widest), room, workMs)
+		job.steps[0].labels = labels
+		b.submit(job)
+	}
+}
+
+// endSoon lets all runs at a worker end successfully within some 100 ms.
+func (w *platformWorker) endSoon() {
+	for _, name := range w.runNames() {
+		execution := w.runs[name].execution
+		execution.updateProgress()
+		execution.workMs = execution.doneMs + 50 + 50*w.b.rng.Float64()
+		execution.scheduleNext()
+	}
+}
+
+// TestPlatformRestartBesideManyEnds guards against tasks that are run again though they have ended: the daemon beside a
+// worker restarts while many more runs end than a heartbeat lists, once or twice in a row, also while the shards have
+// new owners.
+func TestPlatformRestartBesideManyEnds(t *testing.T) {
+	const tasks = 1700 // a heartbeat lists 500
+	for _, deployment := range chosenDeployments() {
+		for _, restarts := range []int{1, 2} {
+			for _, takeover := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%d-takeover-%v", deployment, restarts, takeover), func(t *testing.T) {
+					t.Parallel()
+					b := formPlatform(t, 21, deployment)
+					w := b.worker(1)
+					b.submitSmallTasks(b.reserveWorker(w), tasks, 60_000)
+					must.True(t, b.until(40_000, func() bool { return len(w.runs) == tasks }), must.Sprint(len(w.runs)))
+					start := b.kill(w.node.Name, false)
+					w.endSoon()
+					b.run(900)
+					must.MapEmpty(t, w.runs)
+					if takeover {
+						b.after(3_000_000, b.kill(b.holder(b.randomShardRole()), false))
+					}
+					start()
+					if restarts > 1 {
+						b.run(160)
+						b.after(700_000, b.kill(w.node.Name, false))
+					}
+					b.run(20_000)
+					b.finish(60_000)
+					checkPlatformRun(t, b)
+				})
+			}
+		}
+	}
+}
