--- a/internal/daemon/heartbeat_lists.go
+++ b/internal/daemon/heartbeat_lists.go
@@ -137,21 +137,22 @@
 	}
 }
 
-// endUnlisted ends attempts that the worker no longer lists, and forgets acknowledged ones.
+// endUnlisted ends attempts that the worker no longer lists, and forgets acknowledged ones. If the list of ends is cut
+// short, nothing is known of an attempt that it doesn't contain.
 func (n *node) endUnlisted(agent *workerAgent, running map[wire.AttemptKey]bool, ended *endedList) (changed bool) {
 	for _, key := range agent.keys() {
 		attempt := agent.attempts[key]
 		attempt.listed = running[key]
-		mayBeCutShort := ended.isCutShort()
 		switch {
-		case running[key] || ended.keys[key] || mayBeCutShort && attempt.state == wire.AttemptRunning:
+		case running[key] || ended.keys[key]:
+		case attempt.state == wire.AttemptEnded && attempt.acked:
+			agent.forget(key, n.now)
+		case ended.isCutShort():
 		case attempt.state == wire.AttemptOrdered && attempt.orderSeq < agent.reportSeq:
 			attempt.state, attempt.result, changed = wire.AttemptEnded, wire.ResultRejected, true
 			n.count("starts_not_taken")
 		case attempt.state == wire.AttemptRunning:
 			attempt.state, attempt.result, changed = wire.AttemptEnded, wire.ResultLost, true
-		case attempt.state == wire.AttemptEnded && attempt.acked:
-			agent.forget(key, n.now)
 		}
 	}
 	return changed
--- a/internal/daemon/heartbeat_lists_test.go
+++ b/internal/daemon/heartbeat_lists_test.go
@@ -55,3 +55,36 @@
 	must.True(t, agent.rebuilt)
 	must.Eq(t, wire.ResultOK, agent.attempts[firstAttempt("j1", 1050)].result)
 }
+
+// Guards against tasks that are run again though they have ended: an attempt that was ordered in the last reply and is
+// missing from the next heartbeat may have ended beyond the listed ends, if the list is cut short. Once a list is
+// complete, what is missing from it was never started.
+func TestOrderedAttemptBeyondACutListIsKept(t *testing.T) {
+	const listed = 500
+	n, heartbeat := agentOfWorker(t)
+	heartbeat(50, "")
+	heartbeat(50, "")
+	agent := n.agents["w1"]
+	order := func(index int) *agentAttempt {
+		attempt := &agentAttempt{
+			state: wire.AttemptOrdered, ordered: true, orderSeq: agent.reportSeq, confirmedMs: n.now + 60_000,
+			spec: wire.TaskSpec{Key: firstAttempt("j1", index)},
+		}
+		agent.attempts[attempt.spec.Key] = attempt
+		return attempt
+	}
+	for index := range listed {
+		order(index)
+	}
+	ended, neverStarted := order(listed), order(listed+1)
+	for range 3 { // the owner's acknowledgement takes a while
+		heartbeat(50, endsList("j1", 0, listed-1))
+		must.Eq(t, wire.AttemptOrdered, ended.state)
+		must.Eq(t, wire.AttemptOrdered, neverStarted.state)
+	}
+	acknowledgeListed(agent, "j1", 0, listed-1)
+	heartbeat(50, endsList("j1", 0, listed-1))
+	heartbeat(50, endsList("j1", listed, listed))
+	must.Eq(t, wire.ResultOK, ended.result)
+	must.Eq(t, wire.ResultRejected, neverStarted.result)
+}
--- a/internal/daemon/platformcutlists_test.go
+++ b/internal/daemon/platformcutlists_test.go
@@ -71,3 +71,51 @@
 		}
 	}
 }
+
+// loseHeartbeats loses the worker's heartbeats for a while; it waits a second for the answer to each.
+func (w *platformWorker) loseHeartbeats(ms int64) {
+	w.deliver = func(_ []byte, done func(status int, body []byte)) {
+		w.b.after(1_000_000, func() { done(0, nil) })
+	}
+	w.b.after(ms*1000, func() { w.deliver = nil })
+}
+
+// TestPlatformCutOffBesideManyEnds guards against tasks that are run again though they have ended: a busy worker is cut
+// off right after an answer that carried starts, and many more runs end than a heartbeat lists. The last ones that
+// were started end last. The daemon may restart, or the shards get new owners, while the ends arrive.
+func TestPlatformCutOffBesideManyEnds(t *testing.T) {
+	const early, late, lastStarts = 1300, 300, 100 // tasks; a heartbeat lists 500
+	for _, deployment := range chosenDeployments() {
+		for _, after := range []string{"nothing", "restart", "takeover"} {
+			t.Run(deployment+"/"+after, func(t *testing.T) {
+				t.Parallel()
+				b := formPlatform(t, 22, deployment)
+				w := b.worker(1)
+				labels := b.reserveWorker(w)
+				b.submitSmallTasks(labels, early, 60_000)
+				must.True(t, b.until(40_000, func() bool { return len(w.runs) == early }), must.Sprint(len(w.runs)))
+				b.submitSmallTasks(labels, late, 60_000)
+				lastHeartbeat := w.seq
+				must.True(t, b.until(10_000, func() bool {
+					started := len(w.runs) - early
+					cutNow := started >= lastStarts && !w.heartbeatPending && w.seq > lastHeartbeat
+					lastHeartbeat = w.seq
+					return cutNow
+				}))
+				w.endSoon()
+				w.loseHeartbeats(2500)
+				b.run(2500)
+				must.Greater(t, 500, len(w.ends))
+				switch after {
+				case "restart":
+					b.after(900_000, b.kill(w.node.Name, false))
+				case "takeover":
+					b.after(3_000_000, b.kill(b.holder(b.randomShardRole()), false))
+				}
+				b.run(15_000)
+				b.finish(60_000)
+				checkPlatformRun(t, b)
+			})
+		}
+	}
+}
