A run whose end is beyond a cut list of ends is not taken for stalled

What callers saw: nothing wrong, but slower work: a worker of which over 500 runs had just ended was taken for one where work stands still. It was told to stop the runs beyond the listed ends, and got no new work for 3 s and more. Change: only attempts that the last heartbeat listed as running are looked at for stalls, limits and departures. What a complete list leaves out has an end already, so nothing else is excepted. Evidence: TestEndBeyondACutListIsNoStall failed before (a stop order for a run that had ended) and passes now.

--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -357,12 +357,12 @@
 }
 
 // detectStalledWork stops attempts that make no progress, that their worker's departure would cut off, or
-// that are over their run limit.
+// that are over their run limit. An attempt that a list of ends cut short leaves out has probably ended.
 func (n *node) detectStalledWork(agent *workerAgent) {
 	stalled := false
 	for _, key := range agent.keys() {
 		attempt := agent.attempts[key]
-		if attempt.state != wire.AttemptRunning || attempt.stopMs != 0 || attempt.specUnknown {
+		if attempt.state != wire.AttemptRunning || !attempt.listed || attempt.stopMs != 0 || attempt.specUnknown {
 			continue
 		}
 		// All members of a gang start and end together, so each one waits for the others at its start and its end.
--- a/internal/daemon/heartbeat_lists_test.go
+++ b/internal/daemon/heartbeat_lists_test.go
@@ -88,3 +88,19 @@
 	must.Eq(t, wire.ResultOK, ended.result)
 	must.Eq(t, wire.ResultRejected, neverStarted.result)
 }
+
+// Guards against a worker that is taken for stalled, and gets no more work, since its runs have ended beyond the listed
+// ends: no progress of an attempt is known while neither list contains it.
+func TestEndBeyondACutListIsNoStall(t *testing.T) {
+	n, heartbeat := agentOfWorker(t)
+	heartbeat(50, runningList("j2", 0, 1, 50))
+	attempt := n.agents["w1"].attempts[firstAttempt("j2", 0)]
+	attempt.specUnknown, attempt.spec.EstimateMs = false, 1000
+	heartbeat(50, runningList("j2", 0, 1, 60))
+	for range 8 {
+		attempt.confirmedMs = n.now
+		must.SliceEmpty(t, heartbeat(stallMs/2, endsList("j1", 0, 499)).Stop)
+	}
+	must.Zero(t, n.agents["w1"].suspectUntilMs)
+	must.Eq(t, wire.AttemptRunning, attempt.state)
+}
