Ends that wait for their owner's answer don't let the hold lapse

What callers saw: a daemon was restarted beside a worker with over 100 open ends, and all that ran at that worker was killed some 4 s later, and it got no work until then. Cause: a restarted agent can't know whether an end was replaced before its owner answers. acknowledgeEnds let the hold lapse as soon as 100 ends stood behind such an end, also at the first heartbeat, when no owner could have answered yet: an answer that is missing was taken for a refusal. Change: the hold lapses only behind an end that its owner has refused, since another attempt may have replaced it. Evidence: TestEndsThatWaitForAnAnswerKeepTheHold/counted failed before (no hold granted); its form "refused" and the scenario "many ends behind an abandoned one", which needs such a lapse, pass before and after.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -111,6 +111,7 @@
 	percent        int64
 	lastProgressMs int64
 	endedLate      bool  // its owner may have resolved it as lost before it ended by itself
+	endRefused     bool  // its owner doesn't count its end, so a late end waits for the hold to lapse
 	voided         bool  // the hold has lapsed since it was ordered, so its end is no longer late
 	adoptedMs      int64 // when it was adopted from the worker's list; 0 if it was placed here
 	reportedMs     int64 // when the end was last reported to the owner
--- a/internal/daemon/agent_sync.go
+++ b/internal/daemon/agent_sync.go
@@ -107,7 +107,8 @@
 		return
 	}
 	if attempt.endedLate && decision != wire.DecisionCounted {
-		return // another attempt may have replaced it
+		attempt.endRefused = true // another attempt may have replaced it
+		return
 	}
 	attempt.acked = true
 	if !attempt.ordered || attempt.result == wire.ResultLost || attempt.result == wire.ResultRejected {
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -23,7 +23,7 @@
 	heartbeatMs      = 50     // interval of a worker's heartbeats; an order waits half of it on average
 	stallMs          = 1500   // work has stalled without progress for this long plus a tenth of its estimate
 	lastPercent      = 99     // the highest progress that a worker reports before an attempt ends
-	lateEndsMax      = 100    // ends that may wait behind a late one; beyond, the hold must lapse
+	lateEndsMax      = 100    // ends that may wait behind a refused one; beyond, the hold must lapse
 	heartbeatEndsMax = 500    // most ends that one heartbeat lists
 	signOffDelayMs   = 500    // a drained worker that signed off has ended after this time, unless it reports again
 	leaveStopMs      = 800    // checkpointing attempts stop this long before their worker leaves, to resume elsewhere
@@ -247,7 +247,7 @@
 }
 
 // acknowledgeEnds advances acknowledgedEnds over the ends, in the order of their numbers, that their owners
-// have acknowledged. If too many wait behind a late one, it lets the hold lapse.
+// have acknowledged. If too many wait behind one that its owner has refused, it lets the hold lapse.
 func (n *node) acknowledgeEnds(agent *workerAgent) {
 	for {
 		key, ok := agent.endsByNumber[agent.acknowledgedEnds+1]
@@ -261,7 +261,7 @@
 		delete(agent.endsByNumber, agent.acknowledgedEnds)
 	}
 	if attempt := agent.attempts[agent.endsByNumber[agent.acknowledgedEnds+1]]; len(agent.endsByNumber) > lateEndsMax &&
-		attempt != nil && attempt.endedLate {
+		attempt != nil && attempt.endedLate && attempt.endRefused {
 		n.count("ends_waited")
 		agent.letHoldLapse()
 	}
--- a/internal/daemon/heartbeat_lists_test.go
+++ b/internal/daemon/heartbeat_lists_test.go
@@ -104,3 +104,42 @@
 	must.Zero(t, n.agents["w1"].suspectUntilMs)
 	must.Eq(t, wire.AttemptRunning, attempt.state)
 }
+
+// Guards against runs that are killed because their daemon was restarted while many ends were open: until the owners
+// have answered a restarted agent, its worker's ends are not taken for refused, so the hold must not lapse.
+func TestEndsThatWaitForAnAnswerKeepTheHold(t *testing.T) {
+	const ends = 2 * lateEndsMax
+	restarted := func() (*workerAgent, func(lists string) heartbeatReply, func(wire.Decision)) {
+		n, heartbeat := agentOfWorker(t)
+		lists := endsList("j1", 0, ends-1)
+		heartbeat(50, runningList("j2", 0, 1, 50)+lists)
+		answer := func(decision wire.Decision) {
+			reply := &wire.OwnerReply{Worker: "w1", Epoch: n.agents["w1"].epoch, Shard: "east", ShardEpoch: 1, SentMs: n.now}
+			reply.Decisions = append(reply.Decisions, wire.AttemptDecision{Key: firstAttempt("j2", 0), Decision: wire.DecisionKeep})
+			for index := range ends {
+				reply.Decisions = append(reply.Decisions, wire.AttemptDecision{Key: firstAttempt("j1", index), Decision: decision})
+			}
+			n.onOwnerReply("d00", reply)
+		}
+		return n.agents["w1"], func(lists string) heartbeatReply {
+			return heartbeat(50, runningList("j2", 0, 1, 51)+lists)
+		}, answer
+	}
+	t.Run("counted", func(t *testing.T) {
+		agent, heartbeat, answer := restarted()
+		heartbeat(endsList("j1", 0, ends-1))
+		answer(wire.DecisionCounted)
+		reply := heartbeat(endsList("j1", 0, ends-1))
+		must.Eq(t, ends, reply.AcknowledgedEnds)
+		must.Positive(t, reply.HoldMs)
+		must.Zero(t, agent.lapseUntilMs)
+	})
+	t.Run("refused", func(t *testing.T) {
+		agent, heartbeat, answer := restarted()
+		answer(wire.DecisionAcknowledged) // of an attempt that was replaced: its end must not be acknowledged before a lapse
+		reply := heartbeat(endsList("j1", 0, ends-1))
+		must.Zero(t, reply.AcknowledgedEnds)
+		must.Zero(t, reply.HoldMs)
+		must.Positive(t, agent.lapseUntilMs)
+	})
+}
