--- a/guards.sh
+++ b/guards.sh
@@ -128,6 +128,10 @@
 a worker serves once its lists are complete|internal/daemon/worker_lives.go|\treturn agent.heartbeats > 1|\treturn true
 owners replace a worker by a received reply|internal/daemon/reconcile.go|\|\| !m.ReachedWorker {|{
 a former process's hold is awaited|internal/daemon/heartbeat.go|agent.holdUntilMs = max(agent.holdUntilMs, n.now+n.formerHoldMs())|_ = n.formerHoldMs
+lists that are cut short rebuild no agent|internal/daemon/heartbeat.go|!agent.rebuilt && listed.complete && n.mayServe|!agent.rebuilt && n.mayServe
+what a cut list leaves out is not decided|internal/daemon/heartbeat_lists.go|case ended.isCutShort():|case false:
+a run beyond a cut list has not stalled|internal/daemon/heartbeat.go|\|\| !attempt.listed \|\| attempt.stopMs|\|\| attempt.stopMs
+only a refusal lets a hold lapse|internal/daemon/heartbeat.go|attempt.endedLate && attempt.endRefused|attempt.endedLate
 a late report changes nothing at the central scheduler|internal/daemon/central.go|m.Epoch < w.Epoch \|\| m.Epoch == w.Epoch && m.SentMs < w.SentMs|m.Epoch < w.Epoch
 a job belongs to its address|internal/configuration/configuration.go|h.keys[a.Prefix] = key|h.keys[a.Prefix] = queue.Name
 jobs stored by name follow a rename|internal/daemon/config_state.go|\tn.rebindRenamedQueues(previous)|\t_ = previous
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -13,13 +13,10 @@
 )
 
 const (
-	holdMaxMs = 4000 // the longest hold; a daemon that is killed has restarted before it lapses
 	// ownerTimeoutMs is how long an agent keeps an attempt running without its owner's confirmation. It is
 	// longer than a takeover of the shard or a short partition.
 	ownerTimeoutMs   = 7000
 	staleStopMs      = 900    // unconfirmed attempts stop this long before ownerTimeoutMs, to report the end in time
-	lapseMarginMs    = 300    // margin after the end of a hold, for differences of clocks and message delays
-	driftPercent     = 2      // a worker's clock may run slow by this much
 	heartbeatMs      = 50     // interval of a worker's heartbeats; an order waits half of it on average
 	stallMs          = 1500   // work has stalled without progress for this long plus a tenth of its estimate
 	lastPercent      = 99     // the highest progress that a worker reports before an attempt ends
@@ -32,9 +29,6 @@
 
 // A colocated agent is the only recipient of its worker's heartbeats, and sends its orders in the replies.
 // A worker's heartbeats are sequential, so each one shows the effect of all orders in earlier replies.
-//
-// A reply grants a hold: the worker keeps its attempts running until the hold has passed without
-// another reply, and then ends them all (the hold lapses).
 
 // heartbeatOutcomes are the outcomes that a worker may report for an attempt.
 var heartbeatOutcomes = map[string]bool{
@@ -199,24 +193,6 @@
 	return changed
 }
 
-// resolveLostAttempts ends all attempts of a worker that certainly runs none of them any more.
-func (n *node) resolveLostAttempts(agent *workerAgent) (resolved bool) {
-	for _, key := range agent.keys() {
-		attempt := agent.attempts[key]
-		if attempt.state == wire.AttemptEnded {
-			continue
-		}
-		if attempt.state == wire.AttemptQueued {
-			attempt.result = wire.ResultShed
-		} else {
-			attempt.result = wire.ResultLost
-			n.count("runs_lost")
-		}
-		attempt.state, resolved = wire.AttemptEnded, true
-	}
-	return resolved
-}
-
 // heartbeatReply returns the reply to a heartbeat: the attempts to start and stop, the acknowledged ends,
 // and the hold.
 func (n *node) heartbeatReply(agent *workerAgent) heartbeatReply {
@@ -285,38 +261,6 @@
 	return tombstoned
 }
 
-// holdUntil returns when the worker's hold ends, at most ownerTimeoutMs after the oldest confirmation of an
-// attempt at the worker. It returns 0, so that no hold is granted, while the last one must lapse.
-func (n *node) holdUntil(agent *workerAgent) int64 {
-	if agent.lapseUntilMs != 0 {
-		return 0
-	}
-	until := n.now + n.holdDurationMs()
-	if n.leavingSinceMs != 0 {
-		until = n.now + max(n.holdDurationMs(), n.MaxHoldMs)
-	}
-	for _, attempt := range agent.attempts {
-		if attempt.atWorker() {
-			until = min(until, attempt.confirmedMs+ownerTimeoutMs)
-		}
-	}
-	return until
-}
-
-// formerHoldMs returns the longest hold that a former process of this daemon may have granted to running attempts, by
-// a clock that runs slow. A process that stops in order grants more than holdMaxMs, see holdUntil.
-func (n *node) formerHoldMs() int64 {
-	return min(max(n.holdDurationMs(), n.MaxHoldMs), ownerTimeoutMs) * (100 + driftPercent) / 100
-}
-
-// holdDurationMs returns the length of the hold that a reply grants.
-func (n *node) holdDurationMs() int64 {
-	if n.MaxHoldMs > 0 {
-		return min(holdMaxMs, n.MaxHoldMs)
-	}
-	return holdMaxMs
-}
-
 // recordOwnerReply records an owner's reply to a report. If the owner did not reply for longer than
 // ownerTimeoutMs, or never replied to this agent, it may have resolved the attempts here as lost; those
 // that ended by themselves meanwhile count only if the owner accepts them.
@@ -340,22 +284,6 @@
 	a.ownerReplyMs[shard] = max(a.ownerReplyMs[shard], sentMs)
 }
 
-// letHoldLapse lets the worker's hold lapse: an end whose attempt may have been replaced can be
-// acknowledged only after that. It is called only when many other ends wait behind such an end.
-func (a *workerAgent) letHoldLapse() {
-	if a.lapseUntilMs == 0 {
-		a.lapseUntilMs = a.holdUntilMs + lapseMarginMs
-	}
-}
-
-// voidEnds records that the hold has lapsed: ends before that can be acknowledged to the worker, and
-// no longer have to wait for their owner's decision as late ends.
-func (a *workerAgent) voidEnds() {
-	for _, attempt := range a.attempts {
-		attempt.endedLate, attempt.voided = false, attempt.voided || attempt.ordered
-	}
-}
-
 // detectStalledWork stops attempts that make no progress, that their worker's departure would cut off, or
 // that are over their run limit. An attempt that a list of ends cut short leaves out has probably ended.
 func (n *node) detectStalledWork(agent *workerAgent) {
@@ -419,32 +347,6 @@
 	return ownerContactMs
 }
 
-// endAfterSilence ends the worker's attempts once its hold has certainly lapsed, or it is gone. It reports
-// whether any attempt has ended.
-func (n *node) endAfterSilence(agent *workerAgent) (changed bool) {
-	if n.now > agent.lapseUntilMs && agent.lapseUntilMs != 0 { // the hold has lapsed: late ends may be acknowledged
-		agent.lapseUntilMs = 0
-		changed = n.resolveLostAttempts(agent)
-		agent.voidEnds()
-	}
-	silent := n.now > agent.holdUntilMs+lapseMarginMs && n.now-agent.lastContactMs > lapseMarginMs
-	gone := agent.goneAtMs != 0 && n.now > agent.goneAtMs
-	if agent.replaced || !silent && !gone {
-		return changed
-	}
-	if agent.goneAtMs == 0 {
-		agent.voidEnds()
-	}
-	if silent && agent.signedOff {
-		agent.goneAtMs = n.now
-	}
-	if n.resolveLostAttempts(agent) {
-		changed = true
-		n.log("worker_silent", "worker", agent.worker, "silent_ms", n.now-agent.lastContactMs)
-	}
-	return changed
-}
-
 // isFinished reports whether an agent whose worker is gone or replaced has nothing left to report.
 func (n *node) isFinished(agent *workerAgent) bool {
 	if !agent.replaced && agent.goneAtMs == 0 {
