The campaign ends many runs at once beside kills, lost heartbeats and cuts

A fault "many ends" for the random mixes: 600 to 1,600 small tasks of one worker end within 100 ms while its daemon is killed once or twice, its heartbeats get lost or its machine is cut off, beside kills of owners; lists of ends are cut short several times in a row.

--- a/internal/daemon/platformcampaign_test.go
+++ b/internal/daemon/platformcampaign_test.go
@@ -16,6 +16,7 @@
 	"leave unannounced": func(b *platformWorld) {
 		b.leaveUnannouncedAndReplace(b.somePlatformWorker(), b.rng.Int64N(6000))
 	},
+	"many ends": (*platformWorld).endManyBesideTrouble,
 	"late heartbeats": func(b *platformWorld) {
 		b.delayHeartbeats(b.somePlatformWorker(), 1+b.rng.IntN(4), b.chance(0.6), b.chance(0.4))
 	},
