The soak ends many runs at once beside kills and lost heartbeats

Each few seconds a job of 700 to 1,000 small tasks that only one worker can run is handed in; while its runs end, that worker's daemon is killed once or twice, or its heartbeats are lost. Workers have their machine's name as a label for this.

--- a/internal/daemon/soak_callers_test.go
+++ b/internal/daemon/soak_callers_test.go
@@ -85,6 +85,9 @@
 		if len(step.after) > 0 {
 			m["dependsOn"] = step.after
 		}
+		if len(step.labels) > 0 {
+			m["requiredLabels"] = sortedKeys(step.labels)
+		}
 		steps = append(steps, m)
 	}
 	return soakJSON(map[string]any{"jobSpec": j.payload, "steps": steps})
--- a/internal/daemon/soak_test.go
+++ b/internal/daemon/soak_test.go
@@ -58,7 +58,7 @@
 	defer close(stop)
 	go s.printProgress(end, stop)
 	var tasks sync.WaitGroup
-	for _, task := range []func(time.Time){s.callers, s.operate, s.harmDaemons, s.harmWorkers} {
+	for _, task := range []func(time.Time){s.callers, s.operate, s.harmDaemons, s.harmWorkers, s.endManyRuns} {
 		tasks.Go(func() { task(end) })
 	}
 	tasks.Wait()
--- a/internal/daemon/soak_workers_test.go
+++ b/internal/daemon/soak_workers_test.go
@@ -30,7 +30,8 @@
 	harmed    bool
 	up        bool
 	draining  bool
-	late      int // so many of the next heartbeats are delivered late
+	late      int       // so many of the next heartbeats are delivered late
+	lostUntil time.Time // until then no heartbeat is delivered
 	sequence  int64
 	holdUntil time.Time
 	runs      map[taskOfJob]*soakRun
@@ -92,7 +93,7 @@
 	}
 	s.workers[m.name] = w
 	s.recordLocked(platformEvent{kind: eventWorkerUp, worker: w.id, host: m.name, facts: &workerFacts{
-		capacity: amounts{soakCores, soakMemoryMb}, labels: map[string]string{"service": soakService, "a": "yes"}, zone: m.zone}})
+		capacity: amounts{soakCores, soakMemoryMb}, labels: map[string]string{"service": soakService, "a": "yes", m.name: "yes"}, zone: m.zone}})
 	go w.sendHeartbeats()
 	go w.work()
 }
@@ -119,6 +120,26 @@
 	w.late = count
 }
 
+// loseHeartbeats loses the worker's heartbeats for a while; it waits a second for the answer to each.
+func (w *soakWorker) loseHeartbeats(length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lostUntil = time.Now().Add(length)
+}
+
+func (w *soakWorker) losesHeartbeats() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.lostUntil)
+}
+
+// runCount returns how many runs the worker has.
+func (w *soakWorker) runCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // leave ends the worker in one of the ways of the protocol.
 func (w *soakWorker) leave(way string) {
 	ended := w.s.fault("leaving", nil)
@@ -191,7 +212,7 @@
 	w.late = max(0, w.late-1)
 	return soakJSON(map[string]any{
 		"service": soakService, "address": w.machine.port(3), "zone": w.machine.zone, "configVersion": "v1", "taskSlots": 8, "state": state, "coldRemainingMs": 0,
-		"freeCapacity": map[string]int{"cpu": soakCores, "taskMemoryMb": soakMemoryMb, "gpu": 0}, "labels": []string{"a", "r" + w.machine.zone},
+		"freeCapacity": map[string]int{"cpu": soakCores, "taskMemoryMb": soakMemoryMb, "gpu": 0}, "labels": []string{"a", "r" + w.machine.zone, w.machine.name},
 		"clockMs": time.Since(w.s.begin).Milliseconds(), "callSequence": w.sequence, "running": running, "finished": finished,
 	}), w.draining, late
 }
@@ -209,6 +230,10 @@
 func (w *soakWorker) sendHeartbeats() {
 	for w.isUp() {
 		body, draining, late := w.heartbeat()
+		if w.losesHeartbeats() {
+			time.Sleep(time.Second)
+			continue
+		}
 		if late {
 			go w.deliverLate(body)
 			if rand.IntN(2) == 0 { // else this is a copy, and the heartbeat arrives in time too
