--- a/guards.sh
+++ b/guards.sh
@@ -180,7 +180,7 @@
   fi
   if [ -n "$compile_only" ]; then echo "compiles  $name"; continue; fi
   out=$(cd "$copy" && a=0 && { go test -vet=off -timeout 240s $(go list ./internal/... | grep -v /daemon$) 2>&1 || a=1; } && cd internal/daemon &&
-    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|Fenced|Excludes|Copy|Setup|Config|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Members|Repairs|Slot|CopiedAgain|Stalled|Surest|Former|NextSet|Lease|FullDisk|FailedDisk|Batch[A-M]|Tenant' 2>&1 || a=1; } &&
+    { timeout 240 ./t -test.timeout 200s -test.run 'Scenarios|CutList|CompleteLists|EndsThatWait|Fenced|Excludes|Copy|Setup|Config|Form|Belong|Unanswered|Acceptors|Ballot|Order|Forgotten|Members|Repairs|Slot|CopiedAgain|Stalled|Surest|Former|NextSet|Lease|FullDisk|FailedDisk|Batch[A-M]|Tenant' 2>&1 || a=1; } &&
     { timeout 240 ./t -test.timeout 200s -test.run Campaign -seeds "${SEEDS:-12}" 2>&1 || a=1; } && exit $a)
   if [ $? -eq 0 ]; then echo "UNNOTICED $name"; touch "$bad"; else
     rules=$(echo "$out" | grep -oE '(twice_at_once|again_after_well|over_room|before_its_steps|before_due|lacks_label|outside_group|past_failures|after_cancel|runs_on_after_cancel|leaving_worker|emptied_site|job_forgotten|failed_without_cause|complete_too_early|setup_lost|setup_acked_twice|run_not_sent) at|jobs (still )?open|[0-9] of [0-9]+ jobs|panic|build failed|core is not whole' | sed -E 's/ at//; s/^[0-9].*/jobs open/; s/jobs still open/jobs open/' | sort | uniq -c | sort -rn | head -4 | awk '{c=$1; $1=""; printf "%s x%s,", $0, c}')
