--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -157,7 +157,7 @@
 		agent.holdUntilMs = max(agent.holdUntilMs, n.now+n.formerHoldMs())
 	}
 	n.endFormerWorkers(agent)
-	if !agent.rebuilt && listed.complete && n.mayServe(agent) { // a former agent's attempts are listed, or will never start
+	if !agent.rebuilt && listed.complete && n.mayServe(agent) { // a former agent's attempts are listed or can't start
 		agent.rebuilt = true
 		n.log("agent_rebuilt", "worker", agent.worker, "epoch", agent.epoch, "held", len(agent.attempts))
 	}
--- a/internal/daemon/soak_bursts_test.go
+++ b/internal/daemon/soak_bursts_test.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	burstRuns    = 500 // ends that a heartbeat lists; a burst that has begun no more runs than this is left alone
+	burstRuns    = 500 // ends that a heartbeat lists at most; a burst that has begun no more runs than this is left alone
 	burstWaitMs  = 8000
 	burstWorkMs  = 4000
 	burstLeadMs  = 300 // the trouble begins this long before the first run of a burst ends
--- a/internal/daemon/soak_workers_test.go
+++ b/internal/daemon/soak_workers_test.go
@@ -198,9 +198,12 @@
 		r := w.runs[task]
 		running = append(running, []any{task.String(), r.run, "", min(99, int64(100*time.Since(r.started)/r.work))})
 	}
-	for _, e := range w.ends[:min(500, len(w.ends))] {
+	for _, e := range w.ends[:min(burstRuns, len(w.ends))] {
 		finished = append(finished, []any{e.number, e.task.String(), e.run, e.how, ""})
 	}
+	if len(w.ends) > burstRuns {
+		w.s.count("list cut short")
+	}
 	if len(finished) > 0 && w.up {
 		w.s.record(platformEvent{kind: eventEndsReported, worker: w.id, host: w.machine.name, n: w.ends[len(finished)-1].number})
 	}
